world: serve a request along the whole path, thin

Cause: nothing existed. This lays down the objects, the messages and the seams between routing, calls, agreement and visibility, with the simplest part behind each seam: a control log of one host in memory, least local count, announcements passed on to every entry host.

The control hosts do not agree with each other yet: all calls go to the first one.

Conclusion: the path stands; each part can now be replaced behind its seam.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target works in a fresh clone that has Go and a module cache.
+MODULES = world entry control snipebeam standin bench
+BIN = .bin
+PROTO = world/wire/wire.proto
+GO_FILES = $$(git ls-files -co --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$')
+
+.PHONY: build test check bench demo fmt generate tools race
+
+build:
+	for m in entry control standin; do go build -o $(BIN)/snipebeam-$$m ./$$m || exit 1; done; go build -o $(BIN)/snipebeam ./snipebeam
+
+test:
+	go test $(MODULES:%=./%/...)
+
+race:
+	go test -race $(MODULES:%=./%/...)
+
+check: tools
+	@unformatted=$$($(BIN)/gofumpt -l $(GO_FILES)); if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	$(BIN)/revive -config revive.toml -set_exit_status $(MODULES:%=./%/...)
+	go vet $(MODULES:%=./%/...)
+
+fmt: tools
+	$(BIN)/gofumpt -w $(GO_FILES)
+
+# ONLY=route runs one area.
+bench:
+	@go run ./bench --only=$(ONLY)
+
+demo: build
+	@go run ./bench/demo --programs=$(BIN)
+
+tools:
+	@cd tools && GOWORK=off go build -o ../$(BIN)/ tool
+
+# Needs protoc; the plugins are Go tools of the tools module.
+generate: tools
+	PATH=$(CURDIR)/$(BIN):$$PATH protoc -I world/wire --go_out=world/wire --go_opt=paths=source_relative --twirp_out=world/wire --twirp_opt=paths=source_relative $(PROTO)
--- /dev/null
+++ b/control/fleet/fleet.go
@@ -0,0 +1,80 @@
+// Package fleet keeps what entry hosts last reported to this control host. It
+// is not durable: every entry host reports again within its poll interval.
+//
+// Usage:
+//
+//	f := fleet.New()
+//	f.Report(report)
+//	for _, host := range f.Hosts(now) { ... }
+package fleet
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+// SilentAfter is how long after its last report a host counts as silent.
+const SilentAfter = 5 * time.Second
+
+// ForgetAfter is how long after its last report a host is forgotten.
+const ForgetAfter = 10 * time.Minute
+
+// StateSilent is shown for a host that has not reported in time.
+const StateSilent = "silent"
+
+// Fleet holds the latest report of each host.
+type Fleet struct {
+	mu      sync.Mutex
+	reports map[string]*wire.HostReport
+	heard   map[string]time.Time
+}
+
+// New returns an empty fleet.
+func New() *Fleet {
+	return &Fleet{reports: map[string]*wire.HostReport{}, heard: map[string]time.Time{}}
+}
+
+// Report stores a host's report, heard at the given time.
+func (f *Fleet) Report(report *wire.HostReport, now time.Time) {
+	if report.GetName() == "" {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports[report.GetName()] = report
+	f.heard[report.GetName()] = now
+}
+
+// Hosts returns the reports in order of names; silent hosts are marked.
+func (f *Fleet) Hosts(now time.Time) []*wire.HostReport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*wire.HostReport
+	for name, report := range f.reports {
+		age := now.Sub(f.heard[name])
+		if age > ForgetAfter {
+			delete(f.reports, name)
+			delete(f.heard, name)
+			continue
+		}
+		all = append(all, marked(report, age))
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].GetName() < all[j].GetName() })
+	return all
+}
+
+func marked(report *wire.HostReport, age time.Duration) *wire.HostReport {
+	if age <= SilentAfter {
+		return report
+	}
+	return &wire.HostReport{
+		Name: report.GetName(), Zone: report.GetZone(), Role: report.GetRole(),
+		CallersAddress: report.GetCallersAddress(), PeersAddress: report.GetPeersAddress(),
+		PlatformAddress: report.GetPlatformAddress(), Version: report.GetVersion(), State: StateSilent,
+		ReportedAt: report.GetReportedAt(), Backlog: report.GetBacklog(),
+		VersionConfirmedAt: report.GetVersionConfirmedAt(), InFlight: report.GetInFlight(),
+	}
+}
--- /dev/null
+++ b/control/host/host.go
@@ -0,0 +1,83 @@
+// Package host composes a control host from its parts with fx.
+//
+// Usage:
+//
+//	app := host.New(cfg, logger)
+//	app.Run()
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/control/agreement"
+	"github.com/snipebeam/snipebeam/control/entry"
+	"github.com/snipebeam/snipebeam/control/fleet"
+	"github.com/snipebeam/snipebeam/control/operator"
+	"github.com/snipebeam/snipebeam/control/settings"
+	"github.com/snipebeam/snipebeam/control/solo"
+	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/wire"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+)
+
+// New returns the application of one control host.
+func New(cfg *settings.Settings, logger hclog.Logger) *fx.App {
+	return fx.New(
+		fx.Supply(cfg),
+		fx.Provide(
+			func() hclog.Logger { return logger },
+			state.New,
+			fleet.New,
+			newLog,
+			newRules,
+			entry.NewClaims,
+			newRing,
+			newServer,
+		),
+		fx.Invoke(func(*http.Server) {}),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+}
+
+func newLog(cfg *settings.Settings, machine *state.Machine) agreement.Log {
+	return solo.New(cfg.Host.Name, machine)
+}
+
+func newRules(cfg *settings.Settings, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet) *operator.Rules {
+	return operator.New(cfg.Host.Name, log, machine, hosts)
+}
+
+func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
+
+func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, rules *operator.Rules, claims *entry.Claims) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(wire.RulesPathPrefix, ring.Guard(wire.NewRulesServer(rules)))
+	mux.Handle(wire.ClaimsPathPrefix, ring.Guard(wire.NewClaimsServer(claims)))
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	server := &http.Server{Handler: mux}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			listener, err := net.Listen("tcp", cfg.Listen.Peers)
+			if err != nil {
+				return errors.Wrap(err, "listen for peers")
+			}
+			logger.Info("control host started", "host", cfg.Host.Name, "peers", listener.Addr().String())
+			go serve(server, listener, logger)
+			return nil
+		},
+		OnStop: server.Shutdown,
+	})
+	return server
+}
+
+func serve(server *http.Server, listener net.Listener, logger hclog.Logger) {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		logger.Error("peers listener failed", "error", err)
+	}
+}
--- /dev/null
+++ b/control/operator/rules.go
@@ -0,0 +1,131 @@
+// Package operator serves the Twirp service Rules to operators and to entry
+// hosts that watch for new versions.
+//
+// Usage:
+//
+//	rules := operator.New("control-1", log, machine, fleet)
+//	mux.Handle(wire.RulesPathPrefix, wire.NewRulesServer(rules))
+package operator
+
+import (
+	"context"
+	"time"
+
+	"github.com/snipebeam/snipebeam/control/agreement"
+	"github.com/snipebeam/snipebeam/control/fleet"
+	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/rule"
+	"github.com/snipebeam/snipebeam/world/wire"
+	"github.com/twitchtv/twirp"
+)
+
+// Bounds of one call.
+const (
+	maxWatch     = 10 * time.Second
+	watchStep    = 50 * time.Millisecond
+	maxHistory   = 10_000
+	confirmLimit = time.Second
+)
+
+// Rules implements the Twirp service.
+type Rules struct {
+	name    string
+	log     agreement.Log
+	machine *state.Machine
+	fleet   *fleet.Fleet
+}
+
+// New returns the service of one control host.
+func New(name string, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet) *Rules {
+	return &Rules{name: name, log: log, machine: machine, fleet: hosts}
+}
+
+// Submit checks a rules file and proposes it.
+func (s *Rules) Submit(ctx context.Context, req *wire.SubmitRequest) (*wire.SubmitResponse, error) {
+	if req.GetSubmissionId() == "" {
+		return nil, twirp.RequiredArgumentError("submission_id")
+	}
+	if _, findings := rule.Parse("rules", req.GetText()); findings.HasErrors() {
+		return nil, twirp.InvalidArgumentError("text", findings.Err().Error())
+	}
+	cmd := &wire.Command{At: time.Now().UnixNano(), Body: &wire.Command_Submit{Submit: req}}
+	result, err := s.log.Propose(ctx, cmd)
+	if err != nil {
+		return nil, ProposeError(err)
+	}
+	return result.GetSubmit(), nil
+}
+
+// ProposeError turns an error of the log into one of Twirp.
+func ProposeError(err error) error {
+	return twirp.WrapError(twirp.NewError(twirp.Unavailable, err.Error()), err)
+}
+
+// Read returns one version.
+func (s *Rules) Read(ctx context.Context, req *wire.ReadRequest) (*wire.ReadResponse, error) {
+	stale := s.confirm(ctx) != nil
+	version, text := s.machine.InForce()
+	if req.GetNumber() > 0 {
+		version, text = s.machine.Version(req.GetNumber())
+	}
+	return &wire.ReadResponse{
+		Version: version, Text: text, Stale: stale, AsOf: time.Now().UnixNano(), ServedBy: s.name,
+	}, nil
+}
+
+func (s *Rules) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmLimit)
+	defer cancel()
+	return s.log.Confirm(ctx)
+}
+
+// History lists accepted versions, newest first.
+func (s *Rules) History(ctx context.Context, req *wire.HistoryRequest) (*wire.HistoryResponse, error) {
+	stale := s.confirm(ctx) != nil
+	limit := int(req.GetLimit())
+	if limit <= 0 || limit > maxHistory {
+		limit = maxHistory
+	}
+	return &wire.HistoryResponse{Versions: s.machine.History(limit), Stale: stale, AsOf: time.Now().UnixNano()}, nil
+}
+
+// Watch records the host's report and waits for a version newer than the
+// known one.
+func (s *Rules) Watch(ctx context.Context, req *wire.WatchRequest) (*wire.WatchResponse, error) {
+	s.fleet.Report(req.GetReport(), time.Now())
+	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatch)
+	deadline := time.Now().Add(wait)
+	for {
+		version, text := s.machine.InForce()
+		if version.GetNumber() > req.GetKnownVersion() || time.Now().After(deadline) {
+			return s.watched(ctx, req, version, text), nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(watchStep):
+		}
+	}
+}
+
+func (s *Rules) watched(ctx context.Context, req *wire.WatchRequest, version *wire.Version, text string) *wire.WatchResponse {
+	if version.GetNumber() <= req.GetKnownVersion() {
+		text = ""
+	}
+	return &wire.WatchResponse{
+		Version: version, Text: text, Stale: s.confirm(ctx) != nil,
+		AsOf: time.Now().UnixNano(), Entries: s.fleet.Hosts(time.Now()),
+	}
+}
+
+// Status describes the control group and the hosts that report to it.
+func (s *Rules) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
+	status := s.log.Status()
+	version, _ := s.machine.InForce()
+	held, unknown := s.machine.CountClaims()
+	return &wire.StatusResponse{
+		ServedBy: s.name, AsOf: time.Now().UnixNano(), Quorum: status.Quorum(), Leader: status.Leader(),
+		Term: status.Term(), Members: status.Members(), Hosts: s.fleet.Hosts(time.Now()), Version: version,
+		ClaimsOutstanding: uint64(held), ClaimsUnknown: uint64(unknown), CommitIndex: status.CommitIndex(),
+	}, nil
+}
--- /dev/null
+++ b/control/settings/log.go
@@ -0,0 +1,8 @@
+package settings
+
+// Log says what is logged.
+type Log struct {
+	Level string `toml:"level" comment:"trace, debug, info, warn or error"`
+}
+
+func defaultLog() Log { return Log{Level: "info"} }
--- /dev/null
+++ b/entry/host/host.go
@@ -0,0 +1,252 @@
+// Package host composes an entry host from its parts with fx.
+//
+// Usage:
+//
+//	app := host.New(cfg, logger)
+//	app.Run()
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/entry/backlog"
+	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/control"
+	"github.com/snipebeam/snipebeam/entry/decision"
+	"github.com/snipebeam/snipebeam/entry/dns"
+	"github.com/snipebeam/snipebeam/entry/operator"
+	"github.com/snipebeam/snipebeam/entry/peer"
+	"github.com/snipebeam/snipebeam/entry/placement"
+	"github.com/snipebeam/snipebeam/entry/platform"
+	"github.com/snipebeam/snipebeam/entry/registry"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/entry/settings"
+	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/wire"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+)
+
+const (
+	expiryInterval = 200 * time.Millisecond
+	callTimeout    = 10 * time.Second
+	stopTimeout    = 24 * time.Hour // a planned stop waits for what is in flight
+	drainPoll      = 20 * time.Millisecond
+)
+
+// New returns the application of one entry host.
+func New(cfg *settings.Settings, logger hclog.Logger) *fx.App {
+	return fx.New(
+		fx.Supply(cfg),
+		fx.Provide(
+			func() hclog.Logger { return logger },
+			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
+			func() route.Policy { return route.LeastCount{} },
+			func() *route.Views { return &route.Views{} },
+			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
+			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool, route.NewRouter,
+			newClient, newState, newWatch, newSender,
+		),
+		fx.Invoke(runBackground, runPlatform, runPeers, runDNS, runCallers),
+		fx.StopTimeout(stopTimeout),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+}
+
+// State is what this host reports of itself.
+type State struct {
+	cfg      *settings.Settings
+	table    *rules.Table
+	book     *backlog.Book
+	draining atomic.Bool
+	bound    atomic.Bool // listeners are open
+}
+
+func newState(cfg *settings.Settings, table *rules.Table, book *backlog.Book) *State {
+	return &State{cfg: cfg, table: table, book: book}
+}
+
+// Ready reports whether this host takes callers.
+func (s *State) Ready() bool {
+	return s.bound.Load() && !s.draining.Load() && s.table.Current().Number() > 0
+}
+
+// Name returns "starting", "ready" or "draining".
+func (s *State) Name() string {
+	switch {
+	case s.draining.Load():
+		return "draining"
+	case s.Ready():
+		return placement.StateReady
+	default:
+		return "starting"
+	}
+}
+
+// Report describes this host.
+func (s *State) Report() *wire.HostReport {
+	now := time.Now()
+	inFlight, _ := s.book.InFlight(now)
+	return &wire.HostReport{
+		Name: s.cfg.Host.Name, Zone: s.cfg.Host.Zone, Role: "entry", State: s.Name(),
+		CallersAddress: s.cfg.Listen.Callers, PeersAddress: s.cfg.Listen.Peers, PlatformAddress: s.cfg.Listen.Platform,
+		Version: s.table.Current().Number(), ReportedAt: now.UnixNano(), Backlog: s.book.Services(now),
+		VersionConfirmedAt: s.table.ConfirmedAt().UnixNano(), InFlight: uint32(inFlight),
+	}
+}
+
+func newClient(cfg *settings.Settings, ring *key.Ring) (*control.Client, *http.Client) {
+	client := ring.Client(&http.Client{Timeout: callTimeout})
+	return control.NewClient(cfg.Control.Hosts, client), client
+}
+
+func newWatch(client *control.Client, table *rules.Table, state *State, logger hclog.Logger) *control.Watch {
+	return control.NewWatch(client, table, state.Report, logger)
+}
+
+func newSender(cfg *settings.Settings, client *http.Client, watch *control.Watch, logger hclog.Logger) *peer.Sender {
+	return peer.NewSender(cfg.Host.Name, client, watch.Entries, logger)
+}
+
+// runBackground runs the loops that end with the program.
+func runBackground(lc fx.Lifecycle, watch *control.Watch, reg *registry.Registry, decisions *decision.Log) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go watch.Run(ctx)
+			go decisions.Run(ctx)
+			go expire(ctx, reg)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return nil
+		},
+	})
+}
+
+func expire(ctx context.Context, reg *registry.Registry) {
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			reg.Expire(now)
+		}
+	}
+}
+
+func runCallers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, router *route.Router, links *upstream.Pool, client *control.Client, book *backlog.Book, decisions *decision.Log) {
+	handler := caller.New(caller.Parts{
+		Host: cfg.Host.Name, Zone: cfg.Host.Zone, Table: table, Router: router, Links: links,
+		Claims: client, Book: book, Decisions: decisions, Stopping: &state.draining,
+	})
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
+		ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if err := listen(server, cfg.Listen.Callers, "callers", logger); err != nil {
+				return err
+			}
+			state.bound.Store(true)
+			logger.Info("entry host started", "host", cfg.Host.Name, "callers", cfg.Listen.Callers)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			drain(ctx, state, logger)
+			return server.Shutdown(ctx)
+		},
+	})
+}
+
+// drain leaves the address answers, keeps accepting until the last answer's
+// lifetime has passed, and then waits for what is in flight.
+func drain(ctx context.Context, state *State, logger hclog.Logger) {
+	state.draining.Store(true)
+	inFlight, oldest := state.book.InFlight(time.Now())
+	logger.Info("draining", "inFlight", inFlight, "oldestMs", oldest.Milliseconds())
+	sleep(ctx, platform.AnswerLifetime)
+	for {
+		inFlight, _ = state.book.InFlight(time.Now())
+		if inFlight == 0 || !sleep(ctx, drainPoll) {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, ring *key.Ring) {
+	handler := platform.New(platform.Parts{
+		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
+		Ready: state.Ready, Decisions: decisions, Keys: ring,
+	})
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Platform, "platform", logger) },
+		OnStop:  server.Shutdown,
+	})
+}
+
+func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring) {
+	service := operator.New(operator.Parts{
+		Host: cfg.Host.Name, Table: table, Views: views, Book: book, Decisions: decisions,
+		Report: state.Report, Drain: state.draining.Store, Logger: logger,
+	})
+	mux := http.NewServeMux()
+	mux.Handle(wire.EntryPathPrefix, ring.Guard(wire.NewEntryServer(service)))
+	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(peer.NewServer(reg))))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Peers, "peers", logger) },
+		OnStop:  server.Shutdown,
+	})
+}
+
+func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, watch *control.Watch) {
+	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, func(service string) ([]*wire.HostReport, bool) {
+		set := table.Current().Set()
+		return placement.Choose(watch.Entries(), service, cfg.Host.Zone, set.Terms(service).Spread()), set.Knows(service)
+	})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			_, err := server.Start(cfg.Listen.DNS)
+			return err
+		},
+		OnStop: server.Stop,
+	})
+}
+
+func listen(server *http.Server, address, name string, logger hclog.Logger) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s", name)
+	}
+	go func() {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			logger.Error("listener failed", "listener", name, "error", err)
+		}
+	}()
+	return nil
+}
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- /dev/null
+++ b/entry/operator/operator.go
@@ -0,0 +1,137 @@
+// Package operator serves the Twirp service Entry to operators: what this host
+// sees of its instances, its backlog and its own state.
+//
+// Usage:
+//
+//	service := operator.New(operator.Parts{...})
+//	mux.Handle(wire.EntryPathPrefix, wire.NewEntryServer(service))
+package operator
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/snipebeam/snipebeam/entry/backlog"
+	"github.com/snipebeam/snipebeam/entry/decision"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/world/wire"
+	"github.com/twitchtv/twirp"
+)
+
+// Parts are what the service works with.
+type Parts struct {
+	Host      string
+	Table     *rules.Table
+	Views     *route.Views
+	Book      *backlog.Book
+	Decisions *decision.Log
+	Report    func() *wire.HostReport
+	Drain     func(drain bool)
+	Logger    hclog.Logger
+}
+
+// Service implements the Twirp service.
+type Service struct {
+	parts Parts
+}
+
+// New returns the service of one entry host.
+func New(parts Parts) *Service { return &Service{parts: parts} }
+
+// Instances lists the instances as this host sees them.
+func (s *Service) Instances(_ context.Context, req *wire.InstancesRequest) (*wire.InstancesResponse, error) {
+	response := &wire.InstancesResponse{ServedBy: s.parts.Host, AsOf: time.Now().UnixNano()}
+	for name, view := range s.parts.Views.All() {
+		if req.GetService() == "" || req.GetService() == name {
+			response.Instances = append(response.Instances, viewLines(view)...)
+		}
+	}
+	return response, nil
+}
+
+func viewLines(view *route.View) []*wire.InstanceView {
+	lines := make([]*wire.InstanceView, 0, len(view.Members()))
+	for _, m := range view.Members() {
+		i := m.Instance()
+		lines = append(lines, &wire.InstanceView{
+			Instance: &wire.Instance{
+				Id: string(i.ID()), Service: i.Service(), Address: i.Address(), Zone: i.Zone(),
+				Slots: uint32(i.Slots()), Cold: i.Cold(), Draining: i.Draining(), Incarnation: i.Incarnation(),
+			},
+			State: stateOf(m), InFlight: uint32(m.Load().InFlight()),
+		})
+	}
+	return lines
+}
+
+func stateOf(m route.Member) string {
+	switch {
+	case m.Instance().Draining():
+		return "draining"
+	case m.Instance().Cold():
+		return "cold"
+	default:
+		return "ready"
+	}
+}
+
+// Backlog lists what is waiting and in flight at this host.
+func (s *Service) Backlog(_ context.Context, req *wire.BacklogRequest) (*wire.BacklogResponse, error) {
+	response := &wire.BacklogResponse{ServedBy: s.parts.Host, AsOf: time.Now().UnixNano()}
+	for _, line := range s.parts.Book.Services(time.Now()) {
+		if req.GetService() == "" || req.GetService() == line.GetService() {
+			response.Services = append(response.Services, line)
+		}
+	}
+	return response, nil
+}
+
+// Explain says which rule and which instances a request would get.
+func (s *Service) Explain(_ context.Context, req *wire.ExplainRequest) (*wire.ExplainResponse, error) {
+	target, err := url.Parse(req.GetUrl())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("url", err.Error())
+	}
+	header := http.Header{}
+	for _, one := range req.GetHeaders() {
+		header.Add(one.GetName(), one.GetValue())
+	}
+	inForce := s.parts.Table.Current()
+	response := &wire.ExplainResponse{Version: inForce.Number(), ServedBy: s.parts.Host}
+	matched := inForce.Set().Match(target.Hostname(), req.GetMethod(), target.Path, header)
+	if matched != nil {
+		response.Rule, response.Who, response.Why = matched.String(), matched.Reason().Who(), matched.Reason().Why()
+	}
+	if view := s.parts.Views.Load(target.Hostname()); view != nil {
+		response.Candidates = viewLines(view)
+	}
+	return response, nil
+}
+
+// HostStatus describes this host.
+func (s *Service) HostStatus(context.Context, *wire.HostStatusRequest) (*wire.HostStatusResponse, error) {
+	return &wire.HostStatusResponse{
+		Report: s.parts.Report(), AsOf: time.Now().UnixNano(), DecisionLinesDropped: s.parts.Decisions.Dropped(),
+	}, nil
+}
+
+// Drain starts or ends draining this host.
+func (s *Service) Drain(_ context.Context, req *wire.DrainRequest) (*wire.DrainResponse, error) {
+	s.parts.Drain(req.GetDrain())
+	inFlight, oldest := s.parts.Book.InFlight(time.Now())
+	return &wire.DrainResponse{State: s.parts.Report().GetState(), InFlight: uint32(inFlight), OldestNs: int64(oldest)}, nil
+}
+
+// SetLogLevel changes the log level while the program runs.
+func (s *Service) SetLogLevel(_ context.Context, req *wire.LogLevelRequest) (*wire.LogLevelResponse, error) {
+	level := hclog.LevelFromString(req.GetLevel())
+	if level == hclog.NoLevel {
+		return nil, twirp.InvalidArgumentError("level", "is none of trace, debug, info, warn, error")
+	}
+	s.parts.Logger.SetLevel(level)
+	return &wire.LogLevelResponse{Level: level.String()}, nil
+}
--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,212 @@
+// Package caller is a stand-in for callers: it asks for the addresses of a
+// service, keeps the answer for its lifetime, connects there and loads it.
+//
+// Usage:
+//
+//	summary := caller.Run(ctx, caller.Config{Platforms: platforms, Service: "catalogue", Rate: 200})
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+// Config describes a load.
+type Config struct {
+	Platforms []string // platform listeners of entry hosts
+	Service   string
+	Zone      string
+	Method    string
+	Path      string
+	Rate      float64 // requests a second, arriving at random
+	Duration  time.Duration
+	BodyBytes int
+	Once      string // header that carries a fresh idempotency key
+	MaxOpen   int    // most requests in flight
+}
+
+// Summary counts outcomes and holds latencies in microseconds.
+type Summary struct {
+	Outcomes map[string]int `json:"outcomes"`
+	Sent     int            `json:"sent"`
+	P50Ms    float64        `json:"p50Ms"`
+	P99Ms    float64        `json:"p99Ms"`
+	P999Ms   float64        `json:"p999Ms"`
+	MaxMs    float64        `json:"maxMs"`
+	Wrong    int            `json:"wrongAnswers"`
+}
+
+type addressAnswer struct {
+	TTLSeconds float64 `json:"ttlSeconds"`
+	Addresses  []struct {
+		Address string `json:"address"`
+	} `json:"addresses"`
+}
+
+type loader struct {
+	cfg    Config
+	client *http.Client
+
+	mu        sync.Mutex
+	addresses []string
+	freshTill time.Time
+	histogram *hdrhistogram.Histogram
+	summary   Summary
+}
+
+const (
+	highestMicros   = 120_000_000
+	significant     = 3
+	requestTimeout  = 2 * time.Minute
+	defaultMaxOpen  = 1000
+	microsPerMs     = 1000.0
+	outcomeNoAnswer = "no-answer"
+)
+
+// Run loads a service until the duration or the context ends.
+func Run(ctx context.Context, cfg Config) Summary {
+	if cfg.MaxOpen == 0 {
+		cfg.MaxOpen = defaultMaxOpen
+	}
+	l := &loader{
+		cfg: cfg, histogram: hdrhistogram.New(1, highestMicros, significant),
+		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: cfg.MaxOpen}},
+	}
+	l.summary.Outcomes = map[string]int{}
+	ctx, cancel := context.WithTimeout(ctx, cfg.Duration)
+	defer cancel()
+	l.load(ctx)
+	return l.result()
+}
+
+func (l *loader) load(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	open := make(chan struct{}, l.cfg.MaxOpen)
+	next := time.Now()
+	for {
+		next = next.Add(time.Duration(rand.ExpFloat64() / l.cfg.Rate * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(next)):
+		}
+		open <- struct{}{}
+		group.Go(func() {
+			defer func() { <-open }()
+			l.one()
+		})
+	}
+}
+
+func (l *loader) one() {
+	started := time.Now()
+	result, wrong := l.call()
+	took := time.Since(started)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.summary.Sent++
+	l.summary.Outcomes[result]++
+	if wrong {
+		l.summary.Wrong++
+	}
+	_ = l.histogram.RecordValue(min(took.Microseconds(), highestMicros))
+}
+
+// call sends one request and returns its outcome, and whether the answer was
+// for another request.
+func (l *loader) call() (string, bool) {
+	address, err := l.address()
+	if err != nil {
+		return "no-address", false
+	}
+	req, err := http.NewRequest(l.cfg.Method, "http://"+address+l.cfg.Path, body(l.cfg.BodyBytes))
+	if err != nil {
+		return "bad-request", false
+	}
+	id := uuid.NewString()
+	req.Host = l.cfg.Service
+	req.Header.Set("Request-Id", id)
+	if l.cfg.Once != "" {
+		req.Header.Set(l.cfg.Once, id)
+	}
+	response, err := l.client.Do(req)
+	if err != nil {
+		return outcomeNoAnswer, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "cut", false
+	}
+	result := response.Header.Get("Snipebeam-Outcome")
+	if result == "answer" && response.StatusCode >= http.StatusInternalServerError {
+		return "answer-error", false
+	}
+	return result, result == "answer" && !bytes.Contains(data, []byte(id))
+}
+
+func body(n int) io.Reader {
+	if n == 0 {
+		return http.NoBody
+	}
+	return bytes.NewReader(make([]byte, n))
+}
+
+// address returns one of the addresses of the last answer, asking again when
+// its lifetime has passed.
+func (l *loader) address() (string, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Now().After(l.freshTill) {
+		l.ask()
+	}
+	if len(l.addresses) == 0 {
+		return "", errors.New("no entry host was named")
+	}
+	return l.addresses[rand.IntN(len(l.addresses))], nil
+}
+
+func (l *loader) ask() {
+	for _, n := range rand.Perm(len(l.cfg.Platforms)) {
+		answer, err := l.askOne(l.cfg.Platforms[n])
+		if err != nil || len(answer.Addresses) == 0 {
+			continue
+		}
+		l.addresses = nil
+		for _, one := range answer.Addresses {
+			l.addresses = append(l.addresses, one.Address)
+		}
+		l.freshTill = time.Now().Add(time.Duration(answer.TTLSeconds * float64(time.Second)))
+		return
+	}
+}
+
+func (l *loader) askOne(platform string) (*addressAnswer, error) {
+	response, err := l.client.Get("http://" + platform + "/v1/addresses/" + l.cfg.Service + "?zone=" + l.cfg.Zone)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask for addresses")
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer := &addressAnswer{}
+	return answer, errors.Wrap(json.NewDecoder(response.Body).Decode(answer), "read addresses")
+}
+
+func (l *loader) result() Summary {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := func(q float64) float64 { return float64(l.histogram.ValueAtQuantile(q)) / microsPerMs }
+	l.summary.P50Ms, l.summary.P99Ms, l.summary.P999Ms = at(50), at(99), at(99.9)
+	l.summary.MaxMs = float64(l.histogram.Max()) / microsPerMs
+	return l.summary
+}
--- /dev/null
+++ b/standin/upstream/announce.go
@@ -0,0 +1,106 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+// heartbeatInterval is how often an announcement is renewed.
+const heartbeatInterval = time.Second
+
+// announcement is the body of PUT /v1/instances/ID at an entry host.
+type announcement struct {
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	Slots       int    `json:"slots"`
+	Draining    bool   `json:"draining"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Announcer renews an instance's announcement at one of several entry hosts.
+type Announcer struct {
+	server  *Server
+	address string
+	zone    string
+	entries []string
+	logger  hclog.Logger
+	client  *http.Client
+	started uint64
+	next    int
+}
+
+// NewAnnouncer returns an announcer; entries are addresses of platform listeners.
+func NewAnnouncer(server *Server, address, zone string, entries []string, logger hclog.Logger) *Announcer {
+	return &Announcer{
+		server: server, address: address, zone: zone, entries: entries, logger: logger,
+		client: &http.Client{Timeout: heartbeatInterval}, started: uint64(time.Now().UnixNano()),
+	}
+}
+
+// Run announces until the context ends, then leaves.
+func (a *Announcer) Run(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatInterval / 2)
+	defer ticker.Stop()
+	for {
+		if err := a.Announce(ctx); err != nil {
+			a.logger.Warn("not announced", "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			a.leave()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Announce renews the announcement at the first entry host that answers.
+func (a *Announcer) Announce(ctx context.Context) error {
+	cfg := a.server.cfg
+	body, err := json.Marshal(announcement{
+		Service: cfg.Service, Address: a.address, Zone: a.zone, Slots: cfg.Slots,
+		Draining: a.server.Draining(), Incarnation: a.started,
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode announcement")
+	}
+	var last error
+	for range a.entries {
+		if last = a.send(ctx, http.MethodPut, body); last == nil {
+			return nil
+		}
+		a.next = (a.next + 1) % len(a.entries)
+	}
+	return last
+}
+
+func (a *Announcer) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatInterval)
+	defer cancel()
+	// The lease ends without it.
+	_ = a.send(ctx, http.MethodDelete, nil)
+}
+
+func (a *Announcer) send(ctx context.Context, method string, body []byte) error {
+	url := "http://" + a.entries[a.next] + "/v1/instances/" + a.server.cfg.ID
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	response, err := a.client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("announce: %s", response.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/world/instance/instance.go
@@ -0,0 +1,102 @@
+// Package instance describes one server of a service as it announced itself.
+//
+// Usage:
+//
+//	i := instance.New("catalogue-1", "catalogue", "127.0.0.1:9001", instance.WithZone("shawinigan"))
+//	if i.Draining() { ... }
+package instance
+
+import "github.com/snipebeam/snipebeam/world/wire"
+
+// Defaults for an instance that announces no value.
+const (
+	DefaultSlots    = 3
+	DefaultMaxLinks = 500
+)
+
+// ID names an instance, unique in the whole system.
+type ID string
+
+// Instance is an immutable record of one announcement.
+type Instance struct {
+	id          ID
+	service     string
+	address     string
+	zone        string
+	slots       int
+	maxLinks    int
+	cold        bool
+	draining    bool
+	incarnation uint64
+}
+
+// Option changes one property of an instance.
+type Option func(*Instance)
+
+// New returns an instance with the defaults and the given properties.
+func New(id ID, service, address string, opts ...Option) *Instance {
+	i := &Instance{id: id, service: service, address: address, slots: DefaultSlots, maxLinks: DefaultMaxLinks}
+	for _, opt := range opts {
+		opt(i)
+	}
+	return i
+}
+
+// WithZone sets the availability zone.
+func WithZone(zone string) Option { return func(i *Instance) { i.zone = zone } }
+
+// WithSlots sets how many requests the instance runs at once.
+func WithSlots(n int) Option { return func(i *Instance) { i.slots = n } }
+
+// WithMaxLinks sets how many connections the instance takes.
+func WithMaxLinks(n int) Option { return func(i *Instance) { i.maxLinks = n } }
+
+// WithCold marks an instance that has just started.
+func WithCold(cold bool) Option { return func(i *Instance) { i.cold = cold } }
+
+// WithDraining marks an instance that takes no new work.
+func WithDraining(draining bool) Option { return func(i *Instance) { i.draining = draining } }
+
+// WithIncarnation sets the number that the instance raises on each start.
+func WithIncarnation(n uint64) Option { return func(i *Instance) { i.incarnation = n } }
+
+// FromWire returns the instance of a message.
+func FromWire(m *wire.Instance) *Instance {
+	i := New(ID(m.GetId()), m.GetService(), m.GetAddress(),
+		WithZone(m.GetZone()), WithCold(m.GetCold()), WithDraining(m.GetDraining()),
+		WithIncarnation(m.GetIncarnation()))
+	if m.GetSlots() > 0 {
+		i.slots = int(m.GetSlots())
+	}
+	if m.GetMaxLinks() > 0 {
+		i.maxLinks = int(m.GetMaxLinks())
+	}
+	return i
+}
+
+// ID returns the instance's name.
+func (i *Instance) ID() ID { return i.id }
+
+// Service returns the service that the instance belongs to.
+func (i *Instance) Service() string { return i.service }
+
+// Address returns the host and port that take requests.
+func (i *Instance) Address() string { return i.address }
+
+// Zone returns the availability zone.
+func (i *Instance) Zone() string { return i.zone }
+
+// Slots returns how many requests the instance runs at once.
+func (i *Instance) Slots() int { return i.slots }
+
+// MaxLinks returns how many connections the instance takes.
+func (i *Instance) MaxLinks() int { return i.maxLinks }
+
+// Cold reports whether the instance has just started.
+func (i *Instance) Cold() bool { return i.cold }
+
+// Draining reports whether the instance takes no new work.
+func (i *Instance) Draining() bool { return i.draining }
+
+// Incarnation returns the number that the instance raises on each start.
+func (i *Instance) Incarnation() uint64 { return i.incarnation }
--- /dev/null
+++ b/world/outcome/outcome.go
@@ -0,0 +1,139 @@
+// Package outcome names what became of a request and writes it to a caller.
+//
+// Usage:
+//
+//	outcome.New(outcome.NotRun, outcome.NoInstance, "no instance of catalogue is ready").Write(w, decisionID)
+package outcome
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers that carry an outcome to a caller.
+const (
+	Header         = "Snipebeam-Outcome"
+	ReasonHeader   = "Snipebeam-Reason"
+	DecisionHeader = "Snipebeam-Decision"
+)
+
+// Kind is the one outcome of a request.
+type Kind string
+
+// Outcomes. NotRun is told only if no byte went to an upstream, or if the
+// upstream refused before it started.
+const (
+	Answer  Kind = "answer"
+	NotRun  Kind = "not-run"
+	Unknown Kind = "unknown"
+)
+
+// Reason is machine-readable and stable.
+type Reason string
+
+// Reasons of outcomes other than an answer.
+const (
+	UnknownService   Reason = "unknown-service"
+	NoRule           Reason = "no-rule"
+	NoInstance       Reason = "no-instance"
+	NotReady         Reason = "not-ready"
+	Overload         Reason = "overload"
+	CallerLimit      Reason = "caller-limit"
+	DeadlineExceeded Reason = "deadline-exceeded"
+	KeyMissing       Reason = "key-missing"
+	KeyReused        Reason = "key-reused"
+	ClaimUnavailable Reason = "claim-unavailable"
+	ClaimHeld        Reason = "claim-held"
+	AnswerTooLarge   Reason = "answer-too-large-to-store"
+	Poison           Reason = "poison"
+	UpstreamLost     Reason = "upstream-lost"
+	UpstreamRefused  Reason = "upstream-refused"
+	BodyTooLarge     Reason = "body-too-large"
+	Malformed        Reason = "malformed"
+	UpgradeRefused   Reason = "upgrade-refused"
+	CallerGone       Reason = "caller-gone"
+)
+
+type reasonFacts struct {
+	status     int
+	retryAfter time.Duration // zero: a retry is not advised
+}
+
+var facts = map[Reason]reasonFacts{
+	UnknownService:   {http.StatusNotFound, 0},
+	NoRule:           {http.StatusNotFound, 0},
+	NoInstance:       {http.StatusServiceUnavailable, time.Second},
+	NotReady:         {http.StatusServiceUnavailable, time.Second},
+	Overload:         {http.StatusServiceUnavailable, time.Second},
+	CallerLimit:      {http.StatusTooManyRequests, time.Second},
+	DeadlineExceeded: {http.StatusGatewayTimeout, 0},
+	KeyMissing:       {http.StatusBadRequest, 0},
+	KeyReused:        {http.StatusUnprocessableEntity, 0},
+	ClaimUnavailable: {http.StatusServiceUnavailable, time.Second},
+	ClaimHeld:        {http.StatusConflict, time.Second},
+	AnswerTooLarge:   {http.StatusConflict, 0},
+	Poison:           {http.StatusForbidden, 0},
+	UpstreamLost:     {http.StatusBadGateway, 0},
+	UpstreamRefused:  {http.StatusServiceUnavailable, time.Second},
+	BodyTooLarge:     {http.StatusRequestEntityTooLarge, 0},
+	Malformed:        {http.StatusBadRequest, 0},
+	UpgradeRefused:   {http.StatusNotImplemented, 0},
+	CallerGone:       {499, 0},
+}
+
+// Problem is an outcome other than an answer. It is an error, and a JSON
+// problem body (RFC 9457).
+type Problem struct {
+	kind   Kind
+	reason Reason
+	detail string
+}
+
+// New returns a problem.
+func New(kind Kind, reason Reason, detail string) *Problem {
+	return &Problem{kind: kind, reason: reason, detail: detail}
+}
+
+// Kind returns the outcome.
+func (p *Problem) Kind() Kind { return p.kind }
+
+// Reason returns the machine-readable reason.
+func (p *Problem) Reason() Reason { return p.reason }
+
+// Status returns the HTTP status.
+func (p *Problem) Status() int { return facts[p.reason].status }
+
+// Error returns the outcome, reason and detail.
+func (p *Problem) Error() string { return string(p.kind) + ": " + string(p.reason) + ": " + p.detail }
+
+type problemBody struct {
+	Type     string `json:"type"`
+	Title    string `json:"title"`
+	Status   int    `json:"status"`
+	Detail   string `json:"detail"`
+	Outcome  Kind   `json:"outcome"`
+	Reason   Reason `json:"reason"`
+	Decision string `json:"decision,omitempty"`
+}
+
+// Write sends the problem as an answer.
+func (p *Problem) Write(w http.ResponseWriter, decisionID string) {
+	f := facts[p.reason]
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(Header, string(p.kind))
+	h.Set(ReasonHeader, string(p.reason))
+	h.Set(DecisionHeader, decisionID)
+	if f.retryAfter > 0 && p.kind == NotRun {
+		h.Set("Retry-After", strconv.Itoa(int(f.retryAfter/time.Second)))
+	}
+	w.WriteHeader(f.status)
+	body := problemBody{
+		Type: "about:blank", Title: http.StatusText(f.status), Status: f.status,
+		Detail: p.detail, Outcome: p.kind, Reason: p.reason, Decision: decisionID,
+	}
+	// The caller may have gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/world/rule/grammar.go
@@ -0,0 +1,61 @@
+package rule
+
+import (
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+// lineLexer splits one line of a rules file into tokens.
+var lineLexer = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "Comment", Pattern: `#.*`},
+	{Name: "String", Pattern: `"[^"]*"`},
+	{Name: "Path", Pattern: `/[^\s:,=#"]*`},
+	{Name: "Quantity", Pattern: `[0-9]+(\.[0-9]+)?[A-Za-z%/]*`},
+	{Name: "Word", Pattern: `[A-Za-z_][A-Za-z0-9_.-]*`},
+	{Name: "Punct", Pattern: `[:,=]`},
+	{Name: "Space", Pattern: `[ \t\r]+`},
+})
+
+var lineParser = participle.MustBuild[lineNode](
+	participle.Lexer(lineLexer),
+	participle.Elide("Space"),
+	participle.UseLookahead(2),
+)
+
+// lineNode is one line: a service line or a route line, then its comment.
+type lineNode struct {
+	Service *serviceNode `parser:"( 'service' @@"`
+	Route   *routeNode   `parser:"| 'route' @@ )"`
+	Terms   []*termNode  `parser:"( ':' @@ ( ',' @@ )* )?"`
+	Comment string       `parser:"@Comment?"`
+}
+
+type serviceNode struct {
+	Pos  lexer.Position
+	Name string `parser:"@Word"`
+}
+
+type routeNode struct {
+	Pos        lexer.Position
+	Service    string           `parser:"@Word"`
+	Methods    []string         `parser:"( @Word ( ',' @Word )* )?"`
+	Path       string           `parser:"@Path?"`
+	Conditions []*conditionNode `parser:"( 'when' @@ ( 'and' @@ )* )?"`
+}
+
+type conditionNode struct {
+	Pos    lexer.Position
+	Header string `parser:"@Word '='"`
+	Value  string `parser:"( @String | @Word | @Quantity | @Path )"`
+}
+
+type termNode struct {
+	Pos    lexer.Position
+	Name   string       `parser:"@Word"`
+	Values []*valueNode `parser:"@@*"`
+}
+
+type valueNode struct {
+	Pos  lexer.Position
+	Text string `parser:"( @String | @Word | @Quantity | @Path )"`
+}
--- /dev/null
+++ b/world/setting/address.go
@@ -0,0 +1,17 @@
+package setting
+
+import "net"
+
+// Loopback reports whether a listen address can be reached from this machine
+// only.
+func Loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	if host == "localhost" {
+		return true
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
