--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -21,8 +21,6 @@
 
 // Bounds of one call.
 const (
-	maxWatch     = 10 * time.Second
-	watchStep    = 50 * time.Millisecond
 	maxHistory   = 10_000
 	confirmLimit = time.Second
 )
@@ -89,35 +87,6 @@
 	return &wire.HistoryResponse{Versions: s.machine.History(limit), Stale: stale, AsOf: time.Now().UnixNano()}, nil
 }
 
-// Watch records the host's report and waits for a version newer than the
-// known one.
-func (s *Rules) Watch(ctx context.Context, req *wire.WatchRequest) (*wire.WatchResponse, error) {
-	s.fleet.Report(req.GetReport(), time.Now())
-	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatch)
-	deadline := time.Now().Add(wait)
-	for {
-		version, text := s.machine.InForce()
-		if version.GetNumber() > req.GetKnownVersion() || time.Now().After(deadline) {
-			return s.watched(ctx, req, version, text), nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(watchStep):
-		}
-	}
-}
-
-func (s *Rules) watched(ctx context.Context, req *wire.WatchRequest, version *wire.Version, text string) *wire.WatchResponse {
-	if version.GetNumber() <= req.GetKnownVersion() {
-		text = ""
-	}
-	return &wire.WatchResponse{
-		Version: version, Text: text, Stale: s.confirm(ctx) != nil,
-		AsOf: time.Now().UnixNano(), Entries: s.fleet.Hosts(time.Now()),
-	}
-}
-
 // Status describes the control group and the hosts that report to it.
 func (s *Rules) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
 	status := s.log.Status()
--- /dev/null
+++ b/world/testseed/testseed.go
@@ -0,0 +1,28 @@
+// Package testseed gives property tests the same seed on every run, so that a
+// verdict can be repeated. A seed given on the command line wins.
+//
+// Usage:
+//
+//	func TestMain(m *testing.M) { os.Exit(testseed.Run(m)) }
+package testseed
+
+import (
+	"flag"
+	"testing"
+)
+
+// seed is rapid's seed unless -rapid.seed is given.
+const seed = "20261204"
+
+// Run sets rapid's seed and runs the tests of a package that uses rapid.
+func Run(m *testing.M) int {
+	set("rapid.seed", seed)
+	set("rapid.nofailfile", "true")
+	return m.Run()
+}
+
+func set(name, value string) {
+	if err := flag.Set(name, value); err != nil {
+		panic("testseed: the package does not use rapid: " + err.Error())
+	}
+}
