--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -29,6 +29,7 @@
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"go.uber.org/fx"
@@ -49,11 +50,11 @@
 		fx.Provide(
 			func() hclog.Logger { return logger },
 			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
-			func() route.Policy { return route.LeastCount{} },
+			route.NewLeastCount,
 			func() *route.Views { return &route.Views{} },
 			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
-			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool, route.NewRouter,
-			newClient, newState, newWatch, newSender,
+			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool,
+			newClient, newState, newWatch, newSender, newRouter,
 		),
 		fx.Invoke(runBackground, runPlatform, runPeers, runDNS, runCallers),
 		fx.StopTimeout(stopTimeout),
@@ -116,6 +117,12 @@
 	return peer.NewSender(cfg.Host.Name, client, watch.Entries, logger)
 }
 
+func newRouter(views *route.Views, policy route.Policy, table *rules.Table) *route.Router {
+	return route.NewRouter(views, policy, route.WithTerms(func(service string) *contract.Service {
+		return table.Current().Set().Terms(service)
+	}))
+}
+
 // runBackground runs the loops that end with the program.
 func runBackground(lc fx.Lifecycle, watch *control.Watch, reg *registry.Registry, decisions *decision.Log) {
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/entry/route/adaptive.go
@@ -0,0 +1,78 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+// Adaptive is the policy "adaptive": the lowest expected time to the answer,
+// among the members that are below their limit of requests in flight. Requests
+// that find none wait at this host.
+type Adaptive = Lowest[*expected]
+
+// expected is the expected time to the answer in nanoseconds: the instance's
+// service time, times its queue once its slots are full, and the way to another
+// zone.
+type expected struct {
+	headroom int     // requests beyond the slots that may be in flight
+	weight   float64 // exponent of the instance's own speed; 0 ignores it
+	zoneCost float64 // nanoseconds added for another zone
+	idle     float64 // cost of each busy slot, as a share of the service time
+}
+
+// Defaults of the policy.
+const (
+	DefaultHeadroom = 2
+	DefaultWeight   = 0.5
+	DefaultZoneCost = 500 * time.Microsecond
+	defaultIdle     = 0.1
+)
+
+// AdaptiveOption changes one property of the policy.
+type AdaptiveOption func(*expected)
+
+// WithHeadroom sets how many requests beyond its slots an instance may have.
+func WithHeadroom(n int) AdaptiveOption { return func(e *expected) { e.headroom = n } }
+
+// WithLatencyWeight sets how much an instance's own speed weighs, from 0 to 1.
+func WithLatencyWeight(w float64) AdaptiveOption { return func(e *expected) { e.weight = w } }
+
+// WithZoneCost sets the time added for an instance in another zone.
+func WithZoneCost(d time.Duration) AdaptiveOption {
+	return func(e *expected) { e.zoneCost = float64(d) }
+}
+
+// WithIdleCost sets the cost of each busy slot as a share of the service time.
+func WithIdleCost(share float64) AdaptiveOption { return func(e *expected) { e.idle = share } }
+
+// NewAdaptive returns the policy with the given properties.
+func NewAdaptive(opts ...AdaptiveOption) *Adaptive {
+	e := &expected{headroom: DefaultHeadroom, weight: DefaultWeight, zoneCost: float64(DefaultZoneCost), idle: defaultIdle}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return &Adaptive{name: "adaptive", why: "lowest expected time to the answer", scorer: e, eject: true}
+}
+
+// unknownLatency stands for the service time before any answer.
+const unknownLatency = float64(5 * time.Millisecond)
+
+// Score returns the expected time to the answer.
+func (e *expected) Score(m *Member, q *Query, norm float64, state State, now int64) (float64, bool) {
+	if norm == 0 {
+		norm = unknownLatency
+	}
+	service := m.load.serviceTime(norm, now)
+	level := m.load.level(now)
+	slots := float64(m.instance.Slots())
+	// The speed of an instance changes while a request runs: its estimate is damped.
+	damped := norm
+	if e.weight > 0 {
+		damped = norm * math.Pow(service/norm, e.weight)
+	}
+	score := damped * (max(1, (level+1)/slots) + e.idle*level/slots)
+	if q.zone != "" && m.instance.Zone() != q.zone {
+		score += e.zoneCost
+	}
+	return score, level < m.load.allowed(slots+float64(e.headroom), service/norm, state)
+}
--- /dev/null
+++ b/entry/route/load.go
@@ -0,0 +1,170 @@
+package route
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// Constants of what is learnt from finished attempts.
+const (
+	latencyWeight   = 0.12                   // weight of a new sample of an instance's service time
+	normWeight      = 0.005                  // weight of a new sample of the service's time
+	estimateHalving = 100 * time.Millisecond // age at which an estimate counts half
+	peakDecay       = float64(100 * time.Millisecond)
+	penaltyDecay    = float64(200 * time.Millisecond)
+	maxPenalty      = 30.0
+)
+
+// value is a float64 that is read and changed without a lock.
+type value struct{ bits atomic.Uint64 }
+
+func (v *value) get() float64  { return math.Float64frombits(v.bits.Load()) }
+func (v *value) set(x float64) { v.bits.Store(math.Float64bits(x)) }
+
+func (v *value) update(change func(old float64) float64) {
+	for {
+		old := v.bits.Load()
+		if v.bits.CompareAndSwap(old, math.Float64bits(change(math.Float64frombits(old)))) {
+			return
+		}
+	}
+}
+
+// average moves towards a sample; the first sample is taken whole.
+func (v *value) average(sample, weight float64) {
+	v.update(func(old float64) float64 {
+		if old == 0 {
+			return sample
+		}
+		return old + weight*(sample-old)
+	})
+}
+
+// Norm is the level of a whole service as this host sees it.
+type Norm struct {
+	latency value // mean service time, nanoseconds
+	spread  value // mean deviation of the latency, nanoseconds
+	gap     value // mean time between completions, nanoseconds
+	last    atomic.Int64
+}
+
+// Latency returns the mean service time in nanoseconds, 0 if unknown.
+func (n *Norm) Latency() float64 { return n.latency.get() }
+
+func (n *Norm) observe(service float64) {
+	n.latency.average(service, normWeight)
+	n.spread.average(math.Abs(service-n.latency.get()), normWeight)
+}
+
+func (n *Norm) completed(now int64) {
+	if last := n.last.Swap(now); last != 0 && now > last {
+		n.gap.average(float64(now-last), 0.02)
+	}
+}
+
+// Load is what this host knows of one instance's load. It outlives views; its
+// zero value knows nothing.
+type Load struct {
+	inFlight   atomic.Int32
+	peers      atomic.Int32 // in flight of other hosts, as they last said
+	peersAt    atomic.Int64
+	reported   atomic.Int64
+	reportedAt atomic.Int64
+	service    value // service time, nanoseconds, normalised by the level at dispatch
+	serviceAt  atomic.Int64
+	peak       value // peak-sensitive average of the latency, nanoseconds
+	penalty    value // failures, as requests that are still in flight
+	penaltyAt  atomic.Int64
+	limit      value // requests that may be in flight, 0 before the first one
+	health     health
+}
+
+// InFlight returns the requests that this host has in flight at the instance.
+func (l *Load) InFlight() int { return int(l.inFlight.Load()) }
+
+// Latency returns the normalised service time, 0 if unknown.
+func (l *Load) Latency() time.Duration { return time.Duration(l.service.get()) }
+
+// Reported returns the load that the instance last reported and when; the
+// time is 0 if it never did.
+func (l *Load) Reported() (load int, at int64) {
+	return int(l.reported.Load()), l.reportedAt.Load()
+}
+
+// SetReported records a load that the instance reported.
+func (l *Load) SetReported(load int, at int64) {
+	l.reported.Store(int64(load))
+	l.reportedAt.Store(at)
+}
+
+// SetPeers records what other hosts have in flight at the instance.
+func (l *Load) SetPeers(n int, at int64) {
+	l.peers.Store(int32(n))
+	l.peersAt.Store(at)
+}
+
+// Peers returns what other hosts had in flight and when they said so.
+func (l *Load) Peers() (n int, at int64) { return int(l.peers.Load()), l.peersAt.Load() }
+
+// level returns the requests at the instance, as far as this host knows.
+func (l *Load) level(now int64) float64 {
+	n := float64(l.inFlight.Load())
+	if at := l.peersAt.Load(); at != 0 {
+		n += float64(l.peers.Load()) * discount(now-at, peersHalving)
+	}
+	return n + l.penaltyNow(now)
+}
+
+// peersHalving is the age at which another host's count counts half.
+const peersHalving = 50 * time.Millisecond
+
+func discount(age int64, halving time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return 1 / (1 + float64(age)/float64(halving))
+}
+
+func (l *Load) penaltyNow(now int64) float64 {
+	p := l.penalty.get()
+	if p == 0 {
+		return 0
+	}
+	return p * math.Exp(-float64(now-l.penaltyAt.Load())/penaltyDecay)
+}
+
+func (l *Load) addPenalty(n float64, now int64) {
+	l.penalty.set(min(l.penaltyNow(now)+n, maxPenalty))
+	l.penaltyAt.Store(now)
+}
+
+// serviceTime returns the estimate of the instance's service time; an old
+// estimate moves towards the service's own level.
+func (l *Load) serviceTime(norm float64, now int64) float64 {
+	s := l.service.get()
+	if s == 0 || norm == 0 {
+		return norm
+	}
+	return norm + (s-norm)*discount(now-l.serviceAt.Load(), estimateHalving)
+}
+
+// observe learns from the latency of a good answer.
+func (l *Load) observe(latency, level, slots float64, now int64) float64 {
+	service := latency / max(1, level/slots)
+	l.service.average(service, latencyWeight)
+	l.serviceAt.Store(now)
+	l.observePeak(latency, now)
+	return service
+}
+
+func (l *Load) observePeak(latency float64, now int64) {
+	age := float64(now - l.serviceAt.Load())
+	l.peak.update(func(old float64) float64 {
+		if latency > old {
+			return latency
+		}
+		w := math.Exp(-age / peakDecay)
+		return old*w + latency*(1-w)
+	})
+}
--- /dev/null
+++ b/entry/route/query.go
@@ -0,0 +1,54 @@
+package route
+
+import (
+	"time"
+
+	"github.com/snipebeam/snipebeam/world/contract"
+	"github.com/snipebeam/snipebeam/world/instance"
+)
+
+// Query asks for an instance for one attempt of a request.
+type Query struct {
+	service  string
+	contract *contract.Contract
+	caller   string
+	zone     string
+	exclude  []instance.ID
+	deadline int64 // Unix nanoseconds, 0 for none
+}
+
+// NewQuery returns a query. An attempt that excludes instances is a retry.
+func NewQuery(service string, terms *contract.Contract, caller, zone string, exclude ...instance.ID) Query {
+	return Query{service: service, contract: terms, caller: caller, zone: zone, exclude: exclude}
+}
+
+// Before returns the query with the time by which the answer must have begun.
+func (q Query) Before(deadline time.Time) Query {
+	q.deadline = deadline.UnixNano()
+	return q
+}
+
+// Service returns the service that is asked for.
+func (q Query) Service() string { return q.service }
+
+// Contract returns the request's contract.
+func (q Query) Contract() *contract.Contract { return q.contract }
+
+// Caller returns the caller's identity.
+func (q Query) Caller() string { return q.caller }
+
+// Zone returns the zone of the asking host.
+func (q Query) Zone() string { return q.zone }
+
+// Retry reports whether an earlier attempt was made.
+func (q Query) Retry() bool { return len(q.exclude) > 0 }
+
+// Excludes reports whether an earlier attempt used the instance.
+func (q Query) Excludes(id instance.ID) bool {
+	for _, one := range q.exclude {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -1,192 +1,207 @@
 // Package route chooses the instance that a request goes to.
 //
 // A Router holds one immutable View of each service behind an atomic pointer;
-// choosing takes no lock. A Policy is pure: it sees a view, the time and a
-// random source, and returns the position of one member.
+// choosing takes no lock and allocates nothing. A Policy is pure: it sees a
+// view, the time and a random source, and returns the position of one member,
+// or says that every member is at its limit. Requests that find every member
+// at its limit wait at this host, in a bounded queue, for the next free slot.
 //
 // Usage:
 //
-//	ticket, err := router.Acquire(ctx, route.NewQuery("catalogue", terms))
-//	defer ticket.Finish(route.Report{...})
+//	views := &route.Views{}
+//	router := route.NewRouter(views, route.NewAdaptive(), route.WithTerms(terms))
+//	ticket, err := router.Acquire(ctx, route.NewQuery("catalogue", terms, caller, zone))
+//	defer ticket.Finish(route.Report{Latency: took})
 //	dial(ticket.Instance().Address())
+//
+// A measurement that runs in virtual time calls Offer in place of Acquire and
+// gives the router its clock and random source.
 package route
 
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/snipebeam/snipebeam/world/contract"
-	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
-// Load is what this host knows of one instance's load. It outlives views.
-type Load struct {
-	inFlight atomic.Int32
+// Router gives out tickets.
+type Router struct {
+	views    *Views
+	policy   Policy
+	policies func(name string) Policy
+	terms    func(service string) *contract.Service
+	clock    func() int64
+	random   Random
+	trace    bool
+	limits   Limits
+
+	mu          sync.Mutex
+	dispatchers atomic.Pointer[map[string]*Dispatcher]
 }
 
-// InFlight returns the requests that this host has in flight at the instance.
-func (l *Load) InFlight() int { return int(l.inFlight.Load()) }
+// Limits are the bounds of the queue and of ejection.
+type Limits struct {
+	Waiting    int           // requests of one service that may wait at this host
+	Wait       time.Duration // longest wait
+	Bypass     int           // times that the oldest waiting request may be passed over
+	MaxEjected float64       // share of a service's instances that may be ejected
+}
 
-// Member is one instance of a view.
-type Member struct {
-	instance *instance.Instance
-	load     *Load
+// DefaultLimits returns the limits used unless others are given.
+func DefaultLimits() Limits {
+	return Limits{Waiting: 1024, Wait: 10 * time.Second, Bypass: 16, MaxEjected: 0.4}
 }
 
-// NewMember returns a member of a view.
-func NewMember(i *instance.Instance, load *Load) Member { return Member{instance: i, load: load} }
+// Option changes one property of a router.
+type Option func(*Router)
 
-// Instance returns what the instance announced.
-func (m Member) Instance() *instance.Instance { return m.instance }
+// WithClock sets the source of Unix nanoseconds.
+func WithClock(clock func() int64) Option { return func(r *Router) { r.clock = clock } }
 
-// Load returns what this host knows of the instance's load.
-func (m Member) Load() *Load { return m.load }
+// WithRandom sets the random source; it is called from many goroutines.
+func WithRandom(next func() uint64) Option { return func(r *Router) { r.random = NewRandom(next) } }
 
-// View is the immutable list of a service's instances.
-type View struct {
-	service string
-	members []Member
+// WithTerms sets where the terms of a service are read.
+func WithTerms(terms func(service string) *contract.Service) Option {
+	return func(r *Router) { r.terms = terms }
 }
 
-// NewView returns a view of a service.
-func NewView(service string, members []Member) *View {
-	return &View{service: service, members: members}
+// WithPolicies sets how a policy that a service's terms name is found.
+func WithPolicies(policies func(name string) Policy) Option {
+	return func(r *Router) { r.policies = policies }
 }
 
-// Service returns the service's name.
-func (v *View) Service() string { return v.service }
+// WithLimits sets the bounds of the queue and of ejection.
+func WithLimits(l Limits) Option { return func(r *Router) { r.limits = l } }
 
-// Members returns the instances.
-func (v *View) Members() []Member { return v.members }
+// WithoutTrace leaves the candidates of each choice unrecorded.
+func WithoutTrace() Option { return func(r *Router) { r.trace = false } }
 
-// Views holds the current view of each service.
-type Views struct {
-	current atomic.Pointer[map[string]*View]
+// NewRouter returns a router over the views.
+func NewRouter(views *Views, policy Policy, opts ...Option) *Router {
+	r := &Router{
+		views: views, policy: policy, policies: ByName, terms: contractOf, trace: true, limits: DefaultLimits(),
+		clock:  func() int64 { return time.Now().UnixNano() },
+		random: NewRandom(rand.Uint64),
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	r.dispatchers.Store(&map[string]*Dispatcher{})
+	views.watch(r.refresh)
+	return r
 }
 
-// Store publishes new views.
-func (v *Views) Store(views map[string]*View) { v.current.Store(&views) }
+func contractOf(service string) *contract.Service { return contract.NewService(service) }
 
-// Load returns the view of a service, or nil.
-func (v *Views) Load(service string) *View {
-	views := v.current.Load()
-	if views == nil {
-		return nil
+// Acquire chooses an instance and counts the attempt as in flight there. If
+// every instance is at its limit it waits until one is free, the context ends
+// or the deadline cannot be met any more. The error is an *outcome.Problem.
+func (r *Router) Acquire(ctx context.Context, q Query) (*Ticket, error) {
+	granted := make(chan grant, 1)
+	if deadline, ok := ctx.Deadline(); ok && q.deadline == 0 {
+		q.deadline = deadline.UnixNano()
 	}
-	return (*views)[service]
-}
-
-// All returns the views of all services.
-func (v *Views) All() map[string]*View {
-	views := v.current.Load()
-	if views == nil {
-		return nil
+	ticket, waiter, err := r.Offer(q, func(t *Ticket, err error) { granted <- grant{t, err} })
+	if err != nil {
+		return nil, err
+	}
+	if ticket != nil {
+		return ticket, nil
+	}
+	limit := time.NewTimer(r.limits.Wait)
+	defer limit.Stop()
+	select {
+	case g := <-granted:
+		return g.result()
+	case <-ctx.Done():
+		return r.giveUp(waiter, granted, outcome.DeadlineExceeded, "no instance of "+q.service+" was free in time")
+	case <-limit.C:
+		return r.giveUp(waiter, granted, outcome.Overload, "no instance of "+q.service+" was free within the longest wait")
 	}
-	return *views
 }
 
-// Query asks for an instance for one attempt of a request.
-type Query struct {
-	service  string
-	contract *contract.Contract
-	caller   string
-	zone     string
-	exclude  []instance.ID
+// giveUp ends a wait; a ticket that was granted meanwhile is returned.
+func (r *Router) giveUp(w *Waiter, granted <-chan grant, reason outcome.Reason, detail string) (*Ticket, error) {
+	if w.Cancel() {
+		return nil, outcome.New(outcome.NotRun, reason, detail)
+	}
+	return (<-granted).result()
 }
 
-// NewQuery returns a query.
-func NewQuery(service string, terms *contract.Contract, caller, zone string, exclude ...instance.ID) Query {
-	return Query{service: service, contract: terms, caller: caller, zone: zone, exclude: exclude}
+type grant struct {
+	ticket *Ticket
+	err    error
 }
 
-// Service returns the service that is asked for.
-func (q Query) Service() string { return q.service }
-
-// Contract returns the request's contract.
-func (q Query) Contract() *contract.Contract { return q.contract }
-
-// Caller returns the caller's identity.
-func (q Query) Caller() string { return q.caller }
-
-// Zone returns the zone of the asking host.
-func (q Query) Zone() string { return q.zone }
-
-// Excludes reports whether an earlier attempt used the instance.
-func (q Query) Excludes(id instance.ID) bool {
-	for _, one := range q.exclude {
-		if one == id {
-			return true
-		}
+func (g grant) result() (*Ticket, error) {
+	if g.err != nil {
+		return nil, g.err
 	}
-	return false
+	return g.ticket, nil
 }
 
-// NoMember is returned by a policy that finds no instance to choose.
-const NoMember = -1
-
-// Policy chooses a member of a view.
-type Policy interface {
-	// Name returns the name used in settings and rules.
-	Name() string
-	// Choose returns the position of a member, or NoMember. now is in Unix
-	// nanoseconds.
-	Choose(view *View, query Query, now int64, random *rand.Rand) int
+// Offer is Acquire without blocking: it returns a ticket, or a waiter whose
+// granted function is called once with a ticket or an error, or an error.
+func (r *Router) Offer(q Query, granted func(*Ticket, error)) (*Ticket, *Waiter, error) {
+	view := r.views.Load(q.service)
+	if view == nil {
+		return nil, nil, outcome.New(outcome.NotRun, outcome.NoInstance, "no instance of "+q.service+" has announced itself")
+	}
+	return r.Dispatcher(q.service).offer(view, q, granted)
 }
 
-// Report is what came of one attempt.
-type Report struct {
-	Latency time.Duration // from dispatch to the first byte of the answer
-	Failed  bool          // the answer is an error of the instance, or there is none
-	Lost    bool          // the link broke or went silent
-	// Reported is the load that the answer carried, valid if HasReport.
-	Reported  int
-	HasReport bool
+// Dispatcher returns the dispatcher of a service.
+func (r *Router) Dispatcher(service string) *Dispatcher {
+	if d := (*r.dispatchers.Load())[service]; d != nil {
+		return d
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := *r.dispatchers.Load()
+	if d := old[service]; d != nil {
+		return d
+	}
+	next := make(map[string]*Dispatcher, len(old)+1)
+	for name, d := range old {
+		next[name] = d
+	}
+	d := newDispatcher(r, service)
+	next[service] = d
+	r.dispatchers.Store(&next)
+	return d
 }
 
-// Ticket is the right to send one attempt to one instance.
-type Ticket struct {
-	member Member
-	reason string
-	waited time.Duration
+// Waiting returns how many requests of a service wait at this host and how
+// long the oldest one has waited.
+func (r *Router) Waiting(service string) (int, time.Duration) {
+	d := (*r.dispatchers.Load())[service]
+	if d == nil {
+		return 0, 0
+	}
+	return d.Waiting()
 }
 
-// Instance returns the chosen instance.
-func (t *Ticket) Instance() *instance.Instance { return t.member.instance }
-
-// Reason says why the instance was chosen.
-func (t *Ticket) Reason() string { return t.reason }
-
-// Waited returns how long the request waited for the instance.
-func (t *Ticket) Waited() time.Duration { return t.waited }
-
-// Finish ends the attempt. It is called exactly once.
-func (t *Ticket) Finish(Report) { t.member.load.inFlight.Add(-1) }
-
-// Router gives out tickets.
-type Router struct {
-	views  *Views
-	policy Policy
+// refresh runs after new views were published.
+func (r *Router) refresh() {
+	for _, d := range *r.dispatchers.Load() {
+		d.refresh()
+	}
 }
 
-// NewRouter returns a router over the views.
-func NewRouter(views *Views, policy Policy) *Router { return &Router{views: views, policy: policy} }
-
-// Acquire chooses an instance and counts the attempt as in flight there. The
-// error is an *outcome.Problem.
-func (r *Router) Acquire(_ context.Context, q Query) (*Ticket, error) {
-	view := r.views.Load(q.service)
-	if view == nil {
-		return nil, outcome.New(outcome.NotRun, outcome.NoInstance, "no instance of "+q.service+" has announced itself")
+// policyOf returns the policy that a service's terms name, or the default.
+func (r *Router) policyOf(service string) Policy {
+	name := r.terms(service).Policy()
+	if name == "" || name == r.policy.Name() {
+		return r.policy
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	at := r.policy.Choose(view, q, time.Now().UnixNano(), random)
-	if at == NoMember {
-		return nil, outcome.New(outcome.NotRun, outcome.NoInstance, "no instance of "+q.service+" takes requests")
+	if p := r.policies(name); p != nil {
+		return p
 	}
-	member := view.members[at]
-	member.load.inFlight.Add(1)
-	return &Ticket{member: member, reason: r.policy.Name()}, nil
+	return r.policy
 }
--- /dev/null
+++ b/entry/route/ticket.go
@@ -0,0 +1,58 @@
+package route
+
+import (
+	"time"
+
+	"github.com/snipebeam/snipebeam/world/instance"
+)
+
+// Report is what came of one attempt.
+type Report struct {
+	Latency time.Duration // from dispatch to the first byte of the answer
+	Failed  bool          // the answer is an error of the instance, or there is none
+	Lost    bool          // the link broke or went silent
+	// Reported is the load that the answer carried, valid if HasReport.
+	Reported  int
+	HasReport bool
+}
+
+// Ticket is the right to send one attempt to one instance.
+type Ticket struct {
+	member     Member
+	dispatcher *Dispatcher
+	policy     string
+	why        string
+	caller     string
+	level      float64 // requests at the instance when this one was sent, itself included
+	waited     time.Duration
+	queued     int
+	trace      *Trace
+}
+
+// Instance returns the chosen instance.
+func (t *Ticket) Instance() *instance.Instance { return t.member.instance }
+
+// Reason says why the instance was chosen.
+func (t *Ticket) Reason() string { return t.policy + ": " + t.why }
+
+// Waited returns how long the request waited for the instance.
+func (t *Ticket) Waited() time.Duration { return t.waited }
+
+// Candidates returns what was known of the instances that were weighed.
+func (t *Ticket) Candidates() []Candidate {
+	if t.trace == nil {
+		return nil
+	}
+	return t.trace.Candidates()
+}
+
+// Omitted returns how many weighed instances the candidates leave out.
+func (t *Ticket) Omitted() int {
+	if t.trace == nil {
+		return 0
+	}
+	return t.trace.Omitted()
+}
+
+// Finish ends the attempt. It is called exactly once.
+func (t *Ticket) Finish(report Report) { t.dispatcher.finish(t, report) }
