--- /dev/null
+++ b/bench/route/virtual/run.go
@@ -0,0 +1,263 @@
+package virtual
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/snipebeam/snipebeam/entry/placement"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/world/contract"
+	"github.com/snipebeam/snipebeam/world/instance"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+const (
+	service        = "catalogue"
+	answerLifetime = int64(5 * time.Second)
+	announceDelay  = int64(time.Second) // until every host knows that an instance drains
+	epoch          = int64(1_700_000_000_000_000_000)
+)
+
+// host is an entry host with the real router.
+type host struct {
+	name    string
+	zone    int
+	lost    bool
+	views   *route.Views
+	router  *route.Router
+	members []route.Member
+	peers   map[string][]int // last counts of other hosts
+}
+
+// caller keeps an address answer for its lifetime.
+type caller struct {
+	hosts     []*host
+	freshTill int64
+}
+
+type fleet struct {
+	scenario  Scenario
+	clock     *clock
+	random    *rand.Rand
+	upstreams []*upstream
+	hosts     []*host
+	reports   []*wire.HostReport
+	callers   []*caller
+	terms     *contract.Contract
+	result    *Result
+	draining  []bool
+}
+
+// Run runs the scenario with its policy.
+func Run(s Scenario) *Result {
+	s = s.Fill()
+	f := newFleet(s)
+	for _, one := range s.arrivals() {
+		f.clock.at(one.at, func() { f.arrive(one) })
+	}
+	for _, fault := range s.Faults {
+		f.clock.at(int64(fault.At), func() { f.apply(fault) })
+	}
+	if s.Share > 0 {
+		f.clock.at(0, f.share)
+	}
+	f.clock.run(int64(s.Duration) + drainTime)
+	return f.result
+}
+
+func newFleet(s Scenario) *fleet {
+	c := &clock{}
+	f := &fleet{
+		scenario: s, clock: c, random: rand.New(rand.NewPCG(s.Seed, 2)), upstreams: s.upstreams(c),
+		terms: contract.New(), result: newResult(s), draining: make([]bool, s.Instances),
+	}
+	for n := range s.Hosts {
+		f.hosts = append(f.hosts, f.newHost(n))
+	}
+	for range s.Callers {
+		f.callers = append(f.callers, &caller{})
+	}
+	return f
+}
+
+func zoneName(n int) string { return "zone-" + strconv.Itoa(n) }
+
+func (f *fleet) newHost(n int) *host {
+	h := &host{name: fmt.Sprintf("entry-%d", n+1), zone: n % f.scenario.Zones, views: &route.Views{}, peers: map[string][]int{}}
+	for i, u := range f.upstreams {
+		id := instance.ID(fmt.Sprintf("%s-%d", service, i))
+		h.members = append(h.members, route.NewMember(
+			instance.New(id, service, "", instance.WithZone(zoneName(u.zone)), instance.WithSlots(u.slots)), &route.Load{}))
+	}
+	h.views.Store(map[string]*route.View{service: route.NewView(service, h.members)})
+	draws := rand.NewPCG(f.scenario.Seed, uint64(n)+5000)
+	options := append([]route.Option{
+		route.WithClock(func() int64 { return epoch + f.clock.now }),
+		route.WithRandom(draws.Uint64), route.WithoutTrace(),
+	}, f.scenario.Options...)
+	h.router = route.NewRouter(h.views, f.scenario.Policy(), options...)
+	f.reports = append(f.reports, &wire.HostReport{Name: h.name, Zone: zoneName(h.zone), Role: "entry", State: placement.StateReady})
+	return h
+}
+
+// hostOf returns the entry host that a caller uses: the addresses of its last
+// answer, asked for again when its lifetime has passed.
+func (f *fleet) hostOf(c *caller) *host {
+	if c.freshTill <= f.clock.now {
+		c.hosts = nil
+		for _, report := range placement.Choose(f.reports, service, "", f.scenario.Spread) {
+			c.hosts = append(c.hosts, f.host(report.GetName()))
+		}
+		c.freshTill = f.clock.now + answerLifetime
+	}
+	return c.hosts[f.random.IntN(len(c.hosts))]
+}
+
+func (f *fleet) host(name string) *host {
+	for _, h := range f.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+func (f *fleet) arrive(a arrival) {
+	h := f.hostOf(f.callers[a.caller])
+	if h.lost {
+		f.result.answer(a.at, f.clock.now, true)
+		return
+	}
+	q := route.NewQuery(service, f.terms, strconv.Itoa(a.caller), zoneName(h.zone))
+	if f.scenario.Deadline > 0 {
+		q = q.Before(time.Unix(0, epoch+f.clock.now+int64(f.scenario.Deadline)))
+	}
+	ticket, _, err := h.router.Offer(q, func(t *route.Ticket, err error) { f.granted(h, a, t, err) })
+	if err != nil || ticket != nil {
+		f.granted(h, a, ticket, err)
+	}
+}
+
+func (f *fleet) granted(h *host, a arrival, t *route.Ticket, err error) {
+	if err != nil {
+		f.result.shed(a.at)
+		return
+	}
+	n := f.index(h, t.Instance().ID())
+	f.result.sent(n, f.clock.now)
+	f.result.Waited += float64(t.Waited())
+	sentAt := f.clock.now
+	f.clock.after(f.delay(h, n), func() { f.serve(h, n, a, t, sentAt) })
+}
+
+func (f *fleet) index(h *host, id instance.ID) int {
+	for n, m := range h.members {
+		if m.Instance().ID() == id {
+			return n
+		}
+	}
+	return -1
+}
+
+func (f *fleet) delay(h *host, n int) int64 {
+	if f.upstreams[n].zone == h.zone {
+		return int64(f.scenario.SameZone)
+	}
+	return int64(f.scenario.OtherZone)
+}
+
+func (f *fleet) serve(h *host, n int, a arrival, t *route.Ticket, sentAt int64) {
+	u := f.upstreams[n]
+	if u.failFast {
+		f.back(h, n, a, t, sentAt, 0, true)
+		return
+	}
+	u.serve(a.work, func(reported int) { f.back(h, n, a, t, sentAt, reported, false) })
+}
+
+// back carries an answer to the entry host.
+func (f *fleet) back(h *host, n int, a arrival, t *route.Ticket, sentAt int64, reported int, failed bool) {
+	f.clock.after(f.delay(h, n), func() {
+		if h.lost {
+			f.result.answer(a.at, f.clock.now, true)
+			return
+		}
+		f.result.answer(a.at, f.clock.now, failed)
+		t.Finish(route.Report{Latency: time.Duration(f.clock.now - sentAt), Failed: failed, Reported: reported, HasReport: true})
+	})
+}
+
+func (f *fleet) apply(fault Fault) {
+	switch fault.Kind {
+	case Slow:
+		u := f.upstreams[fault.Target]
+		u.change(func() { u.slowdown = fault.Factor })
+	case FailFast:
+		f.upstreams[fault.Target].failFast = true
+	case Lie:
+		f.upstreams[fault.Target].lies = true
+	case Drain:
+		f.clock.after(announceDelay, func() { f.announceDraining(fault.Target) })
+	case LoseHost:
+		f.loseHost(fault.Target)
+	}
+}
+
+func (f *fleet) announceDraining(n int) {
+	f.draining[n] = true
+	for _, h := range f.hosts {
+		old := h.members[n]
+		h.members = append([]route.Member(nil), h.members...)
+		h.members[n] = route.NewMember(instance.New(old.Instance().ID(), service, "",
+			instance.WithZone(old.Instance().Zone()), instance.WithSlots(old.Instance().Slots()), instance.WithDraining(true)), old.Load())
+		h.views.Store(map[string]*route.View{service: route.NewView(service, h.members)})
+	}
+}
+
+// loseHost kills the n-th host of the service's placement.
+func (f *fleet) loseHost(n int) {
+	chosen := placement.Choose(f.reports, service, "", f.scenario.Spread)
+	name := chosen[n%len(chosen)].GetName()
+	f.host(name).lost = true
+	f.clock.after(announceDelay, func() {
+		for _, report := range f.reports {
+			if report.GetName() == name {
+				report.State = "silent"
+			}
+		}
+	})
+}
+
+// share carries each host's counts to the other hosts of the service.
+func (f *fleet) share() {
+	hosts := placement.Choose(f.reports, service, "", f.scenario.Spread)
+	for _, from := range hosts {
+		sender := f.host(from.GetName())
+		counts := make([]int, len(sender.members))
+		for n, m := range sender.members {
+			counts[n] = m.Load().InFlight()
+		}
+		sent := f.clock.now
+		f.clock.after(int64(f.scenario.OtherZone), func() { f.receive(hosts, sender, counts, sent) })
+	}
+	f.clock.after(int64(f.scenario.Share), f.share)
+}
+
+func (f *fleet) receive(hosts []*wire.HostReport, sender *host, counts []int, sent int64) {
+	for _, to := range hosts {
+		receiver := f.host(to.GetName())
+		if receiver == sender {
+			continue
+		}
+		receiver.peers[sender.name] = counts
+		for n, m := range receiver.members {
+			sum := 0
+			for _, one := range receiver.peers {
+				sum += one[n]
+			}
+			m.Load().SetPeers(sum, epoch+sent)
+		}
+	}
+}
