--- a/world/contract/policy.go
+++ b/world/contract/policy.go
@@ -2,13 +2,15 @@
 
 // Names of the routing policies.
 const (
+	PolicyAdaptive   = "adaptive"
 	PolicyLeast      = "least"
+	PolicyPeakEWMA   = "peakEWMA"
+	PolicyPowerOfTwo = "powerOfTwo"
 	PolicyRandom     = "random"
-	PolicyRoundRobin = "round-robin"
-	PolicyTwoChoices = "two-choices"
+	PolicyRoundRobin = "roundRobin"
 )
 
 // PolicyNames returns the policies that rules and settings may name.
 func PolicyNames() []string {
-	return []string{PolicyLeast, PolicyRandom, PolicyRoundRobin, PolicyTwoChoices}
+	return []string{PolicyAdaptive, PolicyLeast, PolicyPeakEWMA, PolicyPowerOfTwo, PolicyRandom, PolicyRoundRobin}
 }
