setting: report all settings findings at once, and let flags and variables override

Each key is decoded on its own, so that type errors are found together with unknown keys; a line that is no TOML is blanked and the rest read on. Operators and instances have keys of their own: a door left open while another is closed is a finding. Log levels change by package.

--- /dev/null
+++ b/control/flags.go
@@ -0,0 +1,17 @@
+package main
+
+import "github.com/snipebeam/snipebeam/world/program"
+
+// source says where a control host's settings come from.
+var source = program.Source{Default: "control.toml", Environment: "SNIPEBEAM_CONTROL_HOST"}
+
+// settingFlags go before the settings file; each names its key.
+type settingFlags struct {
+	Name      *string `name:"name" key:"host.name" help:"Unique name of this host."`
+	Zone      *string `name:"zone" key:"host.zone" help:"Availability zone."`
+	Peers     *string `name:"peers" key:"listen.peers" help:"Address for operators and other hosts."`
+	Data      *string `name:"data" key:"data.folder" help:"Folder for durable state."`
+	PeersKeys *string `name:"peers-key-file" key:"keys.peers" help:"File with the keys between hosts."`
+	Operators *string `name:"operators-key-file" key:"keys.operators" help:"File with the operators' keys."`
+	LogLevel  *string `name:"log-level" key:"log.level" help:"trace, debug, info, warn or error."`
+}
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -38,6 +38,7 @@
 			newRules,
 			entry.NewClaims,
 			newRing,
+			newOperatorRing,
 			newServer,
 		),
 		fx.Invoke(func(*http.Server) {}),
@@ -55,10 +56,10 @@
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
 
-func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, rules *operator.Rules, claims *entry.Claims) *http.Server {
+func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, rules *operator.Rules, claims *entry.Claims) *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(wire.RulesPathPrefix, ring.Guard(wire.NewRulesServer(rules)))
-	mux.Handle(wire.ClaimsPathPrefix, ring.Guard(wire.NewClaimsServer(claims)))
+	handleRules(mux, ring, operators, wire.NewRulesServer(rules))
+	handleClaims(mux, ring, operators, wire.NewClaimsServer(claims))
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	server := &http.Server{Handler: mux}
 	lc.Append(fx.Hook{
--- a/control/main.go
+++ b/control/main.go
@@ -3,35 +3,29 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/alecthomas/kong"
 	"github.com/snipebeam/snipebeam/control/host"
 	"github.com/snipebeam/snipebeam/control/settings"
 	"github.com/snipebeam/snipebeam/world/logging"
+	"github.com/snipebeam/snipebeam/world/program"
 )
 
+const name = "snipebeam-control"
+
 type flags struct {
-	Config      string `help:"Settings file (TOML)." default:"control.toml" env:"SNIPEBEAM_CONFIG"`
-	CheckConfig bool   `help:"Check the settings file and exit."`
+	program.Flags
+	Settings settingFlags `embed:""`
 }
 
 func main() {
 	var cli flags
-	kong.Parse(&cli, kong.Name("snipebeam-control"), kong.Description("A control host of snipebeam."))
-	cfg, findings := settings.Load(cli.Config)
-	if err := findings.Err(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	if cli.CheckConfig {
-		return
-	}
-	app := host.New(cfg, logging.New("snipebeam-control", cfg.Log.Level, os.Stderr))
-	if err := app.Err(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	kong.Parse(&cli, kong.Name(name), kong.Description("A control host of snipebeam."), kong.Vars{"config": source.Default})
+	cfg, findings := settings.Load(cli.Path(source), program.Overrides(source, settings.Default(), cli.Settings)...)
+	if settled, code := cli.Settled(os.Stdout, os.Stderr, cfg, findings); settled {
+		os.Exit(code)
 	}
-	app.Run()
+	logger := logging.New(name, cfg.Log.Level, os.Stderr)
+	os.Exit(program.Run(host.New(cfg, logger), name, logger))
 }
--- a/control/settings/data.go
+++ b/control/settings/data.go
@@ -1,8 +1,27 @@
 package settings
 
+import (
+	"os"
+
+	"github.com/snipebeam/snipebeam/world/setting"
+)
+
 // Data says where durable state lives.
 type Data struct {
 	Folder string `toml:"folder" comment:"folder for the log and snapshots, used by this process alone"`
 }
 
 func defaultData() Data { return Data{Folder: "data"} }
+
+// check reports a folder that cannot be used. One that is not there is made
+// at the start.
+func (d Data) check(c *setting.Checker) {
+	if d.Folder == "" {
+		c.Fail("data.folder", "is empty", "name a folder on a disk of this host")
+		return
+	}
+	_, err := os.ReadDir(d.Folder)
+	if err != nil && !os.IsNotExist(err) {
+		c.Fail("data.folder", "cannot be read: "+err.Error(), "name a folder that this process may read and write")
+	}
+}
--- a/control/settings/listen.go
+++ b/control/settings/listen.go
@@ -1,9 +1,16 @@
 package settings
 
+import "github.com/snipebeam/snipebeam/world/setting"
+
 // Listen holds the addresses that this host listens on.
 type Listen struct {
 	Peers        string `toml:"peers" comment:"operators, entry hosts and other control hosts (Twirp over HTTP)"`
-	AllowUnkeyed bool   `toml:"allow_unkeyed" comment:"listen beyond loopback without keys"`
+	AllowUnkeyed bool   `toml:"allowUnkeyed" comment:"listen beyond loopback without keys"`
 }
 
 func defaultListen() Listen { return Listen{Peers: "127.0.0.1:7100"} }
+
+func (l Listen) check(c *setting.Checker, keys Keys) {
+	c.Address("listen.peers", l.Peers, "127.0.0.1:7100")
+	c.Guarded("listen.peers", l.Peers, keys.Peers != "" && keys.Operators != "", l.AllowUnkeyed)
+}
--- a/control/settings/settings.go
+++ b/control/settings/settings.go
@@ -1,4 +1,5 @@
-// Package settings reads the settings file of a control host.
+// Package settings reads the settings of a control host from its file, the
+// environment and flags.
 //
 // Usage:
 //
@@ -6,19 +7,18 @@
 package settings
 
 import (
-	"net"
-
 	"github.com/snipebeam/snipebeam/world/finding"
+	"github.com/snipebeam/snipebeam/world/logging"
 	"github.com/snipebeam/snipebeam/world/setting"
 )
 
 // Settings is the whole file, one field a section.
 type Settings struct {
-	Host   Host   `toml:"host"`
-	Listen Listen `toml:"listen"`
-	Data   Data   `toml:"data"`
-	Keys   Keys   `toml:"keys"`
-	Log    Log    `toml:"log"`
+	Host   Host   `toml:"host" comment:"what this host is"`
+	Listen Listen `toml:"listen" comment:"addresses that this host listens on"`
+	Data   Data   `toml:"data" comment:"durable state"`
+	Keys   Keys   `toml:"keys" comment:"key files, each with one or two keys; set all of them or none"`
+	Log    Log    `toml:"log" comment:"what is logged"`
 }
 
 // Default returns the settings that a file need not name.
@@ -26,22 +26,19 @@
 	return &Settings{Listen: defaultListen(), Data: defaultData(), Log: defaultLog()}
 }
 
-// Load reads and checks a file. All findings are reported together.
-func Load(path string) (*Settings, finding.List) {
+// Load reads and checks a file, before which the overrides go. All findings
+// are reported together.
+func Load(path string, overrides ...setting.Override) (*Settings, finding.List) {
 	cfg := Default()
-	doc, findings := setting.Load(path, cfg)
-	cfg.check(doc, &findings)
+	doc, findings := setting.Load(path, cfg, overrides...)
+	cfg.check(setting.NewChecker(doc, &findings))
 	return cfg, findings
 }
 
-func (s *Settings) check(doc *setting.Document, findings *finding.List) {
-	if s.Host.Name == "" {
-		findings.Add(finding.Error, doc.Place("host.name"), "host.name is empty", "name this host, unique among all")
-	}
-	if _, _, err := net.SplitHostPort(s.Listen.Peers); err != nil {
-		findings.Add(finding.Error, doc.Place("listen.peers"), "listen.peers is not an address: "+err.Error(), "write it as 127.0.0.1:7100")
-	}
-	if !s.Listen.AllowUnkeyed && s.Keys.Peers == "" && !setting.Loopback(s.Listen.Peers) {
-		findings.Add(finding.Error, doc.Place("listen.peers"), "listen.peers is beyond loopback and there are no keys", "set keys.peers, or listen.allow_unkeyed = true")
-	}
+func (s *Settings) check(c *setting.Checker) {
+	c.Given("host.name", s.Host.Name, "name this host, unique among all, here or with --name")
+	c.OneOf("log.level", s.Log.Level, logging.Levels()...)
+	s.Data.check(c)
+	s.Keys.check(c)
+	s.Listen.check(c, s.Keys)
 }
--- /dev/null
+++ b/entry/host/doors.go
@@ -0,0 +1,31 @@
+package host
+
+import (
+	"time"
+
+	"github.com/snipebeam/snipebeam/entry/settings"
+	"github.com/snipebeam/snipebeam/world/key"
+)
+
+// doors holds the keys of those who are not hosts of the system.
+type doors struct {
+	operators *key.Ring
+	upstreams *key.Ring
+}
+
+func newDoors(cfg *settings.Settings) (*doors, error) {
+	operators, err := key.Load(cfg.Keys.Operators)
+	if err != nil {
+		return nil, err
+	}
+	upstreams, err := key.Load(cfg.Keys.Upstreams)
+	return &doors{operators: operators, upstreams: upstreams}, err
+}
+
+// stopLimit returns how long a planned stop may take.
+func stopLimit(cfg *settings.Settings) time.Duration {
+	if cfg.Host.StopLimitSeconds > 0 {
+		return seconds(cfg.Host.StopLimitSeconds)
+	}
+	return stopTimeout
+}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -53,10 +53,10 @@
 			func() *route.Views { return &route.Views{} },
 			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
 			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool, route.NewRouter,
-			newClient, newState, newWatch, newSender,
+			newClient, newState, newWatch, newSender, newDoors,
 		),
 		fx.Invoke(runBackground, runPlatform, runPeers, runDNS, runCallers),
-		fx.StopTimeout(stopTimeout),
+		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 }
@@ -195,10 +195,10 @@
 	}
 }
 
-func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, ring *key.Ring) {
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors) {
 	handler := platform.New(platform.Parts{
 		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
-		Ready: state.Ready, Decisions: decisions, Keys: ring,
+		Ready: state.Ready, Decisions: decisions, Keys: doors.upstreams,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
@@ -207,13 +207,13 @@
 	})
 }
 
-func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring) {
+func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring, doors *doors) {
 	service := operator.New(operator.Parts{
 		Host: cfg.Host.Name, Table: table, Views: views, Book: book, Decisions: decisions,
 		Report: state.Report, Drain: state.draining.Store, Logger: logger,
 	})
 	mux := http.NewServeMux()
-	mux.Handle(wire.EntryPathPrefix, ring.Guard(wire.NewEntryServer(service)))
+	mux.Handle(wire.EntryPathPrefix, doors.operators.Guard(wire.NewEntryServer(service)))
 	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(peer.NewServer(reg))))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -18,6 +18,7 @@
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/world/logging"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"github.com/twitchtv/twirp"
 )
@@ -128,10 +129,8 @@
 
 // SetLogLevel changes the log level while the program runs.
 func (s *Service) SetLogLevel(_ context.Context, req *wire.LogLevelRequest) (*wire.LogLevelResponse, error) {
-	level := hclog.LevelFromString(req.GetLevel())
-	if level == hclog.NoLevel {
-		return nil, twirp.InvalidArgumentError("level", "is none of trace, debug, info, warn, error")
+	if err := logging.SetLevel(s.parts.Logger, req.GetPackage(), req.GetLevel()); err != nil {
+		return nil, twirp.InvalidArgumentError("level", err.Error())
 	}
-	s.parts.Logger.SetLevel(level)
-	return &wire.LogLevelResponse{Level: level.String()}, nil
+	return &wire.LogLevelResponse{Level: req.GetLevel()}, nil
 }
--- a/entry/settings/listen.go
+++ b/entry/settings/listen.go
@@ -1,5 +1,7 @@
 package settings
 
+import "github.com/snipebeam/snipebeam/world/setting"
+
 // Listen holds the addresses that this host listens on.
 type Listen struct {
 	Callers      string `toml:"callers" comment:"requests of callers"`
@@ -7,7 +9,7 @@
 	Peers        string `toml:"peers" comment:"operators and other hosts of the system (Twirp over HTTP)"`
 	DNS          string `toml:"dns" comment:"address answers by DNS, UDP and TCP"`
 	Domain       string `toml:"domain" comment:"domain below which services are named"`
-	AllowUnkeyed bool   `toml:"allow_unkeyed" comment:"listen beyond loopback without keys"`
+	AllowUnkeyed bool   `toml:"allowUnkeyed" comment:"listen beyond loopback without keys"`
 }
 
 func defaultListen() Listen {
@@ -16,3 +18,13 @@
 		DNS: "127.0.0.1:7253", Domain: "snipebeam.",
 	}
 }
+
+func (l Listen) check(c *setting.Checker, keys Keys) {
+	c.Address("listen.callers", l.Callers, "127.0.0.1:7200")
+	c.Address("listen.platform", l.Platform, "127.0.0.1:7201")
+	c.Address("listen.peers", l.Peers, "127.0.0.1:7202")
+	c.Address("listen.dns", l.DNS, "127.0.0.1:7253")
+	c.Given("listen.domain", l.Domain, "write it as snipebeam.")
+	c.Guarded("listen.platform", l.Platform, keys.Upstreams != "", l.AllowUnkeyed)
+	c.Guarded("listen.peers", l.Peers, keys.Peers != "" && keys.Operators != "", l.AllowUnkeyed)
+}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -1,4 +1,5 @@
-// Package settings reads the settings file of an entry host.
+// Package settings reads the settings of an entry host from its file, the
+// environment and flags.
 //
 // Usage:
 //
@@ -6,21 +7,19 @@
 package settings
 
 import (
-	"net"
-
 	"github.com/snipebeam/snipebeam/world/finding"
 	"github.com/snipebeam/snipebeam/world/setting"
 )
 
 // Settings is the whole file, one field a section.
 type Settings struct {
-	Host    Host    `toml:"host"`
-	Listen  Listen  `toml:"listen"`
-	Control Control `toml:"control"`
-	Route   Route   `toml:"route"`
-	Limits  Limits  `toml:"limits"`
-	Keys    Keys    `toml:"keys"`
-	Log     Log     `toml:"log"`
+	Host    Host    `toml:"host" comment:"what this host is"`
+	Listen  Listen  `toml:"listen" comment:"addresses that this host listens on"`
+	Control Control `toml:"control" comment:"the control hosts"`
+	Route   Route   `toml:"route" comment:"how instances are chosen"`
+	Limits  Limits  `toml:"limits" comment:"bounds of what callers may send"`
+	Keys    Keys    `toml:"keys" comment:"key files, each with one or two keys; set all of them or none"`
+	Log     Log     `toml:"log" comment:"what is logged"`
 }
 
 // Default returns the settings that a file need not name.
@@ -28,36 +27,21 @@
 	return &Settings{Listen: defaultListen(), Route: defaultRoute(), Limits: defaultLimits(), Log: defaultLog()}
 }
 
-// Load reads and checks a file. All findings are reported together.
-func Load(path string) (*Settings, finding.List) {
+// Load reads and checks a file, before which the overrides go. All findings
+// are reported together.
+func Load(path string, overrides ...setting.Override) (*Settings, finding.List) {
 	cfg := Default()
-	doc, findings := setting.Load(path, cfg)
-	cfg.check(doc, &findings)
+	doc, findings := setting.Load(path, cfg, overrides...)
+	cfg.check(setting.NewChecker(doc, &findings))
 	return cfg, findings
 }
 
-func (s *Settings) check(doc *setting.Document, findings *finding.List) {
-	if s.Host.Name == "" {
-		findings.Add(finding.Error, doc.Place("host.name"), "host.name is empty", "name this host, unique among all")
-	}
-	if len(s.Control.Hosts) == 0 {
-		findings.Add(finding.Error, doc.Place("control.hosts"), "control.hosts is empty", "name the addresses of the control hosts")
-	}
-	s.Listen.check(doc, findings, s.Keys)
-}
-
-func (l Listen) check(doc *setting.Document, findings *finding.List, keys Keys) {
-	for key, address := range map[string]string{"listen.callers": l.Callers, "listen.platform": l.Platform, "listen.peers": l.Peers, "listen.dns": l.DNS} {
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			findings.Add(finding.Error, doc.Place(key), key+" is not an address: "+err.Error(), "write it as 127.0.0.1:7200")
-		}
-	}
-	if l.AllowUnkeyed || keys.Peers != "" {
-		return
-	}
-	for key, address := range map[string]string{"listen.platform": l.Platform, "listen.peers": l.Peers} {
-		if !setting.Loopback(address) {
-			findings.Add(finding.Error, doc.Place(key), key+" is beyond loopback and there are no keys", "set keys.peers, or listen.allow_unkeyed = true")
-		}
-	}
+func (s *Settings) check(c *setting.Checker) {
+	s.Host.check(c)
+	s.Control.check(c)
+	s.Route.check(c)
+	s.Limits.check(c)
+	s.Keys.check(c)
+	s.Log.check(c)
+	s.Listen.check(c, s.Keys)
 }
--- a/world/finding/finding.go
+++ b/world/finding/finding.go
@@ -31,7 +31,8 @@
 	return "error"
 }
 
-// Place is a position in an input. Line and column count from one.
+// Place is a position in an input. Line and column count from one; both are
+// zero for an input without lines, such as a flag.
 type Place struct {
 	file   string
 	line   int
@@ -53,7 +54,12 @@
 func (p Place) Column() int { return p.column }
 
 // String returns the place as file:line:column.
-func (p Place) String() string { return fmt.Sprintf("%s:%d:%d", p.file, p.line, p.column) }
+func (p Place) String() string {
+	if p.line == 0 {
+		return p.file
+	}
+	return fmt.Sprintf("%s:%d:%d", p.file, p.line, p.column)
+}
 
 // Finding is one problem at one place.
 type Finding struct {
--- /dev/null
+++ b/world/program/program_test.go
@@ -0,0 +1,96 @@
+package program_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"regexp"
+	"testing"
+
+	"github.com/alecthomas/kong"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/world/finding"
+	"github.com/snipebeam/snipebeam/world/program"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+)
+
+func app(opts ...fx.Option) *fx.App {
+	quiet := fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger })
+	return fx.New(append(opts, quiet)...)
+}
+
+func TestABusyPortIsOneClearError(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = held.Close() }()
+	busy := app(fx.Invoke(func(lc fx.Lifecycle) {
+		lc.Append(fx.StartHook(func() error {
+			_, err := net.Listen("tcp", held.Addr().String())
+			return errors.Wrap(err, "listen for callers")
+		}))
+	}))
+	var out bytes.Buffer
+	must.Eq(t, program.ExitFailed, program.RunTo(&out, busy, "p", hclog.NewNullLogger()))
+	must.RegexMatch(t, regexp.MustCompile(`^p: listen for callers: listen tcp 127.0.0.1:\d+: bind: address already in use \(another process listens there; choose another address in \[listen\]\)\n$`), out.String())
+}
+
+func TestAPartThatCannotBeMadeIsOneClearError(t *testing.T) {
+	broken := app(fx.Provide(func() (int, error) { return 0, errors.New("open data folder: no such disk") }), fx.Invoke(func(int) {}))
+	var out bytes.Buffer
+	must.Eq(t, program.ExitFailed, program.RunTo(&out, broken, "p", hclog.NewNullLogger()))
+	must.Eq(t, "p: open data folder: no such disk\n", out.String())
+}
+
+func TestAnAppMayEndItself(t *testing.T) {
+	stopped := false
+	ending := app(fx.Invoke(func(lc fx.Lifecycle, ender fx.Shutdowner) {
+		lc.Append(fx.Hook{
+			OnStart: func(context.Context) error {
+				go func() { _ = ender.Shutdown(fx.ExitCode(7)) }()
+				return nil
+			},
+			OnStop: func(context.Context) error {
+				stopped = true
+				return nil
+			},
+		})
+	}))
+	must.Eq(t, 7, program.RunTo(&bytes.Buffer{}, ending, "p", hclog.NewNullLogger()))
+	must.True(t, stopped)
+}
+
+func TestSettingsDecideWhetherTheProgramRuns(t *testing.T) {
+	type section struct {
+		Name string `toml:"name" comment:"who"`
+	}
+	var out, errOut bytes.Buffer
+	var findings finding.List
+	settled, _ := program.Flags{}.Settled(&out, &errOut, &section{}, findings)
+	must.False(t, settled)
+	settled, code := program.Flags{CheckConfig: true}.Settled(&out, &errOut, &section{}, findings)
+	must.True(t, settled)
+	must.Eq(t, program.ExitOK, code)
+	settled, code = program.Flags{PrintConfig: true}.Settled(&out, &errOut, &section{Name: "x"}, findings)
+	must.True(t, settled)
+	must.Eq(t, program.ExitOK, code)
+	must.StrContains(t, out.String(), "# who\nname = 'x'")
+	findings.Add(finding.Error, finding.At("f", 1, 2), "wrong", "")
+	settled, code = program.Flags{}.Settled(&out, &errOut, &section{}, findings)
+	must.True(t, settled)
+	must.Eq(t, program.ExitSettings, code)
+	must.Eq(t, "f:1:2: error: wrong\n", errOut.String())
+}
+
+func TestVersionEndsTheProgram(t *testing.T) {
+	var cli struct{ program.Flags }
+	var out bytes.Buffer
+	code := -1
+	parser := kong.Must(&cli, kong.Name("p"), kong.Writers(&out, &out), kong.Exit(func(c int) { code = c }), kong.Vars{"config": "f"})
+	_, err := parser.Parse([]string{"--version"})
+	must.NoError(t, err)
+	must.Eq(t, program.ExitOK, code)
+	must.StrHasPrefix(t, "p ", out.String())
+}
--- a/world/setting/setting.go
+++ b/world/setting/setting.go
@@ -1,20 +1,21 @@
 // Package setting reads a program's TOML settings file and reports all its
-// problems together, each with file, line and column.
+// problems together, each with file, line and column. Environment variables
+// and flags go before the file.
 //
 // Usage:
 //
 //	cfg := DefaultSettings()
-//	doc, findings := setting.Load(path, &cfg)
+//	doc, findings := setting.Load(path, &cfg, overrides...)
 //	if cfg.Host.Name == "" {
 //		findings.Add(finding.Error, doc.Place("host.name"), "host.name is empty", "name this host")
 //	}
 package setting
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
-	"reflect"
 	"strings"
 
 	"github.com/agnivade/levenshtein"
@@ -22,8 +23,14 @@
 	"github.com/snipebeam/snipebeam/world/finding"
 )
 
-// maxNearestDistance is the number of edits up to which a key is suggested.
-const maxNearestDistance = 4
+const (
+	// maxNearestDistance is the number of edits up to which a key is suggested.
+	maxNearestDistance = 4
+	// maxSyntaxFindings bounds how many unreadable lines are looked for.
+	maxSyntaxFindings = 20
+	// maxFileBytes bounds a settings file.
+	maxFileBytes = 1 << 20
+)
 
 // Document remembers where each key of a settings file stands.
 type Document struct {
@@ -39,53 +46,93 @@
 	return finding.At(d.file, 1, 1)
 }
 
-// Load reads a file into a struct that already holds the defaults.
-func Load(path string, into any) (*Document, finding.List) {
+// Load reads a file into a struct that already holds the defaults. An empty
+// path means that there is no file.
+func Load(path string, into any, overrides ...Override) (*Document, finding.List) {
+	if path == "" {
+		return Parse("settings", nil, into, overrides...)
+	}
 	data, err := os.ReadFile(path)
+	if err == nil && len(data) > maxFileBytes {
+		err = fmt.Errorf("it has %d bytes, the most is %d", len(data), maxFileBytes)
+	}
 	if err != nil {
-		doc := &Document{file: path}
-		var findings finding.List
+		doc, findings := Parse(path, nil, into, overrides...)
 		findings.Add(finding.Error, doc.Place(""), "the settings file cannot be read: "+err.Error(), "name it with --config")
 		return doc, findings
 	}
-	return Parse(path, data, into)
+	return Parse(path, data, into, overrides...)
 }
 
 // Parse reads settings from memory into a struct that already holds the
 // defaults.
-func Parse(file string, data []byte, into any) (*Document, finding.List) {
-	doc := &Document{file: file, places: keyPlaces(file, data)}
+func Parse(file string, data []byte, into any, overrides ...Override) (*Document, finding.List) {
 	var findings finding.List
-	decoder := toml.NewDecoder(strings.NewReader(string(data))).DisallowUnknownFields()
-	err := decoder.Decode(into)
-	var missing *toml.StrictMissingError
-	var decode *toml.DecodeError
-	switch {
-	case err == nil:
-	case errors.As(err, &missing):
-		for _, one := range missing.Errors {
-			doc.unknown(&findings, one, knownKeys(reflect.TypeOf(into), ""))
+	tree, data := readTree(file, data, &findings)
+	doc := &Document{file: file, places: keyPlaces(file, data)}
+	known := keysOf(into)
+	for _, leaf := range leaves(tree, "", known) {
+		doc.set(&findings, known, leaf)
+	}
+	for _, o := range overrides {
+		o.apply(&findings, doc, known)
+	}
+	return doc, findings
+}
+
+// readTree reads as much of a text as is TOML. Lines that are not are reported
+// and blanked.
+func readTree(file string, data []byte, findings *finding.List) (map[string]any, []byte) {
+	for range maxSyntaxFindings {
+		tree := map[string]any{}
+		err := toml.Unmarshal(data, &tree)
+		if err == nil {
+			return tree, data
+		}
+		var decode *toml.DecodeError
+		if !errors.As(err, &decode) {
+			findings.Add(finding.Error, finding.At(file, 1, 1), err.Error(), "")
+			break
 		}
-	case errors.As(err, &decode):
 		line, column := decode.Position()
 		findings.Add(finding.Error, finding.At(file, line, column), strings.TrimPrefix(decode.Error(), "toml: "), "")
-	default:
-		findings.Add(finding.Error, finding.At(file, 1, 1), err.Error(), "")
+		blanked := blank(data, line)
+		if bytes.Equal(blanked, data) {
+			break
+		}
+		data = blanked
 	}
-	return doc, findings
+	return map[string]any{}, nil
+}
+
+// blank returns the text with one line made empty.
+func blank(data []byte, line int) []byte {
+	all := bytes.Split(data, []byte("\n"))
+	if line < 1 || line > len(all) {
+		return data
+	}
+	out := append([][]byte(nil), all...)
+	out[line-1] = nil
+	return bytes.Join(out, []byte("\n"))
 }
 
-func (d *Document) unknown(findings *finding.List, one toml.DecodeError, known []string) {
-	line, column := one.Position()
-	key := strings.Join(one.Key(), ".")
-	findings.Add(finding.Error, finding.At(d.file, line, column), fmt.Sprintf("there is no key %s", key), nearest(key, known))
+// set stores one value of the file.
+func (d *Document) set(findings *finding.List, known []entry, l leaf) {
+	k, ok := find(known, l.name)
+	if !ok {
+		findings.Add(finding.Error, d.Place(l.name), "there is no key "+l.name, nearest(l.name, known))
+		return
+	}
+	if err := k.assign(l.value); err != nil {
+		findings.Add(finding.Error, d.Place(l.name), fmt.Sprintf("%s: %s", l.name, err), "it is "+k.kind()+": "+k.comment)
+	}
 }
 
-func nearest(key string, known []string) string {
+func nearest(name string, known []entry) string {
 	best, bestDistance := "", maxNearestDistance+1
 	for _, candidate := range known {
-		if distance := levenshtein.ComputeDistance(key, candidate); distance < bestDistance {
-			best, bestDistance = candidate, distance
+		if distance := levenshtein.ComputeDistance(name, candidate.name); distance < bestDistance {
+			best, bestDistance = candidate.name, distance
 		}
 	}
 	if best == "" {
@@ -93,24 +140,3 @@
 	}
 	return "did you mean " + best + "?"
 }
-
-// knownKeys lists the dotted keys of a settings struct.
-func knownKeys(t reflect.Type, prefix string) []string {
-	for t.Kind() == reflect.Pointer {
-		t = t.Elem()
-	}
-	if t.Kind() != reflect.Struct {
-		return nil
-	}
-	var keys []string
-	for n := range t.NumField() {
-		field := t.Field(n)
-		name, _, _ := strings.Cut(field.Tag.Get("toml"), ",")
-		if name == "" {
-			continue
-		}
-		keys = append(keys, prefix+name)
-		keys = append(keys, knownKeys(field.Type, prefix+name+".")...)
-	}
-	return keys
-}
