decision: log what was known of each candidate, and find a decision by its id

Cause: a line named the chosen instance only, and nothing could be read back. The queue now carries pointers, and a ring of 4,096 answers explain.

Conclusion: kept; dropped lines are counted and reported every 10 s.

--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -249,7 +249,8 @@
 	if c.rule != nil {
 		d.Rule = c.rule.Place().String()
 	}
-	h.parts.Decisions.Write(d)
+	d.Host = h.parts.Host
+	h.parts.Decisions.Write(&d)
 }
 
 // outgoing returns the request as it goes to the instance.
--- a/entry/decision/decision.go
+++ b/entry/decision/decision.go
@@ -1,20 +1,16 @@
 // Package decision writes one log line for each routing and placement
-// decision, off the request's path. Lines that had to be dropped are counted.
+// decision, off the request's path, and remembers the latest ones so that they
+// can be explained. Lines that had to be dropped are counted and reported.
 //
 // Usage:
 //
 //	log := decision.NewLog(logger)
 //	go log.Run(ctx)
-//	log.Write(decision.Decision{ID: id, Kind: decision.Route, ...})
+//	log.Write(&decision.Decision{ID: id, Kind: decision.Route, ...})
+//	d := log.Find(id)
 package decision
 
-import (
-	"context"
-	"sync/atomic"
-	"time"
-
-	"github.com/hashicorp/go-hclog"
-)
+import "time"
 
 // Kind says what was decided.
 type Kind string
@@ -25,86 +21,39 @@
 	Placement Kind = "placement"
 )
 
-// queueLength is how many lines may wait to be written.
-const queueLength = 8192
-
-// Decision is one line of the decision log.
-type Decision struct {
-	ID       string
-	Kind     Kind
-	At       time.Time
-	Service  string
-	Method   string
-	Path     string
-	Caller   string
-	Rule     string
-	Version  uint64
-	Attempt  int
-	Instance string
-	Reason   string
-	Waited   time.Duration
-	Latency  time.Duration
-	Status   int
-	Outcome  string
-	Problem  string
-	Hosts    []string // entry hosts of a placement
-}
-
-// Log writes decisions from a queue.
-type Log struct {
-	logger  hclog.Logger
-	queue   chan Decision
-	dropped atomic.Uint64
-}
-
-// NewLog returns a log that writes through the logger.
-func NewLog(logger hclog.Logger) *Log {
-	return &Log{logger: logger.Named("decision"), queue: make(chan Decision, queueLength)}
+// Candidate is what was known of one instance when a decision was taken.
+type Candidate struct {
+	Instance    string  `json:"instance"`
+	State       string  `json:"state"`
+	InFlight    int     `json:"inFlight"`             // of this host
+	Others      int     `json:"others,omitempty"`     // of the other entry hosts, as shared
+	Reported    int     `json:"reported,omitempty"`   // by the instance itself
+	KnownAgeNs  int64   `json:"knownAgeNs,omitempty"` // age of what others and the instance said
+	Score       float64 `json:"score"`
+	LatencyNs   int64   `json:"latencyNs,omitempty"`
+	WhyExcluded string  `json:"whyExcluded,omitempty"`
 }
 
-// Write queues a line, or counts it as dropped if the queue is full.
-func (l *Log) Write(d Decision) {
-	select {
-	case l.queue <- d:
-	default:
-		l.dropped.Add(1)
-	}
-}
-
-// Dropped returns how many lines were dropped.
-func (l *Log) Dropped() uint64 { return l.dropped.Load() }
-
-// Run writes queued lines until the context ends, then what is left.
-func (l *Log) Run(ctx context.Context) {
-	for {
-		select {
-		case d := <-l.queue:
-			l.print(d)
-		case <-ctx.Done():
-			l.flush()
-			return
-		}
-	}
-}
-
-func (l *Log) flush() {
-	for {
-		select {
-		case d := <-l.queue:
-			l.print(d)
-		default:
-			return
-		}
-	}
-}
-
-func (l *Log) print(d Decision) {
-	if d.Kind == Placement {
-		l.logger.Info("placement", "id", d.ID, "at", d.At, "service", d.Service, "caller", d.Caller, "hosts", d.Hosts, "reason", d.Reason)
-		return
-	}
-	l.logger.Info("route",
-		"id", d.ID, "at", d.At, "service", d.Service, "method", d.Method, "path", d.Path, "caller", d.Caller,
-		"rule", d.Rule, "version", d.Version, "attempt", d.Attempt, "instance", d.Instance, "reason", d.Reason,
-		"waitedNs", int64(d.Waited), "latencyNs", int64(d.Latency), "status", d.Status, "outcome", d.Outcome, "problem", d.Problem)
+// Decision is one line of the decision log. It is not changed once written.
+type Decision struct {
+	ID         string        `json:"id"`
+	Kind       Kind          `json:"kind"`
+	At         time.Time     `json:"at"`
+	Host       string        `json:"host,omitempty"`
+	Service    string        `json:"service"`
+	Method     string        `json:"method,omitempty"`
+	Path       string        `json:"path,omitempty"`
+	Caller     string        `json:"caller,omitempty"`
+	Rule       string        `json:"rule,omitempty"`
+	Version    uint64        `json:"version,omitempty"`
+	Attempt    int           `json:"attempt,omitempty"`
+	Instance   string        `json:"instance,omitempty"`
+	Reason     string        `json:"reason,omitempty"`
+	Waited     time.Duration `json:"waitedNs,omitempty"`
+	Latency    time.Duration `json:"latencyNs,omitempty"`
+	Status     int           `json:"status,omitempty"`
+	Outcome    string        `json:"outcome,omitempty"`
+	Problem    string        `json:"problem,omitempty"`
+	Hosts      []string      `json:"hosts,omitempty"` // entry hosts of a placement
+	Candidates []Candidate   `json:"candidates,omitempty"`
 }
--- /dev/null
+++ b/entry/decision/log.go
@@ -0,0 +1,88 @@
+package decision
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// queueLength is how many lines may wait to be written.
+const queueLength = 8192
+
+// dropReportInterval is the time between two reports of dropped lines.
+const dropReportInterval = 10 * time.Second
+
+// Log writes decisions from a queue.
+type Log struct {
+	logger  hclog.Logger
+	queue   chan *Decision
+	recent  *recent
+	dropped atomic.Uint64
+	told    uint64 // dropped lines that were reported
+}
+
+// NewLog returns a log that writes through the logger.
+func NewLog(logger hclog.Logger) *Log {
+	return &Log{logger: logger.Named("decision"), queue: make(chan *Decision, queueLength), recent: newRecent()}
+}
+
+// Write queues a line, or counts it as dropped if the queue is full. The
+// decision must not be changed afterwards.
+func (l *Log) Write(d *Decision) {
+	select {
+	case l.queue <- d:
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+// Dropped returns how many lines were dropped.
+func (l *Log) Dropped() uint64 { return l.dropped.Load() }
+
+// Find returns one of the latest decisions, or nil.
+func (l *Log) Find(id string) *Decision { return l.recent.find(id) }
+
+// Run writes queued lines until the context ends, then what is left.
+func (l *Log) Run(ctx context.Context) {
+	ticker := time.NewTicker(dropReportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case d := <-l.queue:
+			l.print(d)
+		case <-ticker.C:
+			l.reportDropped()
+		case <-ctx.Done():
+			l.flush()
+			return
+		}
+	}
+}
+
+func (l *Log) flush() {
+	for {
+		select {
+		case d := <-l.queue:
+			l.print(d)
+		default:
+			l.reportDropped()
+			return
+		}
+	}
+}
+
+func (l *Log) reportDropped() {
+	dropped := l.dropped.Load()
+	if dropped == l.told {
+		return
+	}
+	l.logger.Warn("decision lines dropped", "count", dropped-l.told, "total", dropped)
+	l.told = dropped
+}
+
+func (l *Log) print(d *Decision) {
+	l.recent.add(d)
+	l.logger.Info(string(d.Kind), "decision", d)
+}
--- /dev/null
+++ b/entry/decision/recent.go
@@ -0,0 +1,33 @@
+package decision
+
+import "sync"
+
+// recentLength is how many decisions can be explained.
+const recentLength = 4096
+
+// recent keeps the latest decisions in a ring.
+type recent struct {
+	mu   sync.Mutex
+	ring [recentLength]*Decision
+	next int
+	byID map[string]*Decision
+}
+
+func newRecent() *recent { return &recent{byID: make(map[string]*Decision, recentLength)} }
+
+func (r *recent) add(d *Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.ring[r.next]; old != nil && r.byID[old.ID] == old {
+		delete(r.byID, old.ID)
+	}
+	r.ring[r.next] = d
+	r.byID[d.ID] = d
+	r.next = (r.next + 1) % recentLength
+}
+
+func (r *recent) find(id string) *Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byID[id]
+}
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -9,8 +9,6 @@
 
 import (
 	"context"
-	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -91,28 +89,6 @@
 	return response, nil
 }
 
-// Explain says which rule and which instances a request would get.
-func (s *Service) Explain(_ context.Context, req *wire.ExplainRequest) (*wire.ExplainResponse, error) {
-	target, err := url.Parse(req.GetUrl())
-	if err != nil {
-		return nil, twirp.InvalidArgumentError("url", err.Error())
-	}
-	header := http.Header{}
-	for _, one := range req.GetHeaders() {
-		header.Add(one.GetName(), one.GetValue())
-	}
-	inForce := s.parts.Table.Current()
-	response := &wire.ExplainResponse{Version: inForce.Number(), ServedBy: s.parts.Host}
-	matched := inForce.Set().Match(target.Hostname(), req.GetMethod(), target.EscapedPath(), header)
-	if matched != nil {
-		response.Rule, response.Who, response.Why = matched.String(), matched.Reason().Who(), matched.Reason().Why()
-	}
-	if view := s.parts.Views.Load(target.Hostname()); view != nil {
-		response.Candidates = viewLines(view)
-	}
-	return response, nil
-}
-
 // HostStatus describes this host.
 func (s *Service) HostStatus(context.Context, *wire.HostStatusRequest) (*wire.HostStatusResponse, error) {
 	return &wire.HostStatusResponse{
--- a/entry/platform/platform.go
+++ b/entry/platform/platform.go
@@ -87,8 +87,8 @@
 		answer.Addresses = append(answer.Addresses, Address{Host: host.GetName(), Address: host.GetCallersAddress(), Zone: host.GetZone()})
 		names = append(names, host.GetName())
 	}
-	p.parts.Decisions.Write(decision.Decision{
-		ID: uuid.NewString(), Kind: decision.Placement, At: time.Now(), Service: service,
+	p.parts.Decisions.Write(&decision.Decision{
+		ID: uuid.NewString(), Kind: decision.Placement, At: time.Now(), Host: p.parts.Host, Service: service,
 		Caller: c.ClientIP(), Hosts: names, Reason: "rendezvous",
 	})
 	c.JSON(http.StatusOK, answer)
