--- /dev/null
+++ b/control/disk/load.go
@@ -0,0 +1,248 @@
+package disk
+
+import (
+	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/control/quorum"
+	"github.com/snipebeam/snipebeam/world/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// Damage is a place in a file that cannot be read and is no torn tail.
+type Damage struct {
+	file   string
+	offset int
+	reason string
+}
+
+// Error names file and offset.
+func (d *Damage) Error() string {
+	return errors.Errorf("file %s is damaged at offset %d: %s", d.file, d.offset, d.reason).Error()
+}
+
+// File returns the damaged file's name.
+func (d *Damage) File() string { return d.file }
+
+// Offset returns the offset of the damage.
+func (d *Damage) Offset() int { return d.offset }
+
+// replay collects what the records of the log say.
+type replay struct {
+	vote    *wire.SavedVote
+	entries []*wire.LogEntry
+}
+
+// load reads the whole folder; with repair a torn tail is cut off.
+func (s *Store) load(repair bool) (quorum.Saved, error) {
+	if err := s.loadIdentity(); err != nil {
+		return quorum.Saved{}, err
+	}
+	if repair {
+		if err := s.removeTemporary(); err != nil {
+			return quorum.Saved{}, err
+		}
+	}
+	snapshot, err := s.Snapshot()
+	if err != nil {
+		return quorum.Saved{}, err
+	}
+	r := &replay{}
+	if err := s.loadSegments(r, repair); err != nil {
+		return quorum.Saved{}, err
+	}
+	entries, err := r.after(snapshot)
+	if err != nil {
+		return quorum.Saved{}, err
+	}
+	s.vote = r.vote
+	return quorum.Saved{Vote: r.vote, Snapshot: snapshot, Entries: entries}, nil
+}
+
+func (s *Store) loadIdentity() error {
+	names, err := s.folder.Names()
+	if err != nil {
+		return errors.Wrap(err, "list data folder")
+	}
+	found := false
+	for _, name := range names {
+		found = found || name == identityName
+	}
+	if !found {
+		return ErrEmpty
+	}
+	data, err := s.readFile(identityName)
+	if err != nil {
+		return err
+	}
+	r, ok := parseRecord(data)
+	if !ok {
+		return &Damage{file: identityName, reason: "the checksum does not fit"}
+	}
+	identity := &wire.ReplicaIdentity{}
+	if err := proto.Unmarshal(r.payload, identity); err != nil {
+		return errors.Wrap(err, "decode identity")
+	}
+	s.identity.Store(identity)
+	return nil
+}
+
+func (s *Store) loadSegments(r *replay, repair bool) error {
+	names, err := s.folder.Names()
+	if err != nil {
+		return errors.Wrap(err, "list data folder")
+	}
+	for _, name := range names {
+		if first, ok := numbered(name, segmentPrefix); ok {
+			s.segments = append(s.segments, segment{name: name, first: first})
+		}
+	}
+	if len(s.segments) == 0 {
+		return errors.New("the data folder has an identity but no log: files are missing")
+	}
+	s.sequence = s.segments[0].first - 1
+	for n := range s.segments {
+		if err := s.loadSegment(r, n, repair); err != nil {
+			return err
+		}
+	}
+	return s.openLast(repair)
+}
+
+func (s *Store) loadSegment(r *replay, n int, repair bool) error {
+	one := &s.segments[n]
+	if one.first != s.sequence+1 {
+		return &Damage{file: one.name, reason: errors.Errorf("record %d should come first: a segment is missing", s.sequence+1).Error()}
+	}
+	data, err := s.readFile(one.name)
+	if err != nil {
+		return err
+	}
+	last := n == len(s.segments)-1
+	offset := 0
+	for offset < len(data) {
+		rec, ok := parseRecord(data[offset:])
+		if !ok || rec.sequence != s.sequence+1 {
+			break
+		}
+		if err := r.take(rec); err != nil {
+			return &Damage{file: one.name, offset: offset, reason: err.Error()}
+		}
+		s.sequence = rec.sequence
+		offset += rec.size()
+	}
+	one.lastIndex = r.lastIndex(s.segments[:n])
+	s.size = int64(offset)
+	if offset == len(data) && (offset > 0 || last) {
+		return nil
+	}
+	if at, found := laterRecord(data, offset, s.sequence); found {
+		return &Damage{file: one.name, offset: offset, reason: errors.Errorf("a whole record follows at offset %d", at).Error()}
+	}
+	if !last {
+		return &Damage{file: one.name, offset: offset, reason: "segments follow"}
+	}
+	return s.cutTail(one.name, int64(offset), repair)
+}
+
+func (s *Store) cutTail(name string, size int64, repair bool) error {
+	if !repair {
+		return nil
+	}
+	file, err := s.folder.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "open "+name)
+	}
+	err = file.Truncate(size)
+	if err == nil {
+		err = file.Sync()
+	}
+	if closed := file.Close(); err == nil {
+		err = closed
+	}
+	return errors.Wrap(err, "cut torn tail of "+name)
+}
+
+// openLast opens the last segment for writing; one that a crash left empty is
+// made anew.
+func (s *Store) openLast(repair bool) error {
+	if !repair {
+		return nil
+	}
+	last := s.segments[len(s.segments)-1]
+	if s.size == 0 {
+		s.segments = s.segments[:len(s.segments)-1]
+		if err := s.folder.Remove(last.name); err != nil {
+			return errors.Wrap(err, "remove empty segment")
+		}
+		return s.rotate()
+	}
+	file, err := s.folder.Open(last.name)
+	s.file = file
+	return errors.Wrap(err, "open "+last.name)
+}
+
+func (r *replay) take(rec record) error {
+	switch rec.kind {
+	case kindVote:
+		r.vote = &wire.SavedVote{}
+		return proto.Unmarshal(rec.payload, r.vote)
+	case kindReset:
+		r.entries = nil
+		return nil
+	case kindEntry:
+		e := &wire.LogEntry{}
+		if err := proto.Unmarshal(rec.payload, e); err != nil {
+			return err
+		}
+		return r.takeEntry(e)
+	}
+	return errors.Errorf("record %d has the unknown kind %d", rec.sequence, rec.kind)
+}
+
+func (r *replay) takeEntry(e *wire.LogEntry) error {
+	if len(r.entries) == 0 {
+		r.entries = append(r.entries, e)
+		return nil
+	}
+	first := r.entries[0].GetIndex()
+	next := first + uint64(len(r.entries))
+	if e.GetIndex() > next || e.GetIndex() == 0 {
+		return errors.Errorf("entry %d follows entry %d", e.GetIndex(), next-1)
+	}
+	if e.GetIndex() < first {
+		r.entries = nil
+		first = e.GetIndex()
+	}
+	r.entries = append(r.entries[:e.GetIndex()-first], e)
+	return nil
+}
+
+func (r *replay) lastIndex(earlier []segment) uint64 {
+	var last uint64
+	if len(earlier) > 0 {
+		last = earlier[len(earlier)-1].lastIndex
+	}
+	if n := len(r.entries); n > 0 {
+		last = max(last, r.entries[n-1].GetIndex())
+	}
+	return last
+}
+
+// after returns the entries that follow a snapshot.
+func (r *replay) after(snapshot *wire.LogSnapshot) ([]*wire.LogEntry, error) {
+	if len(r.entries) == 0 {
+		return nil, nil
+	}
+	index, first := snapshot.GetIndex(), r.entries[0].GetIndex()
+	if first > index+1 {
+		return nil, errors.Errorf("the log starts at entry %d, the snapshot ends at %d: files are missing", first, index)
+	}
+	if index-first+1 > uint64(len(r.entries)) {
+		return nil, nil
+	}
+	rest := r.entries[index+1-first:]
+	if index >= first && r.entries[index-first].GetTerm() != snapshot.GetTerm() {
+		// The snapshot came from a leader whose log replaces this one.
+		return nil, nil
+	}
+	return rest, nil
+}
--- /dev/null
+++ b/control/disk/memory/file.go
@@ -0,0 +1,79 @@
+package memory
+
+import (
+	"io"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// errCrashed is what a file gives that was opened before a crash.
+var errCrashed = errors.New("the file was open when the folder crashed")
+
+type file struct {
+	folder  *Folder
+	content *content
+	read    int
+	crashes int
+}
+
+// Read reads on from the start.
+func (f *file) Read(p []byte) (int, error) {
+	f.folder.mu.Lock()
+	defer f.folder.mu.Unlock()
+	if f.read >= len(f.content.data) {
+		return 0, io.EOF
+	}
+	n := copy(p, f.content.data[f.read:])
+	f.read += n
+	return n, nil
+}
+
+// Write appends.
+func (f *file) Write(p []byte) (int, error) {
+	f.folder.mu.Lock()
+	defer f.folder.mu.Unlock()
+	if f.crashes != f.folder.crashes {
+		return 0, errCrashed
+	}
+	if f.folder.writeErr != nil {
+		return 0, f.folder.writeErr
+	}
+	n := len(p)
+	if f.folder.room >= 0 && n > f.folder.room {
+		n = f.folder.room
+	}
+	f.content.data = append(f.content.data, p[:n]...)
+	if f.folder.room >= 0 {
+		f.folder.room -= n
+	}
+	if n < len(p) {
+		return n, errors.New("no space left on device")
+	}
+	return n, nil
+}
+
+// Sync makes the content durable.
+func (f *file) Sync() error {
+	f.folder.mu.Lock()
+	defer f.folder.mu.Unlock()
+	if f.crashes != f.folder.crashes {
+		return errCrashed
+	}
+	if f.folder.syncErr != nil {
+		return f.folder.syncErr
+	}
+	f.content.synced = f.content.data[:len(f.content.data):len(f.content.data)]
+	return nil
+}
+
+// Truncate cuts the file.
+func (f *file) Truncate(size int64) error {
+	f.folder.mu.Lock()
+	defer f.folder.mu.Unlock()
+	f.content.data = slices.Clone(f.content.data[:size])
+	return nil
+}
+
+// Close closes the file.
+func (f *file) Close() error { return nil }
--- /dev/null
+++ b/control/disk/record.go
@@ -0,0 +1,82 @@
+package disk
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// kind says what a record holds.
+type kind byte
+
+const (
+	kindVote  kind = 1 // SavedVote
+	kindEntry kind = 2 // LogEntry; replaces all entries from its index on
+	kindReset kind = 3 // LogSnapshot without state: all entries before are void
+)
+
+// Bounds and layout of a record: length, checksum, sequence, kind, payload.
+const (
+	headerBytes     = 4 + 4 + 8 + 1
+	maxPayloadBytes = 512 << 20
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+type record struct {
+	sequence uint64
+	kind     kind
+	payload  []byte
+}
+
+func (r record) size() int { return headerBytes + len(r.payload) }
+
+func appendRecord(buf []byte, r record) []byte {
+	start := len(buf)
+	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(r.payload)))
+	buf = binary.LittleEndian.AppendUint32(buf, 0)
+	buf = binary.LittleEndian.AppendUint64(buf, r.sequence)
+	buf = append(buf, byte(r.kind))
+	buf = append(buf, r.payload...)
+	binary.LittleEndian.PutUint32(buf[start+4:], checksum(buf[start:]))
+	return buf
+}
+
+// checksum covers the length and everything after the checksum itself.
+func checksum(raw []byte) uint32 {
+	sum := crc32.Update(0, castagnoli, raw[:4])
+	return crc32.Update(sum, castagnoli, raw[8:])
+}
+
+// parseRecord reads the record at the start of data.
+func parseRecord(data []byte) (record, bool) {
+	if len(data) < headerBytes {
+		return record{}, false
+	}
+	length := int(binary.LittleEndian.Uint32(data))
+	if length > maxPayloadBytes || headerBytes+length > len(data) {
+		return record{}, false
+	}
+	raw := data[:headerBytes+length]
+	if checksum(raw) != binary.LittleEndian.Uint32(raw[4:]) {
+		return record{}, false
+	}
+	return record{
+		sequence: binary.LittleEndian.Uint64(raw[8:]),
+		kind:     kind(raw[16]),
+		payload:  raw[headerBytes:],
+	}, true
+}
+
+// laterRecord looks for a whole record behind a damaged place and returns its
+// offset. Such a record shows that the damage is no torn tail.
+func laterRecord(data []byte, from int, sequence uint64) (int, bool) {
+	for at := from + 1; at+headerBytes <= len(data); at++ {
+		if binary.LittleEndian.Uint64(data[at+8:])-sequence > uint64(len(data)) {
+			continue
+		}
+		if r, ok := parseRecord(data[at:]); ok && r.sequence > sequence {
+			return at, true
+		}
+	}
+	return 0, false
+}
