state: a released claim is never granted later

A release that overtook its claim left nothing behind: the claim was granted afterwards to a holder that had given up, and blocked every resend. A release now leaves the claim id behind for as long as the claim may be on its way. Expiry follows the group's clock in buckets; before, one wall clock that jumped ahead expired every claim.

--- a/control/state/claims.go
+++ b/control/state/claims.go
@@ -1,19 +1,20 @@
 package state
 
 import (
-	"bytes"
-	"container/heap"
 	"time"
 
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
-// Bounds of the claims.
+// Bounds of the claims. All times run on the group's clock.
 const (
-	maxClaims           = 500_000
-	defaultRetention    = 24 * time.Hour
-	maxStoredBodyBytes  = 64 << 10
-	maxStoredTotalBytes = 96 << 20
+	defaultRetention  = 24 * time.Hour
+	maxRetention      = 7 * 24 * time.Hour
+	maxStoredBody     = 64 << 10 // bytes of one answer
+	maxStoredAnswers  = 48 << 20 // bytes of all answers
+	maxClaimBytes     = 96 << 20 // bytes of all claims and releases without answers
+	claimOverhead     = 320      // bytes beside the strings
+	releasedRetention = 10 * time.Minute
 )
 
 type claimState string
@@ -24,20 +25,32 @@
 	unknown   claimState = "unknown"
 )
 
+// claim is one attempt's right to run a request.
 type claim struct {
-	request   *wire.ClaimRequest
-	claimedAt int64
-	expiresAt int64
-	state     claimState
-	answer    *wire.StoredAnswer
+	key         claimKey
+	holder      string
+	claimID     string
+	fingerprint string
+	claimedAt   int64 // wall clock of the proposer
+	expiresAt   int64
+	state       claimState
+	answer      *wire.StoredAnswer
+	place       int // in its expiry bucket
 }
 
-func (c *claim) storedBytes() int { return len(c.answer.GetBody()) }
+func (c *claim) bytes() int {
+	return claimOverhead + c.key.bytes() + len(c.holder) + len(c.claimID) + len(c.fingerprint)
+}
 
-type claimsState struct {
-	byKey       map[claimKey]*claim
-	expiry      expiryHeap
-	storedBytes int
+func answerBytes(a *wire.StoredAnswer) int {
+	if a == nil {
+		return 0
+	}
+	n := len(a.GetBody())
+	for _, h := range a.GetHeaders() {
+		n += len(h.GetName()) + len(h.GetValue())
+	}
+	return n
 }
 
 type claimKey struct {
@@ -46,55 +59,114 @@
 	idempotencyKey string
 }
 
+func (k claimKey) bytes() int { return len(k.service) + len(k.caller) + len(k.idempotencyKey) }
+
+func (k claimKey) compare(other claimKey) int {
+	return compareAll(k.service, other.service, k.caller, other.caller, k.idempotencyKey, other.idempotencyKey)
+}
+
+func (k claimKey) message() *wire.ClaimKey {
+	return &wire.ClaimKey{Service: k.service, Caller: k.caller, IdempotencyKey: k.idempotencyKey}
+}
+
 func keyOf(k *wire.ClaimKey) claimKey {
 	return claimKey{service: k.GetService(), caller: k.GetCaller(), idempotencyKey: k.GetIdempotencyKey()}
 }
 
+// claimsState holds the claims and the releases.
+type claimsState struct {
+	byKey       map[claimKey]*claim
+	expiry      expiry[*claim]
+	releases    releases
+	names       names
+	claimBytes  int
+	answerBytes int
+	counts      map[claimState]int
+}
+
 func (s *claimsState) reset() {
-	s.byKey = map[claimKey]*claim{}
-	s.expiry = nil
-	s.storedBytes = 0
+	*s = claimsState{
+		byKey:  map[claimKey]*claim{},
+		expiry: newExpiry(func(c *claim, place int) { c.place = place }),
+		names:  names{},
+		counts: map[claimState]int{},
+	}
+	s.releases.reset()
+}
+
+func (s *claimsState) full(more int) bool {
+	return s.claimBytes+s.releases.bytes+more > maxClaimBytes
 }
 
 // claim grants a key to the first attempt; later attempts learn its state. An
-// attempt that asks again gets the same grant.
-func (s *claimsState) claim(req *wire.ClaimRequest, now int64) *wire.ClaimResponse {
+// attempt that asks again gets the same grant, but for one that was released:
+// its holder has given up and would never complete it.
+func (s *claimsState) claim(req *wire.ClaimRequest, wall, clock int64) *wire.ClaimResponse {
 	k := keyOf(req.GetKey())
+	if old, ok := s.byKey[k]; ok && old.claimID == req.GetClaimId() {
+		return old.answerTo(req)
+	}
+	if s.releases.has(k, req.GetClaimId()) {
+		return &wire.ClaimResponse{State: wire.ClaimState_CLAIM_RELEASED}
+	}
 	if old, ok := s.byKey[k]; ok {
 		return old.answerTo(req)
 	}
-	if len(s.byKey) >= maxClaims {
-		return &wire.ClaimResponse{State: wire.ClaimState_CLAIM_FULL}
+	c := &claim{
+		key: s.names.key(k), holder: s.names.one(req.GetHolder()), claimID: req.GetClaimId(),
+		fingerprint: string(req.GetFingerprint()), claimedAt: wall, expiresAt: clock + int64(retention(req)), state: held,
 	}
-	retain := time.Duration(req.GetRetainMs()) * time.Millisecond
-	if retain <= 0 {
-		retain = defaultRetention
+	if s.full(c.bytes()) {
+		return &wire.ClaimResponse{State: wire.ClaimState_CLAIM_FULL}
 	}
-	c := &claim{request: req, claimedAt: now, expiresAt: now + int64(retain), state: held}
-	s.add(k, c)
+	s.add(c)
 	return c.answerTo(req)
 }
 
-func (s *claimsState) add(k claimKey, c *claim) {
-	s.byKey[k] = c
-	s.storedBytes += c.storedBytes()
-	heap.Push(&s.expiry, expiring{at: c.expiresAt, key: k, claimID: c.request.GetClaimId()})
+func retention(req *wire.ClaimRequest) time.Duration {
+	asked := time.Duration(req.GetRetainMs()) * time.Millisecond
+	if asked <= 0 {
+		return defaultRetention
+	}
+	return min(asked, maxRetention)
+}
+
+func (s *claimsState) add(c *claim) {
+	s.byKey[c.key] = c
+	s.claimBytes += c.bytes()
+	s.answerBytes += answerBytes(c.answer)
+	s.counts[c.state]++
+	s.expiry.add(c, c.expiresAt)
+}
+
+// remove forgets a claim that still stands in the expiry.
+func (s *claimsState) remove(c *claim) {
+	s.expiry.remove(c.expiresAt, c.place)
+	s.forget(c)
+}
+
+func (s *claimsState) forget(c *claim) {
+	delete(s.byKey, c.key)
+	s.claimBytes -= c.bytes()
+	s.answerBytes -= answerBytes(c.answer)
+	s.counts[c.state]--
 }
 
-func (s *claimsState) remove(k claimKey, c *claim) {
-	delete(s.byKey, k)
-	s.storedBytes -= c.storedBytes()
+func (s *claimsState) setState(c *claim, to claimState) {
+	s.counts[c.state]--
+	s.counts[to]++
+	c.state = to
 }
 
 func (c *claim) answerTo(req *wire.ClaimRequest) *wire.ClaimResponse {
-	response := &wire.ClaimResponse{Holder: c.request.GetHolder(), ClaimedAt: c.claimedAt, Unknown: c.state == unknown}
+	response := &wire.ClaimResponse{Holder: c.holder, ClaimedAt: c.claimedAt, Unknown: c.state == unknown}
 	switch {
-	case !bytes.Equal(c.request.GetFingerprint(), req.GetFingerprint()):
+	case c.fingerprint != string(req.GetFingerprint()):
 		response.State = wire.ClaimState_CLAIM_MISMATCH
 	case c.state == completed:
 		response.State = wire.ClaimState_CLAIM_COMPLETED
 		response.Answer = c.answer
-	case c.request.GetClaimId() == req.GetClaimId() && c.state == held:
+	case c.claimID == req.GetClaimId() && c.state == held:
 		response.State = wire.ClaimState_CLAIM_GRANTED
 	default:
 		response.State = wire.ClaimState_CLAIM_HELD
@@ -105,62 +177,46 @@
 // complete stores the answer of the attempt that holds the key.
 func (s *claimsState) complete(req *wire.CompleteRequest) *wire.CompleteResponse {
 	c, ok := s.byKey[keyOf(req.GetKey())]
-	if !ok || c.request.GetClaimId() != req.GetClaimId() || c.state == completed {
-		return &wire.CompleteResponse{Stored: ok && c.state == completed && c.request.GetClaimId() == req.GetClaimId()}
+	if !ok || c.claimID != req.GetClaimId() {
+		return &wire.CompleteResponse{}
+	}
+	if c.state != completed {
+		s.setState(c, completed)
+		c.answer = s.bounded(req.GetAnswer())
+		s.answerBytes += answerBytes(c.answer)
 	}
-	c.state = completed
-	c.answer = s.bounded(req.GetAnswer())
-	s.storedBytes += c.storedBytes()
 	return &wire.CompleteResponse{Stored: true}
 }
 
-// bounded drops a body that is too large to keep.
+// bounded drops what is too large to keep.
 func (s *claimsState) bounded(answer *wire.StoredAnswer) *wire.StoredAnswer {
-	size := len(answer.GetBody())
-	if size <= maxStoredBodyBytes && s.storedBytes+size <= maxStoredTotalBytes {
+	size := answerBytes(answer)
+	if size <= maxStoredBody && s.answerBytes+size <= maxStoredAnswers {
 		return answer
 	}
-	return &wire.StoredAnswer{Status: answer.GetStatus(), Headers: answer.GetHeaders(), BodyDropped: true}
+	return &wire.StoredAnswer{Status: answer.GetStatus(), BodyDropped: true}
 }
 
-// release removes a claim whose holder never dispatched.
-func (s *claimsState) release(req *wire.ReleaseRequest) *wire.ReleaseResponse {
+// release removes a claim whose holder never dispatched. The claim may still
+// be on its way, so its id is remembered: it will not be granted.
+func (s *claimsState) release(req *wire.ReleaseRequest, clock int64) *wire.ReleaseResponse {
 	k := keyOf(req.GetKey())
 	c, ok := s.byKey[k]
-	if !ok || c.request.GetClaimId() != req.GetClaimId() || c.state != held {
-		return &wire.ReleaseResponse{Released: !ok}
+	if ok && c.claimID == req.GetClaimId() && c.state != held {
+		return &wire.ReleaseResponse{}
 	}
-	s.remove(k, c)
-	return &wire.ReleaseResponse{Released: true}
-}
-
-// Resolutions that an operator may give to a claim whose outcome is unknown.
-const (
-	ResolvedRan       = "ran"
-	ResolvedDidNotRun = "did-not-run"
-)
-
-// resolve records an operator's word on a claim that was never completed.
-func (s *claimsState) resolve(req *wire.ResolveClaimRequest) *wire.ResolveClaimResponse {
-	k := keyOf(req.GetKey())
-	c, ok := s.byKey[k]
-	switch {
-	case !ok:
-		return &wire.ResolveClaimResponse{Refusal: "there is no such claim"}
-	case c.state == completed:
-		return &wire.ResolveClaimResponse{Refusal: "the claim is completed"}
-	case c.request.GetClaimId() != req.GetClaimId():
-		return &wire.ResolveClaimResponse{Refusal: "the claim is held by another attempt, " + c.request.GetClaimId()}
-	}
-	switch req.GetResolution() {
-	case ResolvedDidNotRun:
-		s.remove(k, c)
-	case ResolvedRan:
-		c.state = unknown
-	default:
-		return &wire.ResolveClaimResponse{Refusal: "a resolution is ran or did-not-run"}
+	one := &release{key: k, claimID: req.GetClaimId(), expiresAt: clock + int64(releasedRetention)}
+	if !s.releases.has(k, one.claimID) {
+		// A release replaces its claim, so it has room where there is one.
+		if (!ok || c.claimID != one.claimID) && s.full(one.bytes()) {
+			return &wire.ReleaseResponse{}
+		}
+		s.releases.add(one)
 	}
-	return &wire.ResolveClaimResponse{Resolved: true}
+	if ok && c.claimID == req.GetClaimId() {
+		s.remove(c)
+	}
+	return &wire.ReleaseResponse{Released: true}
 }
 
 func (s *claimsState) show(key *wire.ClaimKey) *wire.ShowClaimResponse {
@@ -169,71 +225,13 @@
 		return &wire.ShowClaimResponse{}
 	}
 	return &wire.ShowClaimResponse{
-		Found: true, Key: c.request.GetKey(), Holder: c.request.GetHolder(), ClaimId: c.request.GetClaimId(),
+		Found: true, Key: c.key.message(), Holder: c.holder, ClaimId: c.claimID,
 		State: string(c.state), ClaimedAt: c.claimedAt, Answer: c.answer,
 	}
 }
 
-func (s *claimsState) count() (heldCount, unknownCount int) {
-	for _, c := range s.byKey {
-		switch c.state {
-		case held:
-			heldCount++
-		case unknown:
-			unknownCount++
-		case completed:
-		}
-	}
-	return heldCount, unknownCount
-}
-
-// expire forgets claims whose retention has passed.
-func (s *claimsState) expire(now int64) {
-	for len(s.expiry) > 0 && s.expiry[0].at <= now {
-		due := heap.Pop(&s.expiry).(expiring)
-		if c, ok := s.byKey[due.key]; ok && c.request.GetClaimId() == due.claimID {
-			s.remove(due.key, c)
-		}
-	}
-}
-
-func (s *claimsState) save(out *wire.StateSnapshot) {
-	for _, c := range s.byKey {
-		out.Claims = append(out.Claims, &wire.SnapshotClaim{
-			Request: c.request, ClaimedAt: c.claimedAt, ExpiresAt: c.expiresAt, State: string(c.state), Answer: c.answer,
-		})
-	}
-}
-
-func (s *claimsState) load(in *wire.StateSnapshot) {
-	s.reset()
-	for _, one := range in.GetClaims() {
-		s.add(keyOf(one.GetRequest().GetKey()), &claim{
-			request: one.GetRequest(), claimedAt: one.GetClaimedAt(), expiresAt: one.GetExpiresAt(),
-			state: claimState(one.GetState()), answer: one.GetAnswer(),
-		})
-	}
-}
-
-type expiring struct {
-	at      int64
-	key     claimKey
-	claimID string
-}
-
-type expiryHeap []expiring
-
-func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-
-// Push appends an element for container/heap.
-func (h *expiryHeap) Push(x any) { *h = append(*h, x.(expiring)) }
-
-// Pop removes the last element for container/heap.
-func (h *expiryHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
+// expire forgets what has passed its retention.
+func (s *claimsState) expire(clock int64) {
+	s.expiry.expire(clock, s.forget)
+	s.releases.expire(clock)
 }
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -2,7 +2,10 @@
 // accepted rules files and the claims on requests that run at most once.
 //
 // The machine is deterministic: it reads no clock and no random source, so
-// that every replica that applies the same commands holds the same state.
+// that every replica that applies the same commands holds the same state. What
+// expires does so on the group's clock, which the leader advances with its
+// commands by the time that really passed: a wall clock that jumps moves
+// nothing but the times that operators are shown.
 //
 // Usage:
 //
@@ -15,13 +18,12 @@
 	"sync"
 
 	"github.com/snipebeam/snipebeam/world/wire"
-	"google.golang.org/protobuf/proto"
 )
 
 // Machine holds the state. Its methods may be called from several goroutines.
 type Machine struct {
 	mu     sync.RWMutex
-	now    int64 // largest time of any applied command, Unix nanoseconds
+	clock  int64 // the group's running time, which expiry follows
 	rules  rulesState
 	claims claimsState
 }
@@ -42,19 +44,19 @@
 }
 
 func (m *Machine) apply(cmd *wire.Command) *wire.Result {
-	m.now = max(m.now, cmd.GetAt())
-	m.claims.expire(m.now)
+	m.clock = max(m.clock, cmd.GetClock())
+	m.claims.expire(m.clock)
 	switch body := cmd.GetBody().(type) {
 	case *wire.Command_Submit:
-		return &wire.Result{Body: &wire.Result_Submit{Submit: m.rules.submit(body.Submit, m.now)}}
+		return &wire.Result{Body: &wire.Result_Submit{Submit: m.rules.submit(body.Submit, cmd.GetAt())}}
 	case *wire.Command_Claim:
-		return &wire.Result{Body: &wire.Result_Claim{Claim: m.claims.claim(body.Claim, m.now)}}
+		return &wire.Result{Body: &wire.Result_Claim{Claim: m.claims.claim(body.Claim, cmd.GetAt(), m.clock)}}
 	case *wire.Command_Complete:
 		return &wire.Result{Body: &wire.Result_Complete{Complete: m.claims.complete(body.Complete)}}
 	case *wire.Command_Release:
-		return &wire.Result{Body: &wire.Result_Release{Release: m.claims.release(body.Release)}}
+		return &wire.Result{Body: &wire.Result_Release{Release: m.claims.release(body.Release, m.clock)}}
 	case *wire.Command_Resolve:
-		return &wire.Result{Body: &wire.Result_Resolve{Resolve: m.claims.resolve(body.Resolve)}}
+		return &wire.Result{Body: &wire.Result_Resolve{Resolve: m.claims.resolve(body.Resolve, m.clock)}}
 	case *wire.Command_Batch:
 		return m.applyBatch(body.Batch)
 	}
@@ -97,33 +99,16 @@
 	return m.claims.show(key)
 }
 
-// CountClaims returns how many claims are held and how many are unknown.
-func (m *Machine) CountClaims() (held, unknown int) {
+// Clock returns the group's running time as the last command set it.
+func (m *Machine) Clock() int64 {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.claims.count()
+	return m.clock
 }
 
-// Snapshot encodes the whole state.
-func (m *Machine) Snapshot() ([]byte, error) {
+// CountClaims returns how many claims are held and how many are unknown.
+func (m *Machine) CountClaims() (outstanding, unresolved int) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := &wire.StateSnapshot{Now: m.now}
-	m.rules.save(s)
-	m.claims.save(s)
-	return proto.MarshalOptions{Deterministic: true}.Marshal(s)
-}
-
-// Restore replaces the state by a snapshot.
-func (m *Machine) Restore(data []byte) error {
-	s := &wire.StateSnapshot{}
-	if err := proto.Unmarshal(data, s); err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.now = s.GetNow()
-	m.rules.load(s)
-	m.claims.load(s)
-	return nil
+	return m.claims.counts[held], m.claims.counts[unknown]
 }
--- /dev/null
+++ b/control/state/release.go
@@ -0,0 +1,51 @@
+package state
+
+// release names a claim that was given up and must not be granted.
+type release struct {
+	key       claimKey
+	claimID   string
+	expiresAt int64
+	place     int
+}
+
+func (r *release) bytes() int { return claimOverhead + r.key.bytes() + len(r.claimID) }
+
+type releaseKey struct {
+	key     claimKey
+	claimID string
+}
+
+// releases are kept for as long as a claim may be on its way.
+type releases struct {
+	byKey  map[releaseKey]*release
+	expiry expiry[*release]
+	bytes  int
+}
+
+func (s *releases) reset() {
+	*s = releases{
+		byKey:  map[releaseKey]*release{},
+		expiry: newExpiry(func(r *release, place int) { r.place = place }),
+	}
+}
+
+func (s *releases) has(key claimKey, claimID string) bool {
+	_, ok := s.byKey[releaseKey{key: key, claimID: claimID}]
+	return ok
+}
+
+func (s *releases) add(r *release) {
+	if s.has(r.key, r.claimID) {
+		return
+	}
+	s.byKey[releaseKey{key: r.key, claimID: r.claimID}] = r
+	s.bytes += r.bytes()
+	s.expiry.add(r, r.expiresAt)
+}
+
+func (s *releases) expire(clock int64) {
+	s.expiry.expire(clock, func(r *release) {
+		delete(s.byKey, releaseKey{key: r.key, claimID: r.claimID})
+		s.bytes -= r.bytes()
+	})
+}
--- a/control/state/rules.go
+++ b/control/state/rules.go
@@ -7,66 +7,127 @@
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
-// submissionWindow is how many submissions are remembered, so that one that is
-// sent again gives the first result.
-const submissionWindow = 4096
-
-// textWindow is how many versions keep their text for diff and rollback.
-const textWindow = 512
+// Bounds of the rules' history.
+const (
+	// submissionWindow is how many submissions are remembered, so that one
+	// that is sent again gives the first result.
+	submissionWindow = 16_384
+	// maxVersions is how many versions keep author, time, reason and digest.
+	maxVersions = 65_536
+	// maxTextBytes bounds the texts that are kept for diff and rollback. The
+	// text in force is always kept.
+	maxTextBytes = 16 << 20
+)
 
 type acceptedVersion struct {
 	version *wire.Version
 	text    string
 }
 
+// submission is the first result of a submission that may be sent again.
+type submission struct {
+	digest   uint64 // of the whole request
+	response *wire.SubmitResponse
+}
+
 type rulesState struct {
-	versions    []acceptedVersion // version n stands at n-1
-	submissions map[string]*wire.SubmitResponse
+	versions    []acceptedVersion // in order of their numbers, without gaps
+	textBytes   int
+	oldestText  int // versions before it have no text
+	submissions map[string]submission
 	order       []string // submission ids, oldest first
 }
 
 func (r *rulesState) reset() {
-	r.versions = nil
-	r.submissions = map[string]*wire.SubmitResponse{}
-	r.order = nil
+	*r = rulesState{submissions: map[string]submission{}}
 }
 
 // submit accepts a rules file if its base is the version in force.
 func (r *rulesState) submit(req *wire.SubmitRequest, now int64) *wire.SubmitResponse {
+	digest := requestDigest(req)
 	if first, ok := r.submissions[req.GetSubmissionId()]; ok {
-		return first
+		if first.digest != digest {
+			return &wire.SubmitResponse{Refusal: "the submission id was used for another submission"}
+		}
+		return r.withWinner(first.response)
 	}
 	response := r.decide(req, now)
-	r.remember(req.GetSubmissionId(), response)
-	return response
+	r.remember(req.GetSubmissionId(), submission{digest: digest, response: response})
+	return r.withWinner(response)
+}
+
+func requestDigest(req *wire.SubmitRequest) uint64 {
+	d := xxhash.New()
+	_, _ = fmt.Fprintf(d, "%d %d %q %q ", req.GetBaseVersion(), req.GetRollbackOf(), req.GetAuthor(), req.GetReason())
+	_, _ = d.WriteString(req.GetText())
+	return d.Sum64()
+}
+
+// withWinner adds the winner's text to a refusal.
+func (r *rulesState) withWinner(response *wire.SubmitResponse) *wire.SubmitResponse {
+	if response.GetAccepted() || response.GetVersion() == nil {
+		return response
+	}
+	_, text := r.version(response.GetVersion().GetNumber())
+	return &wire.SubmitResponse{Version: response.GetVersion(), Refusal: response.GetRefusal(), WinnerText: text}
 }
 
 func (r *rulesState) decide(req *wire.SubmitRequest, now int64) *wire.SubmitResponse {
-	current := uint64(len(r.versions))
+	current := r.newestNumber()
 	if req.GetBaseVersion() != current {
-		winner, text := r.newest()
+		winner, _ := r.newest()
 		return &wire.SubmitResponse{
-			Version: winner, WinnerText: text,
+			Version: winner,
 			Refusal: fmt.Sprintf("the base is version %d, in force is version %d", req.GetBaseVersion(), current),
 		}
 	}
+	if refusal := r.refuseRollback(req); refusal != "" {
+		return &wire.SubmitResponse{Refusal: refusal}
+	}
 	version := &wire.Version{
 		Number: current + 1, Digest: Digest(req.GetText()), Author: req.GetAuthor(), Reason: req.GetReason(),
 		AcceptedAt: now, SubmissionId: req.GetSubmissionId(), RollbackOf: req.GetRollbackOf(),
 	}
 	r.versions = append(r.versions, acceptedVersion{version: version, text: req.GetText()})
-	r.dropOldText()
+	r.textBytes += len(req.GetText())
+	r.dropOld()
 	return &wire.SubmitResponse{Accepted: true, Version: version}
 }
 
-func (r *rulesState) dropOldText() {
-	if old := len(r.versions) - 1 - textWindow; old >= 0 {
-		r.versions[old].text = ""
+// refuseRollback checks that a rollback brings the text of the version that it
+// names. The rollback is a new version all the same.
+func (r *rulesState) refuseRollback(req *wire.SubmitRequest) string {
+	number := req.GetRollbackOf()
+	if number == 0 {
+		return ""
+	}
+	old, _ := r.version(number)
+	if old == nil {
+		return fmt.Sprintf("version %d is not known any more", number)
 	}
+	if old.GetDigest() != Digest(req.GetText()) {
+		return fmt.Sprintf("the text is not that of version %d", number)
+	}
+	return ""
 }
 
-func (r *rulesState) remember(id string, response *wire.SubmitResponse) {
-	r.submissions[id] = response
+func (r *rulesState) dropOld() {
+	for r.textBytes > maxTextBytes && r.oldestText < len(r.versions)-1 {
+		r.textBytes -= len(r.versions[r.oldestText].text)
+		r.versions[r.oldestText].text = ""
+		r.oldestText++
+	}
+	if len(r.versions) <= maxVersions {
+		return
+	}
+	r.textBytes -= len(r.versions[0].text)
+	r.versions[0] = acceptedVersion{}
+	r.versions = r.versions[1:]
+	r.oldestText = max(0, r.oldestText-1)
+}
+
+func (r *rulesState) remember(id string, one submission) {
+	r.submissions[id] = one
 	r.order = append(r.order, id)
 	if len(r.order) > submissionWindow {
 		delete(r.submissions, r.order[0])
@@ -74,15 +135,24 @@
 	}
 }
 
-func (r *rulesState) newest() (*wire.Version, string) {
-	return r.version(uint64(len(r.versions)))
+func (r *rulesState) newestNumber() uint64 {
+	if len(r.versions) == 0 {
+		return 0
+	}
+	return r.versions[len(r.versions)-1].version.GetNumber()
 }
 
+func (r *rulesState) newest() (*wire.Version, string) { return r.version(r.newestNumber()) }
+
 func (r *rulesState) version(number uint64) (*wire.Version, string) {
-	if number == 0 || number > uint64(len(r.versions)) {
+	if len(r.versions) == 0 {
 		return nil, ""
 	}
-	v := r.versions[number-1]
+	first := r.versions[0].version.GetNumber()
+	if number < first || number > r.newestNumber() {
+		return nil, ""
+	}
+	v := r.versions[number-first]
 	return v.version, v.text
 }
 
@@ -94,25 +164,6 @@
 	return all
 }
 
-func (r *rulesState) save(s *wire.StateSnapshot) {
-	for _, v := range r.versions {
-		s.Versions = append(s.Versions, &wire.SnapshotVersion{Version: v.version, Text: v.text})
-	}
-	for _, id := range r.order {
-		s.Submissions = append(s.Submissions, &wire.SnapshotSubmission{Id: id, Response: r.submissions[id]})
-	}
-}
-
-func (r *rulesState) load(s *wire.StateSnapshot) {
-	r.reset()
-	for _, v := range s.GetVersions() {
-		r.versions = append(r.versions, acceptedVersion{version: v.GetVersion(), text: v.GetText()})
-	}
-	for _, one := range s.GetSubmissions() {
-		r.remember(one.GetId(), one.GetResponse())
-	}
-}
-
 // Digest returns the digest of a rules text: xxhash64 in hex.
 func Digest(text string) string {
 	return fmt.Sprintf("%016x", xxhash.Sum64String(text))
