peer: control hosts agree over Twirp

Replaces the log of one host. The first host of quorum.hosts forms the group once all of them answer, and none belongs to a group: a blank disk never forms a second one.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -145,13 +145,23 @@
 }
 
 func (c *Cluster) startControl(host *Host, name string) error {
-	text := fmt.Sprintf("[host]\nname = %q\n[listen]\npeers = %q\n[data]\nfolder = %q\n", name, host.Peers, filepath.Join(c.dir, name))
+	text := fmt.Sprintf("[host]\nname = %q\n[listen]\npeers = %q\n[data]\nfolder = %q\n[quorum]\nhosts = [%s]\n",
+		name, host.Peers, filepath.Join(c.dir, name), quoted(c.initialControls()))
 	if err := os.WriteFile(host.Config, []byte(text), 0o644); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
 	return c.Restart(host, name, "snipebeam-control")
 }
 
+// initialControls returns the first membership of the control group.
+func (c *Cluster) initialControls() []string {
+	var all []string
+	for n, host := range c.Controls {
+		all = append(all, fmt.Sprintf("control-%d=%s", n+1, host.Peers))
+	}
+	return all
+}
+
 // Restart runs a host's program again with its settings file.
 func (c *Cluster) Restart(host *Host, name, program string) error {
 	p, err := c.Start(name, program, "--config", host.Config)
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -17,8 +17,8 @@
 	"github.com/snipebeam/snipebeam/control/entry"
 	"github.com/snipebeam/snipebeam/control/fleet"
 	"github.com/snipebeam/snipebeam/control/operator"
+	"github.com/snipebeam/snipebeam/control/peer"
 	"github.com/snipebeam/snipebeam/control/settings"
-	"github.com/snipebeam/snipebeam/control/solo"
 	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -34,31 +34,31 @@
 			func() hclog.Logger { return logger },
 			state.New,
 			fleet.New,
+			newReplica,
+			newNode,
 			newLog,
 			newRules,
 			entry.NewClaims,
 			newRing,
 			newServer,
 		),
-		fx.Invoke(func(*http.Server) {}),
+		fx.Invoke(runNode),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 }
 
-func newLog(cfg *settings.Settings, machine *state.Machine) agreement.Log {
-	return solo.New(cfg.Host.Name, machine)
-}
-
 func newRules(cfg *settings.Settings, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet) *operator.Rules {
 	return operator.New(cfg.Host.Name, log, machine, hosts)
 }
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
 
-func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, rules *operator.Rules, claims *entry.Claims) *http.Server {
+func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, node *peer.Node, rules *operator.Rules, claims *entry.Claims) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(wire.RulesPathPrefix, ring.Guard(wire.NewRulesServer(rules)))
 	mux.Handle(wire.ClaimsPathPrefix, ring.Guard(wire.NewClaimsServer(claims)))
+	mux.Handle(wire.QuorumPathPrefix, ring.Guard(wire.NewQuorumServer(node.Service())))
+	mux.Handle(wire.GroupPathPrefix, ring.Guard(wire.NewGroupServer(node.Group())))
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	server := &http.Server{Handler: mux}
 	lc.Append(fx.Hook{
--- /dev/null
+++ b/control/host/quorum.go
@@ -0,0 +1,80 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/snipebeam/snipebeam/control/agreement"
+	"github.com/snipebeam/snipebeam/control/disk"
+	"github.com/snipebeam/snipebeam/control/peer"
+	"github.com/snipebeam/snipebeam/control/quorum"
+	"github.com/snipebeam/snipebeam/control/settings"
+	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/key"
+	"go.uber.org/fx"
+)
+
+// replica is what the data folder held at the start.
+type replica struct {
+	store *disk.Store
+	saved quorum.Saved
+}
+
+func newReplica(cfg *settings.Settings) (*replica, error) {
+	folder, err := disk.NewFiles(cfg.Data.Folder)
+	if err != nil {
+		return nil, err
+	}
+	store, saved, err := peer.OpenStore(folder, cfg.Host.Name)
+	if err != nil {
+		return nil, err
+	}
+	return &replica{store: store, saved: saved}, nil
+}
+
+func newNode(cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, r *replica, machine *state.Machine) (*peer.Node, error) {
+	return peer.New(peer.Config{
+		Name: cfg.Host.Name, Initial: initialHosts(cfg),
+		Tick:          time.Duration(cfg.Quorum.TickMs) * time.Millisecond,
+		ElectionTicks: cfg.Quorum.ElectionTicks, HeartbeatTicks: cfg.Quorum.HeartbeatTicks,
+		Client: func(t http.RoundTripper) *http.Client { return ring.Client(&http.Client{Transport: t}) },
+		Logger: logger,
+	}, r.store, r.saved, machine)
+}
+
+func initialHosts(cfg *settings.Settings) []peer.Host {
+	var hosts []peer.Host
+	for _, one := range cfg.Quorum.Initial() {
+		hosts = append(hosts, peer.Host{Name: one[0], Address: one[1]})
+	}
+	if len(hosts) == 0 {
+		return []peer.Host{{Name: cfg.Host.Name, Address: cfg.Listen.Peers}}
+	}
+	return hosts
+}
+
+func newLog(node *peer.Node) agreement.Log { return node }
+
+// runNode starts the node after the server, and hands its leadership over
+// before the server stops.
+func runNode(lc fx.Lifecycle, _ *http.Server, r *replica, node *peer.Node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(done)
+				node.Run(ctx)
+			}()
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			node.HandOver(stop)
+			cancel()
+			<-done
+			return r.store.Close()
+		},
+	})
+}
--- /dev/null
+++ b/control/settings/quorum.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/snipebeam/snipebeam/world/finding"
+	"github.com/snipebeam/snipebeam/world/setting"
+)
+
+// Quorum says which control hosts agree and how they keep time.
+type Quorum struct {
+	Hosts          []string `toml:"hosts" comment:"first membership as name=address, the same list on each host; the first one forms the group; empty: this host alone"`
+	TickMs         int      `toml:"tick_ms" comment:"milliseconds of one tick"`
+	HeartbeatTicks int      `toml:"heartbeat_ticks" comment:"ticks between heartbeats"`
+	ElectionTicks  int      `toml:"election_ticks" comment:"ticks without a leader before an election, at least; a leader without a quorum steps down after as many"`
+}
+
+func defaultQuorum() Quorum { return Quorum{TickMs: 25, HeartbeatTicks: 2, ElectionTicks: 12} }
+
+// minElectionHeartbeats is how many heartbeats an election timeout spans.
+const minElectionHeartbeats = 3
+
+// Initial returns name and address of each host of the first membership.
+func (q *Quorum) Initial() [][2]string {
+	var all [][2]string
+	for _, one := range q.Hosts {
+		name, address, _ := strings.Cut(one, "=")
+		all = append(all, [2]string{name, address})
+	}
+	return all
+}
+
+func (q *Quorum) check(doc *setting.Document, findings *finding.List) {
+	var names []string
+	for _, one := range q.Hosts {
+		name, address, ok := strings.Cut(one, "=")
+		if _, _, err := net.SplitHostPort(address); !ok || name == "" || err != nil {
+			findings.Add(finding.Error, doc.Place("quorum.hosts"), "quorum.hosts holds "+one, "write each as control-1=127.0.0.1:7100")
+		}
+		if slices.Contains(names, name) {
+			findings.Add(finding.Error, doc.Place("quorum.hosts"), "quorum.hosts names "+name+" twice", "name each host once")
+		}
+		names = append(names, name)
+	}
+	if q.TickMs < 1 || q.HeartbeatTicks < 1 || q.ElectionTicks < minElectionHeartbeats*q.HeartbeatTicks {
+		findings.Add(finding.Error, doc.Place("quorum.election_ticks"), "the times of the quorum do not fit", "use ticks of 1 ms or more, and an election time of three heartbeats or more")
+	}
+}
