--- /dev/null
+++ b/snipebeam/command/fake_test.go
@@ -0,0 +1,96 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"github.com/alecthomas/kong"
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/snipebeam/command"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+// fakeControl is a control host that answers what a test sets.
+type fakeControl struct {
+	wire.Rules
+	wire.Claims
+	mu       sync.Mutex
+	stale    bool
+	dropNext bool // close the connection in place of the next answer
+	refuse   *wire.SubmitResponse
+	hosts    []*wire.HostReport
+	text     string
+	seen     []*wire.SubmitRequest
+}
+
+func (f *fakeControl) Submit(_ context.Context, req *wire.SubmitRequest) (*wire.SubmitResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen = append(f.seen, req)
+	if f.dropNext {
+		f.dropNext = false
+		panic(http.ErrAbortHandler)
+	}
+	if f.refuse != nil {
+		return f.refuse, nil
+	}
+	return &wire.SubmitResponse{Accepted: true, Version: &wire.Version{Number: req.GetBaseVersion() + 1}}, nil
+}
+
+func (f *fakeControl) Read(_ context.Context, req *wire.ReadRequest) (*wire.ReadResponse, error) {
+	return &wire.ReadResponse{Version: &wire.Version{Number: max(req.GetNumber(), 7), Author: "Marie"}, Text: f.text, Stale: f.stale, AsOf: 1}, nil
+}
+
+func (f *fakeControl) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
+	return &wire.StatusResponse{Quorum: !f.stale, Version: &wire.Version{Number: 7}, Hosts: f.hosts, AsOf: 1}, nil
+}
+
+func (f *fakeControl) start(t *testing.T) string {
+	mux := http.NewServeMux()
+	mux.Handle(wire.RulesPathPrefix, wire.NewRulesServer(f))
+	return serve(t, mux)
+}
+
+// fakeEntry is an entry host that answers what a test sets.
+type fakeEntry struct {
+	wire.Entry
+	backlog *wire.BacklogResponse
+}
+
+func (f *fakeEntry) Backlog(context.Context, *wire.BacklogRequest) (*wire.BacklogResponse, error) {
+	return f.backlog, nil
+}
+
+func (f *fakeEntry) start(t *testing.T) string { return serve(t, wire.NewEntryServer(f)) }
+
+func serve(t *testing.T, handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// deadAddress returns an address that refuses connections.
+func deadAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+// run runs a command as the tool does.
+func run(t *testing.T, args ...string) (out string, err error) {
+	var root command.Root
+	var buffer bytes.Buffer
+	parser, err := kong.New(&root, kong.Name("snipebeam"))
+	must.NoError(t, err)
+	ctx, err := parser.Parse(args)
+	must.NoError(t, err)
+	root.Out = &buffer
+	err = ctx.Run(&root.Globals)
+	return buffer.String(), err
+}
--- a/snipebeam/command/rules.go
+++ b/snipebeam/command/rules.go
@@ -1,15 +1,32 @@
 package command
 
 import (
-	"fmt"
-	"time"
-
 	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/world/rule"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
 type rulesCommand struct {
 	Version uint64 `help:"Version to show; the one in force by default."`
+	Service string `help:"Show the lines of one service only."`
+}
+
+// versionView is an accepted version in JSON.
+type versionView struct {
+	Version      uint64 `json:"version"`
+	Author       string `json:"author"`
+	Reason       string `json:"reason"`
+	AcceptedAt   string `json:"acceptedAt"`
+	Digest       string `json:"digest"`
+	SubmissionID string `json:"submissionId"`
+	RollbackOf   uint64 `json:"rollbackOf,omitempty"`
+}
+
+func viewVersion(v *wire.Version) versionView {
+	return versionView{
+		Version: v.GetNumber(), Author: v.GetAuthor(), Reason: v.GetReason(), AcceptedAt: when(v.GetAcceptedAt()),
+		Digest: v.GetDigest(), SubmissionID: v.GetSubmissionId(), RollbackOf: v.GetRollbackOf(),
+	}
 }
 
 // Run prints one version of the rules.
@@ -20,11 +37,47 @@
 	}
 	ctx, cancel := g.context()
 	defer cancel()
-	response, err := client.Read(ctx, &wire.ReadRequest{Number: c.Version})
+	response, err := client.Read(ctx, c.Version)
 	if err != nil {
 		return errors.Wrap(err, "read rules")
 	}
 	v := response.GetVersion()
-	fmt.Printf("# version %d, by %s, %s\n%s", v.GetNumber(), v.GetAuthor(), time.Unix(0, v.GetAcceptedAt()).Format(time.RFC3339), response.GetText())
-	return nil
+	if c.Version > 0 && v == nil {
+		return errors.Errorf("there is no version %d (see \"snipebeam history\")", c.Version)
+	}
+	text := response.GetText()
+	if c.Service != "" {
+		text = linesOf(text, c.Service)
+	}
+	out := g.out()
+	if v == nil {
+		out.Line("# no rules are in force yet (submit some with \"snipebeam submit\")")
+	} else {
+		out.Line("# version %d, by %s at %s: %s", v.GetNumber(), v.GetAuthor(), when(v.GetAcceptedAt()), reasonOf(v.GetReason()))
+	}
+	out.Text(text)
+	err = out.Show(struct {
+		versionView
+		Text     string `json:"text"`
+		Stale    bool   `json:"stale"`
+		AsOf     string `json:"asOf"`
+		ServedBy string `json:"servedBy"`
+	}{viewVersion(v), text, response.GetStale(), when(response.GetAsOf()), response.GetServedBy()}, nil)
+	if err == nil && response.GetStale() {
+		return staleAnswer(response.GetAsOf())
+	}
+	return err
+}
+
+// linesOf returns the lines of one service in canonical form.
+func linesOf(text, service string) string {
+	set, _ := rule.Read("rules", text)
+	lines := ""
+	if line := set.Service(service); line != nil {
+		lines = line.String() + "\n"
+	}
+	for _, r := range set.Routes(service) {
+		lines += r.String() + "\n"
+	}
+	return lines
 }
--- a/world/finding/finding.go
+++ b/world/finding/finding.go
@@ -132,14 +132,18 @@
 
 // Failure is the error that carries a list of findings.
 type Failure struct {
-	list List
+	list  List
+	brief bool
 }
 
 // Findings returns the findings in order of their places.
 func (f *Failure) Findings() []Finding { return f.list.All() }
 
-// Error returns all findings, one a line.
+// Error returns all findings, one a line, or their number.
 func (f *Failure) Error() string {
+	if f.brief {
+		return fmt.Sprintf("%d findings", len(f.list.findings))
+	}
 	lines := make([]string, 0, len(f.list.findings))
 	for _, one := range f.list.All() {
 		lines = append(lines, one.String())
@@ -156,3 +160,12 @@
 	}
 	return a.column < b.column
 }
+
+// Summary returns an error that carries the findings and only counts them, for
+// those who have shown them, or nil if none is an error.
+func (l *List) Summary() error {
+	if !l.HasErrors() {
+		return nil
+	}
+	return &Failure{list: *l, brief: true}
+}
