--- a/snipebeam/command/root.go
+++ b/snipebeam/command/root.go
@@ -46,6 +46,7 @@
 	Instances  instancesCommand             `cmd:"" help:"List the instances as the entry hosts see them."`
 	Backlog    backlogCommand               `cmd:"" help:"Show what waits and runs, over all entry hosts."`
 	Explain    explainCommand               `cmd:"" help:"Say which rule and instances a request gets, or what was decided."`
+	Report     reportCommand                `cmd:"" help:"Draw what entry hosts logged as an HTML page."`
 	Claim      claimCommand                 `cmd:"" help:"Show or resolve the claim of a request that runs at most once."`
 	Group      groupCommand                 `cmd:"" help:"Change the control group."`
 	LogLevel   logLevelCommand              `cmd:"" help:"Change the log level of running entry hosts."`
