--- /dev/null
+++ b/control/schedule/random.go
@@ -0,0 +1,16 @@
+package schedule
+
+import (
+	"math/rand/v2"
+)
+
+// Random is a source of choices from a seed.
+type Random struct{ rand *rand.Rand }
+
+// NewRandom returns a source that makes the same choices for the same seed.
+func NewRandom(seed uint64) *Random {
+	return &Random{rand: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Int returns a number from 0 to n-1.
+func (r *Random) Int(n int) int { return r.rand.IntN(n) }
