gossip: membership of entry hosts and instances as a pure step function

Announcements were forwarded to every host on every heartbeat (quadratic), and leases were compared across hosts' clocks. Now hosts probe each other in turn, suspect before they bury, and refute; the host that hears an instance owns its lease and passes on changes only; what news missed is found by digests.

Digests and the order now cover the whole record.

Ruled out: revision from the wall clock, since clocks jump; repeating pulls of the whole state on any difference, since bytes must stay bounded.

--- /dev/null
+++ b/entry/gossip/gossip_test.go
@@ -0,0 +1,244 @@
+package gossip_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/gossip"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+// settleTime is enough for a group of 29 to agree on who is there.
+const settleTime = 12 * time.Second
+
+func TestHostsFindEachOtherFromOneSeed(t *testing.T) {
+	w := newNetwork(29, 1)
+	w.loss = 0.05
+	w.run(settleTime)
+	must.NoError(t, w.settled())
+}
+
+func TestDrainingIsSeenByAllWithinTwoSeconds(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newNetwork(29, seed)
+		for n := range 31 {
+			w.announce(fmt.Sprintf("i%d", n), w.nodes[n%29].name)
+		}
+		w.run(settleTime)
+		must.NoError(t, w.settled())
+		w.loss = 0.1
+		w.beats["i3"].message.Draining = true
+		took := w.spread(10*time.Second, func(n *node) bool { return n.core.Instance("i3").GetDraining() })
+		must.LessEq(t, 2*time.Second, took)
+		b := w.beats["i5"]
+		delete(w.beats, "i5")
+		out, err := w.byName[b.entry].core.Gone(w.clock(w.byName[b.entry]), "i5", 1)
+		must.NoError(t, err)
+		w.carry(w.byName[b.entry], out)
+		took = w.spread(10*time.Second, func(n *node) bool { return !n.core.Usable("i5") })
+		must.LessEq(t, 2*time.Second, took)
+	}
+}
+
+func TestSilentInstanceIsDroppedAfterItsLease(t *testing.T) {
+	w := newNetwork(29, 2)
+	w.announce("i", "e03")
+	w.run(settleTime)
+	delete(w.beats, "i")
+	took := w.spread(20*time.Second, func(n *node) bool { return !n.core.Usable("i") })
+	must.Between(t, gossip.LeaseTime-time.Second, took, gossip.LeaseTime+2*time.Second)
+}
+
+func TestInstanceOfALostHostIsNotDroppedBeforeItMoves(t *testing.T) {
+	w := newNetwork(29, 3)
+	w.announce("i", "e03")
+	w.connects["i"] = false
+	w.run(settleTime)
+	w.byName["e03"].down = true
+	for range 300 {
+		w.run(100 * time.Millisecond)
+		for _, n := range w.nodes {
+			must.True(t, n.down || n.core.Usable("i"), must.Sprintf("%s at %s", n.name, w.now))
+		}
+	}
+	must.NoError(t, w.settled())
+}
+
+func TestInstanceLostWithItsHostIsDropped(t *testing.T) {
+	w := newNetwork(9, 4)
+	w.announce("i", "e03")
+	w.run(settleTime)
+	w.byName["e03"].down = true
+	delete(w.beats, "i")
+	w.connects["i"] = false
+	took := w.spread(60*time.Second, func(n *node) bool { return !n.core.Usable("i") })
+	must.LessEq(t, 20*time.Second, took)
+}
+
+func TestPartitionedHalfKeepsWhatItCanReach(t *testing.T) {
+	w := newNetwork(10, 5)
+	for n := range 10 {
+		name := w.nodes[n].name
+		w.announce(fmt.Sprintf("i%d", n), name).reaches = func(entry string) bool { return entry == name }
+	}
+	w.run(settleTime)
+	w.partition(5)
+	for range 600 {
+		w.run(100 * time.Millisecond)
+		for _, n := range w.nodes {
+			for id := range w.beats {
+				must.True(t, n.core.Usable(id), must.Sprintf("%s lost %s at %s", n.name, id, w.now))
+			}
+		}
+	}
+	w.heal()
+	w.run(settleTime)
+	must.NoError(t, w.settled())
+	for n := range 10 {
+		must.Eq(t, w.nodes[n].name, w.nodes[0].core.Instance(fmt.Sprintf("i%d", n)).GetHeardBy())
+	}
+}
+
+func TestPartitionedHalfDropsWhatItCannotReach(t *testing.T) {
+	w := newNetwork(10, 6)
+	w.announce("i", "e07").reaches = func(entry string) bool { return entry == "e07" }
+	w.run(settleTime)
+	w.connects["i"] = false
+	w.partition(5)
+	w.run(30 * time.Second)
+	must.False(t, w.nodes[0].core.Usable("i"))
+	must.True(t, w.nodes[7].core.Usable("i"))
+	w.heal()
+	w.run(settleTime)
+	must.NoError(t, w.settled())
+}
+
+func TestOldIncarnationNeverComesBack(t *testing.T) {
+	w := newNetwork(5, 7)
+	w.announce("i", "e01").message.Incarnation = 7
+	w.run(settleTime)
+	old := w.nodes[4].core.Instance("i")
+	w.beats["i"].message.Incarnation = 8
+	w.run(2 * time.Second)
+	out := w.nodes[4].core.Merge(w.clock(w.nodes[4]), nil, []*wire.Instance{old})
+	must.SliceEmpty(t, out.Instances)
+	must.Eq(t, 8, w.nodes[4].core.Instance("i").GetIncarnation())
+	_, err := w.nodes[2].core.Hear(w.clock(w.nodes[2]), &wire.Instance{Id: "i", Service: "catalogue", Incarnation: 7})
+	must.ErrorIs(t, err, gossip.ErrOldIncarnation)
+	_, err = w.nodes[2].core.Gone(w.clock(w.nodes[2]), "i", 7)
+	must.ErrorIs(t, err, gossip.ErrOldIncarnation)
+	_, err = w.nodes[2].core.Gone(w.clock(w.nodes[2]), "i", 8)
+	must.NoError(t, err)
+	_, err = w.nodes[2].core.Hear(w.clock(w.nodes[2]), &wire.Instance{Id: "i", Service: "catalogue", Incarnation: 8})
+	must.ErrorIs(t, err, gossip.ErrLeft)
+}
+
+func TestHeartbeatOvertakenByDrainingChangesNothing(t *testing.T) {
+	w := newNetwork(3, 8)
+	hear := func(n int, sequence uint64, draining bool) {
+		m := &wire.Instance{Id: "i", Service: "catalogue", Incarnation: 1, Sequence: sequence, Draining: draining}
+		out, err := w.nodes[n].core.Hear(w.clock(w.nodes[n]), m)
+		must.NoError(t, err)
+		w.carry(w.nodes[n], out)
+	}
+	w.run(2 * time.Second)
+	hear(0, 1, false)
+	hear(0, 3, true)
+	w.run(time.Second)
+	hear(1, 2, false)
+	w.run(time.Second)
+	for _, n := range w.nodes {
+		must.True(t, n.core.Instance("i").GetDraining())
+	}
+}
+
+func TestHostWhoseClockWentBackIsTakenAfterItsRestart(t *testing.T) {
+	w := newNetwork(5, 9)
+	w.nodes[2].epoch = 1000
+	w.restart(w.nodes[2], 1000)
+	w.run(settleTime)
+	w.nodes[2].down = true
+	w.run(settleTime)
+	w.restart(w.nodes[2], 10)
+	w.run(settleTime)
+	must.NoError(t, w.settled())
+}
+
+func TestLeavingHostIsSeenByAllWithinTwoSeconds(t *testing.T) {
+	w := newNetwork(29, 10)
+	w.run(settleTime)
+	gone := w.nodes[6]
+	w.carry(gone, gone.core.Leave(w.clock(gone)))
+	gone.paused = true
+	took := w.spread(10*time.Second, func(n *node) bool {
+		for _, h := range n.core.Hosts() {
+			if n != gone && h.GetName() == gone.name {
+				return false
+			}
+		}
+		return true
+	})
+	must.LessEq(t, 2*time.Second, took)
+}
+
+func TestHostReachedThroughOthersIsNotCalledDead(t *testing.T) {
+	w := newNetwork(8, 11)
+	w.run(settleTime)
+	w.cut[link{"e01", "e02"}], w.cut[link{"e02", "e01"}] = true, true
+	w.cut[link{"e03", "e02"}] = true
+	for range 600 {
+		w.run(100 * time.Millisecond)
+		for _, n := range w.nodes {
+			must.Len(t, 8, n.core.Hosts())
+		}
+	}
+}
+
+func TestPausedHostDoesNotCallTheOthersDead(t *testing.T) {
+	w := newNetwork(6, 12)
+	w.announce("i", "e02")
+	w.run(settleTime)
+	w.nodes[1].paused = true
+	w.run(30 * time.Second)
+	w.nodes[1].paused = false
+	for range 100 {
+		w.run(100 * time.Millisecond)
+		must.Len(t, 6, w.nodes[1].core.Hosts())
+		must.True(t, w.nodes[1].core.Usable("i"))
+	}
+	must.NoError(t, w.settled())
+}
+
+func TestBytesStayInsideTheBudgetWhateverTheInstances(t *testing.T) {
+	const rate = 3072
+	w := newNetwork(10, 13, gossip.WithRate(rate))
+	for n := range 400 {
+		w.announce(fmt.Sprintf("i%d", n), w.nodes[n%10].name)
+	}
+	start := w.now
+	for range 60 {
+		w.run(time.Second)
+		for _, b := range w.beats {
+			b.message.Cold = !b.message.Cold
+		}
+		for _, n := range w.nodes {
+			allowed := rate*(w.now-start).Seconds() + 2*rate + 4096
+			must.LessEq(t, int(allowed), n.sent, must.Sprint(n.name))
+		}
+	}
+}
+
+func TestStateThatNewsMissedIsFoundByDigests(t *testing.T) {
+	w := newNetwork(6, 14)
+	w.pulls = false
+	w.run(settleTime)
+	w.partition(1)
+	for n := range 60 {
+		w.announce(fmt.Sprintf("i%d", n), "e03").reaches = func(entry string) bool { return entry == "e03" }
+	}
+	w.run(2 * time.Second)
+	w.heal()
+	must.LessEq(t, 60*time.Second, w.spread(2*time.Minute, func(n *node) bool { return len(n.core.Instances()) == 60 }))
+}
