--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -114,7 +114,7 @@
 	if !inForce.Set().Knows(c.service) {
 		return outcome.New(outcome.NotRun, outcome.UnknownService, "no rule names the service "+strconv.Quote(c.service))
 	}
-	c.rule = inForce.Set().Match(c.service, c.r.Method, c.r.URL.Path, c.r.Header)
+	c.rule = inForce.Set().Match(c.service, c.r.Method, c.r.URL.EscapedPath(), c.r.Header)
 	if c.rule == nil {
 		return outcome.New(outcome.NotRun, outcome.NoRule, "no rule of "+c.service+" matches "+c.r.Method+" "+c.r.URL.Path)
 	}
@@ -154,6 +154,9 @@
 	}
 	target := ticket.Instance()
 	c.stay.Start(target.ID(), time.Now())
+	if c.r.ContentLength == 0 {
+		c.stay.Sent(time.Now())
+	}
 	started := time.Now()
 	exchange, err := h.parts.Links.Send(ctx, target.Address(), h.outgoing(ctx, c, attempt))
 	h.note(c, ticket, attempt, time.Since(started))
@@ -166,6 +169,7 @@
 
 func (h *Handler) answer(c *call, ticket *route.Ticket, exchange *upstream.Exchange, started time.Time, seen *recorder) *outcome.Problem {
 	response := exchange.Response()
+	c.stay.Answering(time.Now())
 	report := route.Report{Latency: time.Since(started), Failed: response.StatusCode >= http.StatusInternalServerError}
 	report.Reported, report.HasReport = reportOf(response)
 	defer func() { ticket.Finish(report) }()
@@ -245,7 +249,8 @@
 	if c.rule != nil {
 		d.Rule = c.rule.Place().String()
 	}
-	h.parts.Decisions.Write(d)
+	d.Host = h.parts.Host
+	h.parts.Decisions.Write(&d)
 }
 
 // outgoing returns the request as it goes to the instance.
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -29,6 +29,7 @@
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"go.uber.org/fx"
@@ -49,14 +50,14 @@
 		fx.Provide(
 			func() hclog.Logger { return logger },
 			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
-			func() route.Policy { return route.LeastCount{} },
+			route.NewLeastCount,
 			func() *route.Views { return &route.Views{} },
 			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
-			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool, route.NewRouter,
-			newClient, newState, newWatch, newSender,
+			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool,
+			newClient, newState, newWatch, newSender, newRouter, newDoors,
 		),
-		fx.Invoke(runBackground, runPlatform, runPeers, runDNS, runCallers),
-		fx.StopTimeout(stopTimeout),
+		fx.Invoke(runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
+		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 }
@@ -116,6 +117,12 @@
 	return peer.NewSender(cfg.Host.Name, client, watch.Entries, logger)
 }
 
+func newRouter(views *route.Views, policy route.Policy, table *rules.Table) *route.Router {
+	return route.NewRouter(views, policy, route.WithTerms(func(service string) *contract.Service {
+		return table.Current().Set().Terms(service)
+	}))
+}
+
 // runBackground runs the loops that end with the program.
 func runBackground(lc fx.Lifecycle, watch *control.Watch, reg *registry.Registry, decisions *decision.Log) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -195,10 +202,10 @@
 	}
 }
 
-func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, ring *key.Ring) {
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors) {
 	handler := platform.New(platform.Parts{
 		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
-		Ready: state.Ready, Decisions: decisions, Keys: ring,
+		Ready: state.Ready, Decisions: decisions, Keys: doors.upstreams,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
@@ -207,13 +214,13 @@
 	})
 }
 
-func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring) {
+func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring, doors *doors) {
 	service := operator.New(operator.Parts{
 		Host: cfg.Host.Name, Table: table, Views: views, Book: book, Decisions: decisions,
 		Report: state.Report, Drain: state.draining.Store, Logger: logger,
 	})
 	mux := http.NewServeMux()
-	mux.Handle(wire.EntryPathPrefix, ring.Guard(wire.NewEntryServer(service)))
+	mux.Handle(wire.EntryPathPrefix, doors.operators.Guard(wire.NewEntryServer(service)))
 	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(peer.NewServer(reg))))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
--- /dev/null
+++ b/world/contract/policy.go
@@ -0,0 +1,16 @@
+package contract
+
+// Names of the routing policies.
+const (
+	PolicyAdaptive   = "adaptive"
+	PolicyLeast      = "least"
+	PolicyPeakEWMA   = "peakEWMA"
+	PolicyPowerOfTwo = "powerOfTwo"
+	PolicyRandom     = "random"
+	PolicyRoundRobin = "roundRobin"
+)
+
+// PolicyNames returns the policies that rules and settings may name.
+func PolicyNames() []string {
+	return []string{PolicyAdaptive, PolicyLeast, PolicyPeakEWMA, PolicyPowerOfTwo, PolicyRandom, PolicyRoundRobin}
+}
