upstream: complete the stand-in's faults, and let the caller show progress

Cold start, crash, crash on a request, frozen report, silent and silent links beside the thin ones; deadlines and cancellation honoured; an execution is counted when it gets a slot, no longer when it arrives, since one that gave up in the queue did not run. explain takes a host that does not remember a decision for one that answered.

--- a/snipebeam/command/explain.go
+++ b/snipebeam/command/explain.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/snipebeam/terminal"
 	"github.com/snipebeam/snipebeam/world/wire"
+	"github.com/twitchtv/twirp"
 )
 
 type explainCommand struct {
@@ -49,7 +50,7 @@
 	ctx, cancel := g.context()
 	defer cancel()
 	gathered, err := gather(ctx, g, c.Host, func(ctx context.Context, h wire.Entry) (*wire.ExplainResponse, error) {
-		return h.Explain(ctx, req)
+		return explain(ctx, h, req)
 	})
 	if err != nil {
 		return err
@@ -65,6 +66,16 @@
 	return errors.Errorf("no entry host remembers the decision %s (hosts keep the latest ones only; older ones are in their decision logs)", c.Subject)
 }
 
+// explain asks one host; one that does not know a decision has answered.
+func explain(ctx context.Context, h wire.Entry, req *wire.ExplainRequest) (*wire.ExplainResponse, error) {
+	response, err := h.Explain(ctx, req)
+	var t twirp.Error
+	if errors.As(err, &t) && t.Code() == twirp.NotFound {
+		return &wire.ExplainResponse{}, nil
+	}
+	return response, err
+}
+
 func (c *explainCommand) request() (*wire.ExplainRequest, error) {
 	if c.URL == "" {
 		return &wire.ExplainRequest{DecisionId: c.Subject}, nil
--- a/standin/callcommand.go
+++ b/standin/callcommand.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -21,15 +22,21 @@
 	Duration time.Duration `default:"10s" help:"How long to call."`
 	Body     int           `help:"Bytes of request body."`
 	Once     string        `help:"Header that carries a fresh idempotency key."`
+	Quiet    bool          `help:"Print no progress line."`
 }
 
 // Run calls until the duration has passed and prints a summary as JSON.
 func (c *callCommand) Run() error {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	summary := caller.Run(ctx, caller.Config{
+	cfg := caller.Config{
 		Platforms: c.Entries, Service: c.Service, Zone: c.Zone, Method: c.Method, Path: c.Path,
 		Rate: c.Rate, Duration: c.Duration, BodyBytes: c.Body, Once: c.Once,
-	})
-	return json.NewEncoder(os.Stdout).Encode(summary)
+	}
+	if !c.Quiet {
+		cfg.Progress = func(elapsed time.Duration, soFar caller.Summary) {
+			fmt.Fprintf(os.Stderr, "%s %s\n", elapsed.Round(time.Second), soFar)
+		}
+	}
+	return json.NewEncoder(os.Stdout).Encode(caller.Run(ctx, cfg))
 }
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -10,9 +10,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,15 +35,17 @@
 	Rate      float64 // requests a second, arriving at random
 	Duration  time.Duration
 	BodyBytes int
-	Once      string // header that carries a fresh idempotency key
-	MaxOpen   int    // most requests in flight
+	Once      string                                     // header that carries a fresh idempotency key
+	MaxOpen   int                                        // most requests in flight
+	Progress  func(elapsed time.Duration, soFar Summary) // called each second, if set
 }
 
-// Summary counts outcomes and holds latencies in microseconds.
+// Summary counts outcomes and holds latencies in milliseconds.
 type Summary struct {
 	Outcomes map[string]int `json:"outcomes"`
 	Sent     int            `json:"sent"`
 	P50Ms    float64        `json:"p50Ms"`
+	P90Ms    float64        `json:"p90Ms"`
 	P99Ms    float64        `json:"p99Ms"`
 	P999Ms   float64        `json:"p999Ms"`
 	MaxMs    float64        `json:"maxMs"`
@@ -85,10 +91,31 @@
 	l.summary.Outcomes = map[string]int{}
 	ctx, cancel := context.WithTimeout(ctx, cfg.Duration)
 	defer cancel()
+	go l.progress(ctx)
 	l.load(ctx)
 	return l.result()
 }
 
+// progressInterval is the time between two calls of Config.Progress.
+const progressInterval = time.Second
+
+func (l *loader) progress(ctx context.Context) {
+	if l.cfg.Progress == nil {
+		return
+	}
+	started := time.Now()
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.cfg.Progress(time.Since(started), l.result())
+		}
+	}
+}
+
 func (l *loader) load(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -206,7 +233,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at := func(q float64) float64 { return float64(l.histogram.ValueAtQuantile(q)) / microsPerMs }
-	l.summary.P50Ms, l.summary.P99Ms, l.summary.P999Ms = at(50), at(99), at(99.9)
-	l.summary.MaxMs = float64(l.histogram.Max()) / microsPerMs
-	return l.summary
+	summary := l.summary
+	summary.Outcomes = maps.Clone(l.summary.Outcomes)
+	summary.P50Ms, summary.P90Ms, summary.P99Ms, summary.P999Ms = at(50), at(90), at(99), at(99.9)
+	summary.MaxMs = float64(l.histogram.Max()) / microsPerMs
+	return summary
+}
+
+// String returns the summary on one line.
+func (s Summary) String() string {
+	var outcomes []string
+	for _, name := range slices.Sorted(maps.Keys(s.Outcomes)) {
+		outcomes = append(outcomes, fmt.Sprintf("%s %d", name, s.Outcomes[name]))
+	}
+	return fmt.Sprintf("sent %d: %s, wrong answers %d; p50 %.1f ms, p90 %.1f ms, p99 %.1f ms, p99.9 %.1f ms, max %.1f ms",
+		s.Sent, strings.Join(outcomes, ", "), s.Wrong, s.P50Ms, s.P90Ms, s.P99Ms, s.P999Ms, s.MaxMs)
 }
--- a/standin/upstream/announce.go
+++ b/standin/upstream/announce.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/world/key"
 )
 
 // heartbeatInterval is how often an announcement is renewed.
@@ -20,6 +21,7 @@
 	Address     string `json:"address"`
 	Zone        string `json:"zone"`
 	Slots       int    `json:"slots"`
+	Cold        bool   `json:"cold"`
 	Draining    bool   `json:"draining"`
 	Incarnation uint64 `json:"incarnation"`
 }
@@ -36,11 +38,12 @@
 	next    int
 }
 
-// NewAnnouncer returns an announcer; entries are addresses of platform listeners.
-func NewAnnouncer(server *Server, address, zone string, entries []string, logger hclog.Logger) *Announcer {
+// NewAnnouncer returns an announcer; entries are addresses of platform listeners,
+// and the ring holds the instances' key.
+func NewAnnouncer(server *Server, address, zone string, entries []string, ring *key.Ring, logger hclog.Logger) *Announcer {
 	return &Announcer{
 		server: server, address: address, zone: zone, entries: entries, logger: logger,
-		client: &http.Client{Timeout: heartbeatInterval}, started: uint64(time.Now().UnixNano()),
+		client: ring.Client(&http.Client{Timeout: heartbeatInterval}), started: uint64(time.Now().UnixNano()),
 	}
 }
 
@@ -49,9 +52,7 @@
 	ticker := time.NewTicker(heartbeatInterval / 2)
 	defer ticker.Stop()
 	for {
-		if err := a.Announce(ctx); err != nil {
-			a.logger.Warn("not announced", "error", err)
-		}
+		a.renew(ctx)
 		select {
 		case <-ctx.Done():
 			a.leave()
@@ -61,12 +62,22 @@
 	}
 }
 
+// renew announces unless the instance is to say nothing.
+func (a *Announcer) renew(ctx context.Context) {
+	if a.server.Silent() {
+		return
+	}
+	if err := a.Announce(ctx); err != nil && ctx.Err() == nil {
+		a.logger.Warn("not announced", "error", err)
+	}
+}
+
 // Announce renews the announcement at the first entry host that answers.
 func (a *Announcer) Announce(ctx context.Context) error {
 	cfg := a.server.cfg
 	body, err := json.Marshal(announcement{
 		Service: cfg.Service, Address: a.address, Zone: a.zone, Slots: cfg.Slots,
-		Draining: a.server.Draining(), Incarnation: a.started,
+		Cold: a.server.Cold(), Draining: a.server.Draining(), Incarnation: a.started,
 	})
 	if err != nil {
 		return errors.Wrap(err, "encode announcement")
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -1,5 +1,11 @@
 // Package upstream is a stand-in for an instance: slots with a real queue, a
-// load report on each answer, and faults that can be switched on over HTTP.
+// load report on each answer and on a probe, and faults that can be switched
+// on over HTTP.
+//
+//	PUT /standin/faults {"slowdown": 4}   see Faults
+//	GET /standin/runs                     executions by idempotency key
+//	GET /standin/probe                    load report, takes a slot for the probe's cost
+//	anything else                         a request; ?bytes=N adds N bytes to the answer
 //
 // Usage:
 //
@@ -8,20 +14,34 @@
 package upstream
 
 import (
-	"encoding/json"
+	"context"
 	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// Headers between the system and an instance.
+const (
+	loadHeader       = "Snipebeam-Load"
+	notStartedHeader = "Snipebeam-Not-Started"
+	deadlineHeader   = "Snipebeam-Deadline-Ms"
+)
+
+const (
+	// crashStatus is the exit code of a crash that was asked for.
+	crashStatus = 70
+	// maxExtraBytes bounds the size of an answer.
+	maxExtraBytes = 1 << 30
+	fillerBytes   = 32 << 10
+)
+
 // Config describes an instance.
 type Config struct {
 	ID         string
@@ -31,156 +51,159 @@
 	Sigma      float64       // of the lognormal time, 0 for constant
 	ProbeCost  time.Duration // time that a probe takes in a slot
 	OnceHeader string
-}
-
-// Faults are switched over HTTP with PUT /standin/faults.
-type Faults struct {
-	Slowdown float64 `json:"slowdown"` // factor on the time of a request, 0 and 1 for none
-	Shed     bool    `json:"shed"`     // refuse before starting
-	FailFast bool    `json:"failFast"` // answer 500 at once
-	Silent   bool    `json:"silent"`   // accept and never answer
-	Lie      *int    `json:"lie"`      // reported load, whatever the real one
-	Draining bool    `json:"draining"`
+	MaxQueue   int    // requests that may wait before it sheds, 0 for any number
+	Crash      func() // ends the process unless set
 }
 
 // Server is the instance.
 type Server struct {
 	cfg    Config
-	slots  chan struct{}
-	queued atomic.Int64 // in service and waiting
-
-	mu     sync.Mutex
-	faults Faults
-	runs   map[string]int // executions by idempotency key
+	queue  *queue
+	faults faultSwitch
+	runs   *executions
+	mux    *http.ServeMux
 }
 
 // New returns a server.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, slots: make(chan struct{}, cfg.Slots), runs: map[string]int{}}
+	s := &Server{cfg: cfg, queue: newQueue(cfg.Slots), runs: newExecutions(), mux: http.NewServeMux()}
+	s.mux.HandleFunc("/standin/faults", s.switchFaults)
+	s.mux.HandleFunc("/standin/runs", s.runs.list)
+	s.mux.HandleFunc("/standin/probe", s.probe)
+	s.mux.HandleFunc("/", s.work)
+	return s
 }
 
+// ServeHTTP serves requests, probes and switches.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
 // Draining reports whether the instance was told to drain.
-func (s *Server) Draining() bool { return s.current().Draining }
+func (s *Server) Draining() bool { return s.faults.load().Draining }
 
-func (s *Server) current() Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
-}
+// Cold reports whether the instance is in a cold start.
+func (s *Server) Cold() bool { return s.faults.load().coldLeft(time.Now()) > 0 }
 
-// ServeHTTP serves requests, probes and switches.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch r.URL.Path {
-	case "/standin/faults":
-		s.setFaults(w, r)
-	case "/standin/runs":
-		s.listRuns(w)
-	case "/standin/probe":
-		s.probe(w, r)
-	default:
-		s.work(w, r)
-	}
-}
+// Silent reports whether the instance was told to say nothing.
+func (s *Server) Silent() bool { return s.faults.load().Silent }
+
+// Runs returns how often each idempotency key was run.
+func (s *Server) Runs() map[string]int { return s.runs.Counts() }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+func (s *Server) crash() {
+	if s.cfg.Crash != nil {
+		s.cfg.Crash()
 		return
 	}
-	s.mu.Lock()
-	s.faults = faults
-	s.mu.Unlock()
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (s *Server) listRuns(w http.ResponseWriter) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	// The reader has gone if this fails.
-	_ = json.NewEncoder(w).Encode(s.runs)
+	os.Exit(crashStatus)
 }
 
 func (s *Server) probe(w http.ResponseWriter, r *http.Request) {
-	if !s.occupy(r, s.cfg.ProbeCost) {
+	if s.faults.load().hushed(r.Context()) {
+		<-r.Context().Done()
 		return
 	}
-	s.report(w, s.current())
-	w.WriteHeader(http.StatusOK)
-}
-
-func (s *Server) report(w http.ResponseWriter, faults Faults) {
-	load := int(s.queued.Load())
-	if faults.Lie != nil {
-		load = *faults.Lie
+	if !s.queue.enter(r.Context()) {
+		return
+	}
+	done := hold(r.Context(), s.cfg.ProbeCost)
+	s.queue.leave()
+	if done {
+		s.report(w)
+		w.WriteHeader(http.StatusOK)
 	}
-	w.Header().Set("Snipebeam-Load", strconv.Itoa(load))
 }
 
-// occupy waits for a slot and holds it for a time. It returns false if the
-// caller gave up.
-func (s *Server) occupy(r *http.Request, d time.Duration) bool {
-	s.queued.Add(1)
-	defer s.queued.Add(-1)
-	select {
-	case s.slots <- struct{}{}:
-	case <-r.Context().Done():
-		return false
-	}
-	defer func() { <-s.slots }()
-	select {
-	case <-time.After(d):
-		return true
-	case <-r.Context().Done():
-		return false
-	}
+func (s *Server) report(w http.ResponseWriter) {
+	w.Header().Set(loadHeader, strconv.Itoa(s.faults.load().load(s.queue.Load())))
 }
 
 func (s *Server) work(w http.ResponseWriter, r *http.Request) {
-	faults := s.current()
+	faults := s.faults.load()
 	switch {
-	case faults.Silent:
+	case faults.hushed(r.Context()):
 		<-r.Context().Done()
-		return
 	case faults.Shed:
-		s.report(w, faults)
-		w.Header().Set("Snipebeam-Not-Started", "shed")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		s.refuse(w, "shed")
+	case s.cfg.MaxQueue > 0 && s.queue.Load() >= s.cfg.Slots+s.cfg.MaxQueue:
+		s.refuse(w, "queue-full")
 	case faults.FailFast:
-		s.report(w, faults)
+		s.report(w)
 		w.WriteHeader(http.StatusInternalServerError)
+	default:
+		s.run(w, r, faults)
+	}
+}
+
+// refuse answers before anything was started.
+func (s *Server) refuse(w http.ResponseWriter, reason string) {
+	s.report(w)
+	w.Header().Set(notStartedHeader, reason)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// run waits for a slot, reads the request and answers it, within its deadline.
+func (s *Server) run(w http.ResponseWriter, r *http.Request, faults *faultState) {
+	ctx, cancel := withDeadline(r)
+	defer cancel()
+	if !s.queue.enter(ctx) {
+		if r.Context().Err() == nil {
+			s.refuse(w, "deadline")
+		}
+		return
+	}
+	size, digest, err := s.execute(ctx, r, faults)
+	s.queue.leave()
+	s.report(w)
+	switch {
+	case r.Context().Err() != nil:
+		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusGatewayTimeout)
 		return
 	}
-	s.count(r)
+	s.answer(w, r, size, digest)
+}
+
+func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.ParseInt(r.Header.Get(deadlineHeader), 10, 64)
+	if err != nil || ms <= 0 {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+// execute does the work of a request that has a slot.
+func (s *Server) execute(ctx context.Context, r *http.Request, faults *faultState) (int64, uint64, error) {
+	s.runs.count(r.Header.Get(s.cfg.OnceHeader))
+	if faults.CrashOn != "" && r.URL.Path == faults.CrashOn {
+		s.crash()
+	}
 	digest := xxhash.New()
 	size, err := io.Copy(digest, r.Body)
-	if err != nil || !s.occupy(r, s.duration(faults)) {
-		return
+	if err != nil {
+		return 0, 0, err
 	}
-	s.report(w, s.current())
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, `{"instance":%q,"method":%q,"path":%q,"request":%q,"bodyBytes":%d,"bodyDigest":"%016x"}`+"\n",
-		s.cfg.ID, r.Method, r.URL.Path, r.Header.Get("Request-Id"), size, digest.Sum64())
+	if !hold(ctx, s.duration(faults)) {
+		return 0, 0, ctx.Err()
+	}
+	return size, digest.Sum64(), nil
 }
 
-func (s *Server) count(r *http.Request) {
-	key := r.Header.Get(s.cfg.OnceHeader)
-	if key == "" {
-		return
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, size int64, digest uint64) {
+	w.Header().Set("Content-Type", "application/json")
+	_, err := fmt.Fprintf(w, `{"instance":%q,"method":%q,"path":%q,"request":%q,"bodyBytes":%d,"bodyDigest":"%016x"}`+"\n",
+		s.cfg.ID, r.Method, r.URL.Path, r.Header.Get("Request-Id"), size, digest)
+	extra, _ := strconv.ParseInt(r.URL.Query().Get("bytes"), 10, 64)
+	filler := make([]byte, fillerBytes)
+	for left := min(extra, maxExtraBytes); left > 0 && err == nil; left -= fillerBytes {
+		_, err = w.Write(filler[:min(left, fillerBytes)])
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runs[key]++
 }
 
-func (s *Server) duration(faults Faults) time.Duration {
+func (s *Server) duration(faults *faultState) time.Duration {
 	mean := float64(s.cfg.Work)
 	if s.cfg.Sigma > 0 {
 		mean *= math.Exp(s.cfg.Sigma*rand.NormFloat64() - s.cfg.Sigma*s.cfg.Sigma/2)
 	}
-	if faults.Slowdown > 0 {
-		mean *= faults.Slowdown
-	}
-	return time.Duration(mean)
+	return time.Duration(mean * faults.slowness(time.Now()))
 }
--- a/standin/upstreamcommand.go
+++ b/standin/upstreamcommand.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/standin/upstream"
+	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/logging"
 )
 
@@ -24,24 +25,30 @@
 	Sigma     float64       `default:"0.8" help:"Sigma of the lognormal time of a request, 0 for constant."`
 	ProbeCost time.Duration `default:"6ms" help:"Time that a probe takes in a slot."`
 	Once      string        `default:"Idempotency-Key" help:"Header that carries the idempotency key."`
+	MaxQueue  int           `help:"Requests that may wait before it sheds, 0 for any number."`
+	KeyFile   string        `help:"File with the instances' key."`
 	Entries   []string      `help:"Platform addresses of entry hosts to announce to."`
 }
 
 // Run serves until the program is told to stop, then drains.
 func (c *upstreamCommand) Run() error {
 	logger := logging.New("snipebeam-standin", "info", os.Stderr)
+	ring, err := key.Load(c.KeyFile)
+	if err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	server := upstream.New(upstream.Config{
-		ID: c.ID, Service: c.Service, Slots: c.Slots, Work: c.Work, Sigma: c.Sigma, ProbeCost: c.ProbeCost, OnceHeader: c.Once,
+		ID: c.ID, Service: c.Service, Slots: c.Slots, Work: c.Work, Sigma: c.Sigma, ProbeCost: c.ProbeCost, OnceHeader: c.Once, MaxQueue: c.MaxQueue,
 	})
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	web := &http.Server{Handler: server, ReadHeaderTimeout: time.Minute}
+	web := &http.Server{Handler: server, ReadHeaderTimeout: time.Minute, ConnContext: upstream.ConnContext}
 	go func() { _ = web.Serve(listener) }()
 	logger.Info("instance started", "id", c.ID, "service", c.Service, "address", listener.Addr().String())
-	upstream.NewAnnouncer(server, listener.Addr().String(), c.Zone, c.Entries, logger).Run(ctx)
+	upstream.NewAnnouncer(server, listener.Addr().String(), c.Zone, c.Entries, ring, logger).Run(ctx)
 	return errors.Wrap(web.Shutdown(context.Background()), "stop")
 }
