--- a/control/settings/settings.go
+++ b/control/settings/settings.go
@@ -17,13 +17,14 @@
 	Host   Host   `toml:"host" comment:"what this host is"`
 	Listen Listen `toml:"listen" comment:"addresses that this host listens on"`
 	Data   Data   `toml:"data" comment:"durable state"`
+	Quorum Quorum `toml:"quorum" comment:"the control hosts that agree"`
 	Keys   Keys   `toml:"keys" comment:"key files, each with one or two keys; set all of them or none"`
 	Log    Log    `toml:"log" comment:"what is logged"`
 }
 
 // Default returns the settings that a file need not name.
 func Default() *Settings {
-	return &Settings{Listen: defaultListen(), Data: defaultData(), Log: defaultLog()}
+	return &Settings{Listen: defaultListen(), Data: defaultData(), Quorum: defaultQuorum(), Log: defaultLog()}
 }
 
 // Load reads and checks a file, before which the overrides go. All findings
@@ -39,6 +40,7 @@
 	c.Given("host.name", s.Host.Name, "name this host, unique among all, here or with --name")
 	c.OneOf("log.level", s.Log.Level, logging.Levels()...)
 	s.Data.check(c)
+	s.Quorum.check(c)
 	s.Keys.check(c)
 	s.Listen.check(c, s.Keys)
 }
