prometheus: write this host's metrics with bounded series

Cause: /metrics held the process's own figures only. Labels come from rules and announcements; a service that no rule names is counted without its name, so that callers cannot make series.

--- a/entry/decision/log.go
+++ b/entry/decision/log.go
@@ -19,6 +19,7 @@
 	logger  hclog.Logger
 	queue   chan *Decision
 	recent  *recent
+	tally   tally
 	dropped atomic.Uint64
 	told    uint64 // dropped lines that were reported
 }
@@ -31,6 +32,7 @@
 // Write queues a line, or counts it as dropped if the queue is full. The
 // decision must not be changed afterwards.
 func (l *Log) Write(d *Decision) {
+	l.tally.count(d)
 	select {
 	case l.queue <- d:
 	default:
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/placement"
 	"github.com/snipebeam/snipebeam/entry/platform"
+	"github.com/snipebeam/snipebeam/entry/prometheus"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
@@ -54,7 +55,7 @@
 			func() *route.Views { return &route.Views{} },
 			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
 			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool,
-			newClient, newState, newWatch, newSender, newRouter, newDoors,
+			newClient, newState, newWatch, newSender, newRouter, newDoors, newExporter,
 		),
 		fx.Invoke(runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
 		fx.StopTimeout(stopLimit(cfg)),
@@ -202,10 +203,10 @@
 	}
 }
 
-func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors) {
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
 	handler := platform.New(platform.Parts{
 		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
-		Ready: state.Ready, Decisions: decisions, Keys: doors.upstreams,
+		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: doors.upstreams,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
--- /dev/null
+++ b/entry/host/metrics.go
@@ -0,0 +1,13 @@
+package host
+
+import (
+	"github.com/snipebeam/snipebeam/entry/backlog"
+	"github.com/snipebeam/snipebeam/entry/decision"
+	"github.com/snipebeam/snipebeam/entry/prometheus"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/entry/rules"
+)
+
+func newExporter(state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log) *prometheus.Exporter {
+	return prometheus.New(prometheus.Parts{Table: table, Views: views, Book: book, Decisions: decisions, State: state.Name})
+}
--- a/entry/platform/platform.go
+++ b/entry/platform/platform.go
@@ -9,10 +9,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 	"github.com/snipebeam/snipebeam/entry/decision"
@@ -37,6 +37,7 @@
 	Entries   func() []*wire.HostReport
 	PassOn    func(ctx context.Context, message *wire.Instance)
 	Ready     func() bool
+	Metrics   func(w io.Writer) // writes the Prometheus text format
 	Decisions *decision.Log
 	Keys      *key.Ring
 }
@@ -52,7 +53,7 @@
 	engine.DELETE("/v1/instances/:id", p.keyed, p.leave)
 	engine.GET("/livez", func(c *gin.Context) { c.String(http.StatusOK, "live\n") })
 	engine.GET("/readyz", p.ready)
-	engine.GET("/metrics", func(c *gin.Context) { metrics.WritePrometheus(c.Writer, true) })
+	engine.GET("/metrics", func(c *gin.Context) { parts.Metrics(c.Writer) })
 	return engine
 }
 
