demo: judge versions, executions and the drain, with keys in use

Exit 0 only if every request was answered, no idempotency key ran twice, the drained instance got no work after 3 s, every ready host runs the new version and the stop finished; prints the hosts and the backlog with its owners.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -82,6 +82,7 @@
 type Cluster struct {
 	programs string
 	dir      string
+	keys     keyFiles
 	Controls []*Host
 	Entries  []*Host
 	others   []*Process
@@ -146,7 +147,7 @@
 
 func (c *Cluster) startControl(host *Host, name string) error {
 	text := fmt.Sprintf("[host]\nname = %q\n[listen]\npeers = %q\n[data]\nfolder = %q\n[quorum]\nhosts = [%s]\n",
-		name, host.Peers, filepath.Join(c.dir, name), quoted(c.initialControls()))
+		name, host.Peers, filepath.Join(c.dir, name), quoted(c.initialControls())) + c.keys.controlSection()
 	if err := os.WriteFile(host.Config, []byte(text), 0o644); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
@@ -211,7 +212,7 @@
 
 func (c *Cluster) startEntry(host *Host, name string) error {
 	text := fmt.Sprintf("[host]\nname = %q\nzone = %q\n[listen]\ncallers = %q\nplatform = %q\npeers = %q\ndns = %q\n[control]\nhosts = [%s]\n",
-		name, host.Zone, host.Callers, host.Platform, host.Peers, host.DNS, quoted(c.ControlAddresses()))
+		name, host.Zone, host.Callers, host.Platform, host.Peers, host.DNS, quoted(c.ControlAddresses())) + c.keys.entrySection()
 	if err := os.WriteFile(host.Config, []byte(text), 0o644); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
@@ -233,6 +234,9 @@
 		return nil, "", err
 	}
 	args := append([]string{"upstream", "--id", id, "--service", service, "--zone", zone, "--listen", address, "--entries", strings.Join(c.Platforms(), ",")}, extra...)
+	if c.keys.upstreams != "" {
+		args = append(args, "--key-file", c.keys.upstreams)
+	}
 	p, err := c.Start(id, "snipebeam-standin", args...)
 	if err != nil {
 		return nil, "", err
--- /dev/null
+++ b/bench/demo/event.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	stopLimit = 30 * time.Second
+	// drainLimit is how long an instance that is leaving may still get work.
+	drainLimit = 3 * time.Second
+)
+
+// eventLog holds what was done to the system and what came of it.
+type eventLog struct {
+	mu     sync.Mutex
+	lines  []string
+	failed []string
+}
+
+func (l *eventLog) add(what string, took time.Duration, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.failed = append(l.failed, fmt.Sprintf("%s: %v", what, err))
+		l.lines = append(l.lines, fmt.Sprintf("%s: FAILED: %v", what, err))
+		return
+	}
+	l.lines = append(l.lines, fmt.Sprintf("%s: done in %s", what, took.Round(time.Millisecond)))
+}
+
+func (l *eventLog) print() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fmt.Println(strings.Join(l.lines, "\n"))
+}
+
+// happen changes a rule, drains an instance and stops an entry host, while the
+// load runs.
+func (d *demo) happen(ctx context.Context) {
+	step := d.cli.Duration / 8
+	wait(ctx, step)
+	d.timed("rule change, in force on every entry host", func() error { return d.changeRule(ctx) })
+	wait(ctx, step)
+	d.timed("drain of "+d.drained.id+", no new work after "+drainLimit.String(), func() error { return d.drainInstance(ctx) })
+	wait(ctx, step/2)
+	host := d.cluster.Entries[0]
+	d.timed("graceful stop of "+host.Name()+", with requests in flight", func() error { return host.Terminate(stopLimit) })
+}
+
+func (d *demo) timed(what string, do func() error) {
+	started := time.Now()
+	err := do()
+	d.events.add(what, time.Since(started), err)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// changeRule submits the rules with one deadline changed.
+func (d *demo) changeRule(ctx context.Context) error {
+	text, err := os.ReadFile(d.cli.Rules)
+	if err != nil {
+		return errors.Wrap(err, "read rules")
+	}
+	next := strings.Replace(string(text), "deadline 300ms, retries 2", "deadline 400ms, retries 2", 1)
+	if next == string(text) {
+		return errors.New("the rules hold no deadline to change")
+	}
+	changed := filepath.Join(d.dir, "changed.rules")
+	if err := os.WriteFile(changed, []byte(next), 0o600); err != nil {
+		return errors.Wrap(err, "write rules")
+	}
+	_, err = d.tool.quiet(ctx, "submit", changed, "--author", "demo", "--reason", "a longer deadline", "--state-dir", d.dir, "--wait")
+	return err
+}
+
+// drainInstance tells an instance to drain, and checks that it gets no new
+// work once it had time to be heard.
+func (d *demo) drainInstance(ctx context.Context) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+d.drained.address+"/standin/faults", strings.NewReader(`{"draining":true}`))
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "drain")
+	}
+	_ = response.Body.Close()
+	wait(ctx, drainLimit)
+	before, err := d.drained.executions(ctx)
+	if err != nil {
+		return err
+	}
+	wait(ctx, d.cli.Duration/8)
+	after, err := d.drained.executions(ctx)
+	if err == nil && len(after) > len(before) {
+		return errors.Errorf("%d requests came later", len(after)-len(before))
+	}
+	return err
+}
--- a/snipebeam/command/backlog.go
+++ b/snipebeam/command/backlog.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/snipebeam/entry"
 	"github.com/snipebeam/snipebeam/snipebeam/terminal"
+	"github.com/snipebeam/snipebeam/world/rule"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -45,6 +47,9 @@
 		AsOf: time.Now().Format(time.RFC3339), Heard: len(gathered.Answers), Unheard: gathered.Unheard,
 		Services: entry.Combine(lines, len(gathered.Unheard) > 0),
 	}
+	if err := c.own(ctx, g, view.Services); err != nil {
+		return err
+	}
 	out.Line("as of %s, from %d entry hosts, %d unheard", view.AsOf, view.Heard, len(view.Unheard))
 	if err := out.Show(view, backlogRows(out, view.Services)); err != nil {
 		return err
@@ -52,6 +57,28 @@
 	return gathered.problem()
 }
 
+// own names the owners that the rules in force give, where hosts named none.
+func (c *backlogCommand) own(ctx context.Context, g *Globals, services []entry.Backlog) error {
+	client, err := g.client()
+	if err != nil {
+		return err
+	}
+	response, err := client.Read(ctx, 0)
+	if err != nil {
+		return errors.Wrap(err, "read who owns the services")
+	}
+	set, _ := rule.Read("rules", response.GetText())
+	for n, b := range services {
+		line := set.Service(b.Service)
+		if b.Owner != "" || line == nil {
+			continue
+		}
+		services[n].Owner = line.Terms().Owner()
+		services[n].Reason = line.Reason().Why()
+	}
+	return nil
+}
+
 // wanted leaves out the lines of instances unless they are asked for.
 func (c *backlogCommand) wanted(lines []*wire.ServiceBacklog) []*wire.ServiceBacklog {
 	var all []*wire.ServiceBacklog
