entry: the adaptive policy by default, answers of active hosts and spares

So an address answer names one active host unless the service's rate asks for more (host_rate), and spares over other zones for when it cannot be reached; plain address records name active hosts only.

--- a/bench/route/virtual/run.go
+++ b/bench/route/virtual/run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,7 +17,9 @@
 const (
 	service        = "catalogue"
 	answerLifetime = int64(5 * time.Second)
-	announceDelay  = int64(time.Second) // until every host knows that an instance drains
+	connectFailure = int64(time.Millisecond) // until a caller knows that a host is gone
+	hostRate       = 1000.0                  // requests a second
+	announceDelay  = int64(time.Second)      // until every host knows that an instance drains
 	epoch          = int64(1_700_000_000_000_000_000)
 )
 
@@ -28,12 +31,12 @@
 	views   *route.Views
 	router  *route.Router
 	members []route.Member
-	peers   map[string][]int // last counts of other hosts
 }
 
 // caller keeps an address answer for its lifetime.
 type caller struct {
-	hosts     []*host
+	active    []*host
+	spares    []*host
 	freshTill int64
 }
 
@@ -60,9 +63,6 @@
 	for _, fault := range s.Faults {
 		f.clock.at(int64(fault.At), func() { f.apply(fault) })
 	}
-	if s.Share > 0 {
-		f.clock.at(0, f.share)
-	}
 	f.clock.run(int64(s.Duration) + drainTime)
 	return f.result
 }
@@ -85,7 +85,7 @@
 func zoneName(n int) string { return "zone-" + strconv.Itoa(n) }
 
 func (f *fleet) newHost(n int) *host {
-	h := &host{name: fmt.Sprintf("entry-%d", n+1), zone: n % f.scenario.Zones, views: &route.Views{}, peers: map[string][]int{}}
+	h := &host{name: fmt.Sprintf("entry-%d", n+1), zone: n % f.scenario.Zones, views: &route.Views{}}
 	for i, u := range f.upstreams {
 		id := instance.ID(fmt.Sprintf("%s-%d", service, i))
 		h.members = append(h.members, route.NewMember(
@@ -106,13 +106,39 @@
 // answer, asked for again when its lifetime has passed.
 func (f *fleet) hostOf(c *caller) *host {
 	if c.freshTill <= f.clock.now {
-		c.hosts = nil
-		for _, report := range placement.Choose(f.reports, service, "", f.scenario.Spread) {
-			c.hosts = append(c.hosts, f.host(report.GetName()))
-		}
+		answer := f.answer()
+		c.active, c.spares = f.named(answer.Active()), f.named(answer.Spares())
 		c.freshTill = f.clock.now + answerLifetime
 	}
-	return c.hosts[f.random.IntN(len(c.hosts))]
+	return c.active[f.random.IntN(len(c.active))]
+}
+
+// avoid leaves out a host that a caller could not reach, and returns the next.
+func (f *fleet) avoid(c *caller, h *host) *host {
+	c.active = slices.DeleteFunc(c.active, func(one *host) bool { return one == h })
+	if len(c.active) == 0 && len(c.spares) > 0 {
+		c.active, c.spares = c.spares[:1], c.spares[1:]
+	}
+	if len(c.active) == 0 {
+		return nil
+	}
+	return c.active[f.random.IntN(len(c.active))]
+}
+
+// answer is what callers are told. A scenario with Active above 1 stands for a
+// rate that one host does not carry.
+func (f *fleet) answer() placement.Answer {
+	plan := placement.Plan{Spread: f.scenario.Spread, HostRate: hostRate}
+	f.reports[0].Backlog = []*wire.ServiceBacklog{{Service: service, ArrivalsPerS: hostRate * float64(f.scenario.Active)}}
+	return placement.Choose(f.reports, service, "", plan)
+}
+
+func (f *fleet) named(reports []*wire.HostReport) []*host {
+	var all []*host
+	for _, report := range reports {
+		all = append(all, f.host(report.GetName()))
+	}
+	return all
 }
 
 func (f *fleet) host(name string) *host {
@@ -125,11 +151,20 @@
 }
 
 func (f *fleet) arrive(a arrival) {
-	h := f.hostOf(f.callers[a.caller])
-	if h.lost {
+	f.enter(a, f.hostOf(f.callers[a.caller]))
+}
+
+// enter hands a request to an entry host, or to the next one of the caller's
+// answer if that one is lost.
+func (f *fleet) enter(a arrival, h *host) {
+	if h == nil {
 		f.result.answer(a.at, f.clock.now, true)
 		return
 	}
+	if h.lost {
+		f.clock.after(connectFailure, func() { f.enter(a, f.avoid(f.callers[a.caller], h)) })
+		return
+	}
 	q := route.NewQuery(service, f.terms, strconv.Itoa(a.caller), zoneName(h.zone))
 	if f.scenario.Deadline > 0 {
 		q = q.Before(time.Unix(0, epoch+f.clock.now+int64(f.scenario.Deadline)))
@@ -218,7 +253,7 @@
 
 // loseHost kills the n-th host of the service's placement.
 func (f *fleet) loseHost(n int) {
-	chosen := placement.Choose(f.reports, service, "", f.scenario.Spread)
+	chosen := f.answer().Hosts()
 	name := chosen[n%len(chosen)].GetName()
 	f.host(name).lost = true
 	f.clock.after(announceDelay, func() {
@@ -229,35 +264,3 @@
 		}
 	})
 }
-
-// share carries each host's counts to the other hosts of the service.
-func (f *fleet) share() {
-	hosts := placement.Choose(f.reports, service, "", f.scenario.Spread)
-	for _, from := range hosts {
-		sender := f.host(from.GetName())
-		counts := make([]int, len(sender.members))
-		for n, m := range sender.members {
-			counts[n] = m.Load().InFlight()
-		}
-		sent := f.clock.now
-		f.clock.after(int64(f.scenario.OtherZone), func() { f.receive(hosts, sender, counts, sent) })
-	}
-	f.clock.after(int64(f.scenario.Share), f.share)
-}
-
-func (f *fleet) receive(hosts []*wire.HostReport, sender *host, counts []int, sent int64) {
-	for _, to := range hosts {
-		receiver := f.host(to.GetName())
-		if receiver == sender {
-			continue
-		}
-		receiver.peers[sender.name] = counts
-		for n, m := range receiver.members {
-			sum := 0
-			for _, one := range receiver.peers {
-				sum += one[n]
-			}
-			m.Load().SetPeers(sum, epoch+sent)
-		}
-	}
-}
--- a/bench/route/virtual/scenario.go
+++ b/bench/route/virtual/scenario.go
@@ -24,12 +24,12 @@
 	SameZone    time.Duration // one way between an entry host and an instance
 	OtherZone   time.Duration
 	Hosts       int // entry hosts of the fleet
-	Spread      int // entry hosts that a caller's answer names
+	Active      int // entry hosts that serve the service
+	Spread      int // entry hosts that a caller's answer names, spares included
 	Callers     int
 	Deadline    time.Duration
 	Burst       float64 // the rate swings by this share around its mean
 	BurstPeriod time.Duration
-	Share       time.Duration // between two messages of counts, 0 for none
 	Faults      []Fault
 	Policy      func() route.Policy
 	Options     []route.Option
@@ -71,7 +71,8 @@
 	set(&s.SameZone, 500*time.Microsecond)
 	set(&s.OtherZone, s.SameZone)
 	set(&s.Hosts, 29)
-	set(&s.Spread, s.Hosts)
+	set(&s.Active, s.Hosts)
+	set(&s.Spread, s.Active)
 	set(&s.Callers, 300)
 	set(&s.BurstPeriod, 400*time.Millisecond)
 	return s
--- a/entry/dns/dns.go
+++ b/entry/dns/dns.go
@@ -16,12 +16,13 @@
 
 	mdns "github.com/miekg/dns"
 	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/entry/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
 // Lookup returns the entry hosts for a service; known is false if no rule
 // names it.
-type Lookup func(service string) (hosts []*wire.HostReport, known bool)
+type Lookup func(service string) (answer placement.Answer, known bool)
 
 // Server answers over UDP and TCP.
 type Server struct {
@@ -96,13 +97,20 @@
 	if rest, found := strings.CutPrefix(service, "_http._tcp."); found {
 		service = rest
 	}
-	hosts, known := s.lookup(service)
+	chosen, known := s.lookup(service)
 	if !known {
 		reply.Rcode = mdns.RcodeNameError
 		return
 	}
-	for n, host := range hosts {
-		s.add(reply, q, host, uint16(n))
+	for _, host := range chosen.Active() {
+		s.add(reply, q, host, 0)
+	}
+	if q.Qtype != mdns.TypeSRV {
+		// Address records have no priority: a spare would be used like the others.
+		return
+	}
+	for n, host := range chosen.Spares() {
+		s.add(reply, q, host, uint16(n+1))
 	}
 }
 
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -50,7 +50,7 @@
 		fx.Provide(
 			func() hclog.Logger { return logger },
 			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
-			route.NewLeastCount,
+			newPolicy,
 			func() *route.Views { return &route.Views{} },
 			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
 			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool,
@@ -117,10 +117,28 @@
 	return peer.NewSender(cfg.Host.Name, client, watch.Entries, logger)
 }
 
-func newRouter(views *route.Views, policy route.Policy, table *rules.Table) *route.Router {
-	return route.NewRouter(views, policy, route.WithTerms(func(service string) *contract.Service {
-		return table.Current().Set().Terms(service)
-	}))
+func newPolicy(cfg *settings.Settings) route.Policy { return policyNamed(cfg.Route, cfg.Route.Policy) }
+
+// policyNamed returns a policy with this host's settings, or nil.
+func policyNamed(cfg settings.Route, name string) route.Policy {
+	if name == route.AdaptiveName {
+		return route.NewAdaptive(
+			route.WithHeadroom(cfg.Headroom), route.WithLatencyWeight(cfg.LatencyWeight),
+			route.WithZoneCost(time.Duration(cfg.ZoneCostMicros)*time.Microsecond))
+	}
+	return route.ByName(name)
+}
+
+func newRouter(cfg *settings.Settings, views *route.Views, policy route.Policy, table *rules.Table) *route.Router {
+	return route.NewRouter(views, policy,
+		route.WithLimits(route.Limits{
+			Waiting: cfg.Route.QueueLength, Wait: seconds(cfg.Route.QueueSeconds),
+			Bypass: cfg.Route.Bypass, MaxEjected: cfg.Route.MaxEjected,
+		}),
+		route.WithPolicies(func(name string) route.Policy { return policyNamed(cfg.Route, name) }),
+		route.WithTerms(func(service string) *contract.Service {
+			return table.Current().Set().Terms(service)
+		}))
 }
 
 // runBackground runs the loops that end with the program.
@@ -205,7 +223,7 @@
 func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, ring *key.Ring) {
 	handler := platform.New(platform.Parts{
 		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
-		Ready: state.Ready, Decisions: decisions, Keys: ring,
+		Ready: state.Ready, Decisions: decisions, Keys: ring, HostRate: cfg.Route.HostRate,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
@@ -230,9 +248,10 @@
 }
 
 func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, watch *control.Watch) {
-	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, func(service string) ([]*wire.HostReport, bool) {
+	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, func(service string) (placement.Answer, bool) {
 		set := table.Current().Set()
-		return placement.Choose(watch.Entries(), service, cfg.Host.Zone, set.Terms(service).Spread()), set.Knows(service)
+		plan := placement.Plan{Spread: set.Terms(service).Spread(), HostRate: cfg.Route.HostRate}
+		return placement.Choose(watch.Entries(), service, cfg.Host.Zone, plan), set.Knows(service)
 	})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -1,12 +1,18 @@
 // Package placement answers callers that ask which entry hosts to use for a
-// service: a few hosts, chosen by rendezvous hashing, the caller's zone first.
+// service. Few hosts serve one service, so that what each of them has in
+// flight is nearly the whole truth about the service's instances; more are
+// used only if the service's rate asks for it. The other hosts of an answer
+// are spares for callers that cannot reach the first ones.
 //
 // Usage:
 //
-//	hosts := placement.Choose(entries, "catalogue", "trois-rivieres", 3)
+//	answer := placement.Choose(entries, "catalogue", "trois-rivieres", placement.Plan{Spread: 3})
+//	for _, host := range answer.Active() { ... }
 package placement
 
 import (
+	"math"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,22 +22,90 @@
 // StateReady is the state of an entry host that takes callers.
 const StateReady = "ready"
 
-// Choose returns up to spread ready hosts for a service.
-func Choose(entries []*wire.HostReport, service, zone string, spread int) []*wire.HostReport {
+// RoleEntry is the role of entry hosts.
+const RoleEntry = "entry"
+
+// Plan says how many hosts an answer names.
+type Plan struct {
+	Spread   int     // hosts of an answer, spares included
+	HostRate float64 // requests a second that one host takes of a service, 0 for no bound
+}
+
+// Answer is the hosts that a caller uses for a service.
+type Answer struct {
+	hosts  []*wire.HostReport
+	active int
+}
+
+// Hosts returns the active hosts, then the spares.
+func (a Answer) Hosts() []*wire.HostReport { return a.hosts }
+
+// Active returns the hosts that callers use as long as they can be reached.
+func (a Answer) Active() []*wire.HostReport { return a.hosts[:a.active] }
+
+// Spares returns the hosts used in their order when no active one is reached.
+func (a Answer) Spares() []*wire.HostReport { return a.hosts[a.active:] }
+
+// Choose returns the hosts for a service: ranked by rendezvous hashing, so
+// that every entry host gives the same answer and the loss of one host moves
+// only its own services; each next one in a zone that is not yet named.
+func Choose(entries []*wire.HostReport, service, zone string, plan Plan) Answer {
+	ranked := rank(entries, service)
+	hosts := overZones(ranked, max(plan.Spread, 1))
+	active := min(activeCount(entries, service, plan.HostRate), len(hosts))
+	sort.SliceStable(hosts[:active], func(i, j int) bool {
+		return hosts[i].GetZone() == zone && hosts[j].GetZone() != zone
+	})
+	return Answer{hosts: hosts, active: active}
+}
+
+// activeCount returns how many hosts carry the service's rate.
+func activeCount(entries []*wire.HostReport, service string, hostRate float64) int {
+	if hostRate <= 0 {
+		return 1
+	}
+	total := 0.0
+	for _, host := range entries {
+		for _, line := range host.GetBacklog() {
+			if line.GetService() == service && line.GetInstance() == "" {
+				total += line.GetArrivalsPerS()
+			}
+		}
+	}
+	return max(int(math.Ceil(total/hostRate)), 1)
+}
+
+func rank(entries []*wire.HostReport, service string) []*wire.HostReport {
 	var ready []*wire.HostReport
 	for _, host := range entries {
-		if host.GetRole() == "entry" && host.GetState() == StateReady {
+		if host.GetRole() == RoleEntry && host.GetState() == StateReady {
 			ready = append(ready, host)
 		}
 	}
 	sort.Slice(ready, func(i, j int) bool {
 		return weight(service, ready[i].GetName()) > weight(service, ready[j].GetName())
 	})
-	chosen := ready[:min(spread, len(ready))]
-	sort.SliceStable(chosen, func(i, j int) bool {
-		return chosen[i].GetZone() == zone && chosen[j].GetZone() != zone
-	})
-	return chosen
+	return ready
+}
+
+// overZones takes up to n hosts, each time the first one in a zone that has
+// the fewest so far.
+func overZones(ranked []*wire.HostReport, n int) []*wire.HostReport {
+	taken := map[string]int{}
+	var hosts []*wire.HostReport
+	left := slices.Clone(ranked)
+	for len(hosts) < n && len(left) > 0 {
+		best := 0
+		for i, host := range left {
+			if taken[host.GetZone()] < taken[left[best].GetZone()] {
+				best = i
+			}
+		}
+		hosts = append(hosts, left[best])
+		taken[left[best].GetZone()]++
+		left = slices.Delete(left, best, best+1)
+	}
+	return hosts
 }
 
 func weight(service, host string) uint64 {
--- a/entry/platform/platform.go
+++ b/entry/platform/platform.go
@@ -39,6 +39,7 @@
 	Ready     func() bool
 	Decisions *decision.Log
 	Keys      *key.Ring
+	HostRate  float64 // requests a second that one entry host takes of a service
 }
 
 // New returns the handler.
@@ -65,6 +66,8 @@
 	Host    string `json:"host"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// Spare marks a host to be used only if no other one can be reached.
+	Spare bool `json:"spare,omitempty"`
 }
 
 // AddressAnswer tells a caller which entry hosts to use for a service.
@@ -83,8 +86,11 @@
 	}
 	answer := AddressAnswer{Service: service, TTLSeconds: AnswerLifetime.Seconds(), Addresses: []Address{}}
 	var names []string
-	for _, host := range placement.Choose(p.parts.Entries(), service, c.Query("zone"), set.Terms(service).Spread()) {
-		answer.Addresses = append(answer.Addresses, Address{Host: host.GetName(), Address: host.GetCallersAddress(), Zone: host.GetZone()})
+	plan := placement.Plan{Spread: set.Terms(service).Spread(), HostRate: p.parts.HostRate}
+	chosen := placement.Choose(p.parts.Entries(), service, c.Query("zone"), plan)
+	for n, host := range chosen.Hosts() {
+		spare := n >= len(chosen.Active())
+		answer.Addresses = append(answer.Addresses, Address{Host: host.GetName(), Address: host.GetCallersAddress(), Zone: host.GetZone(), Spare: spare})
 		names = append(names, host.GetName())
 	}
 	p.parts.Decisions.Write(decision.Decision{
--- a/entry/route/adaptive.go
+++ b/entry/route/adaptive.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// AdaptiveName names the default policy.
+const AdaptiveName = "adaptive"
+
 // Adaptive is the policy "adaptive": the lowest expected time to the answer,
 // among the members that are below their limit of requests in flight. Requests
 // that find none wait at this host.
@@ -22,10 +25,10 @@
 
 // Defaults of the policy.
 const (
-	DefaultHeadroom = 2
+	DefaultHeadroom = 3
 	DefaultWeight   = 0.5
 	DefaultZoneCost = 500 * time.Microsecond
-	defaultIdle     = 0.1
+	defaultIdle     = 0.5
 )
 
 // AdaptiveOption changes one property of the policy.
@@ -51,7 +54,7 @@
 	for _, opt := range opts {
 		opt(e)
 	}
-	return &Adaptive{name: "adaptive", why: "lowest expected time to the answer", scorer: e, eject: true}
+	return &Adaptive{name: AdaptiveName, why: "lowest expected time to the answer", scorer: e, eject: true}
 }
 
 // unknownLatency stands for the service time before any answer.
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -147,7 +147,7 @@
 func (d *Dispatcher) learn(t *Ticket, report Report, now int64) {
 	load := t.member.load
 	slots := float64(t.member.instance.Slots())
-	most := slots + DefaultHeadroom
+	most := slots + maxHeadroom
 	if report.HasReport {
 		load.SetReported(report.Reported, now)
 	}
--- a/entry/route/limit.go
+++ b/entry/route/limit.go
@@ -3,7 +3,8 @@
 // Constants of the limit of requests in flight at one instance.
 const (
 	firstLimit     = 1.0
-	toleratedRatio = 3.0 // of an instance's service time to the service's own
+	maxHeadroom    = 16.0 // beyond the slots, whatever the policy allows
+	toleratedRatio = 3.0  // of an instance's service time to the service's own
 )
 
 // allowed returns how many requests the instance may have: a limit that grows
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -67,8 +67,6 @@
 // zero value knows nothing.
 type Load struct {
 	inFlight   atomic.Int32
-	peers      atomic.Int32 // in flight of other hosts, as they last said
-	peersAt    atomic.Int64
 	reported   atomic.Int64
 	reportedAt atomic.Int64
 	service    value // service time, nanoseconds, normalised by the level at dispatch
@@ -98,27 +96,13 @@
 	l.reportedAt.Store(at)
 }
 
-// SetPeers records what other hosts have in flight at the instance.
-func (l *Load) SetPeers(n int, at int64) {
-	l.peers.Store(int32(n))
-	l.peersAt.Store(at)
-}
-
-// Peers returns what other hosts had in flight and when they said so.
-func (l *Load) Peers() (n int, at int64) { return int(l.peers.Load()), l.peersAt.Load() }
-
-// level returns the requests at the instance, as far as this host knows.
+// level returns the requests at the instance, as far as this host knows;
+// failures count as requests for a while.
 func (l *Load) level(now int64) float64 {
-	n := float64(l.inFlight.Load())
-	if at := l.peersAt.Load(); at != 0 {
-		n += float64(l.peers.Load()) * discount(now-at, peersHalving)
-	}
-	return n + l.penaltyNow(now)
+	return float64(l.inFlight.Load()) + l.penaltyNow(now)
 }
 
-// peersHalving is the age at which another host's count counts half.
-const peersHalving = 50 * time.Millisecond
-
+// discount is the weight of what was known some time ago.
 func discount(age int64, halving time.Duration) float64 {
 	if age <= 0 {
 		return 1
--- a/entry/route/policy.go
+++ b/entry/route/policy.go
@@ -42,8 +42,6 @@
 	ID        instance.ID
 	State     State
 	InFlight  int           // this host's requests
-	Peers     int           // requests of other hosts, as they last said
-	PeersAge  time.Duration // negative if unknown
 	Reported  int           // load as the instance last reported it
 	ReportAge time.Duration // negative if unknown
 	Latency   time.Duration // normalised service time, 0 if unknown
@@ -75,9 +73,8 @@
 		return
 	}
 	reported, reportedAt := m.load.Reported()
-	peers, peersAt := m.load.Peers()
 	t.all[t.n] = Candidate{
-		ID: m.instance.ID(), State: state, InFlight: m.load.InFlight(), Peers: peers, PeersAge: ageOf(peersAt, now),
+		ID: m.instance.ID(), State: state, InFlight: m.load.InFlight(),
 		Reported: reported, ReportAge: ageOf(reportedAt, now), Latency: m.load.Latency(), Score: score,
 	}
 	t.n++
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -44,6 +44,7 @@
 		findings.Add(finding.Error, doc.Place("control.hosts"), "control.hosts is empty", "name the addresses of the control hosts")
 	}
 	s.Listen.check(doc, findings, s.Keys)
+	s.Route.check(doc, findings)
 }
 
 func (l Listen) check(doc *setting.Document, findings *finding.List, keys Keys) {
