--- a/control/host/host.go
+++ b/control/host/host.go
@@ -40,6 +40,7 @@
 			newRules,
 			entry.NewClaims,
 			newRing,
+			newOperatorRing,
 			newServer,
 		),
 		fx.Invoke(runNode),
@@ -53,12 +54,12 @@
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
 
-func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, node *peer.Node, rules *operator.Rules, claims *entry.Claims) *http.Server {
+func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, node *peer.Node, rules *operator.Rules, claims *entry.Claims) *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(wire.RulesPathPrefix, ring.Guard(wire.NewRulesServer(rules)))
-	mux.Handle(wire.ClaimsPathPrefix, ring.Guard(wire.NewClaimsServer(claims)))
+	handleRules(mux, ring, operators, wire.NewRulesServer(rules))
+	handleClaims(mux, ring, operators, wire.NewClaimsServer(claims))
 	mux.Handle(wire.QuorumPathPrefix, ring.Guard(wire.NewQuorumServer(node.Service())))
-	mux.Handle(wire.GroupPathPrefix, ring.Guard(wire.NewGroupServer(node.Group())))
+	mux.Handle(wire.GroupPathPrefix, operators.Guard(wire.NewGroupServer(node.Group())))
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	server := &http.Server{Handler: mux}
 	lc.Append(fx.Hook{
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -24,11 +24,13 @@
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/placement"
 	"github.com/snipebeam/snipebeam/entry/platform"
+	"github.com/snipebeam/snipebeam/entry/prometheus"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"go.uber.org/fx"
@@ -40,6 +42,9 @@
 	callTimeout    = 10 * time.Second
 	stopTimeout    = 24 * time.Hour // a planned stop waits for what is in flight
 	drainPoll      = 20 * time.Millisecond
+	// newsLimit bounds how long other hosts go on naming this one in address
+	// answers after it began to drain: two rounds of the control hosts' watch.
+	newsLimit = 3 * time.Second
 )
 
 // New returns the application of one entry host.
@@ -49,14 +54,14 @@
 		fx.Provide(
 			func() hclog.Logger { return logger },
 			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
-			func() route.Policy { return route.LeastCount{} },
+			route.NewLeastCount,
 			func() *route.Views { return &route.Views{} },
 			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
-			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool, route.NewRouter,
-			newClient, newState, newWatch, newSender,
+			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool,
+			newClient, newState, newWatch, newSender, newRouter, newDoors, newExporter,
 		),
-		fx.Invoke(runBackground, runPlatform, runPeers, runDNS, runCallers),
-		fx.StopTimeout(stopTimeout),
+		fx.Invoke(runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
+		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 }
@@ -116,6 +121,12 @@
 	return peer.NewSender(cfg.Host.Name, client, watch.Entries, logger)
 }
 
+func newRouter(views *route.Views, policy route.Policy, table *rules.Table) *route.Router {
+	return route.NewRouter(views, policy, route.WithTerms(func(service string) *contract.Service {
+		return table.Current().Set().Terms(service)
+	}))
+}
+
 // runBackground runs the loops that end with the program.
 func runBackground(lc fx.Lifecycle, watch *control.Watch, reg *registry.Registry, decisions *decision.Log) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -171,13 +182,13 @@
 	})
 }
 
-// drain leaves the address answers, keeps accepting until the last answer's
-// lifetime has passed, and then waits for what is in flight.
+// drain leaves the address answers, keeps accepting until the lifetime of the
+// last answer that any host gave has passed, and then waits for what is in flight.
 func drain(ctx context.Context, state *State, logger hclog.Logger) {
 	state.draining.Store(true)
 	inFlight, oldest := state.book.InFlight(time.Now())
 	logger.Info("draining", "inFlight", inFlight, "oldestMs", oldest.Milliseconds())
-	sleep(ctx, platform.AnswerLifetime)
+	sleep(ctx, newsLimit+platform.AnswerLifetime)
 	for {
 		inFlight, _ = state.book.InFlight(time.Now())
 		if inFlight == 0 || !sleep(ctx, drainPoll) {
@@ -195,10 +206,10 @@
 	}
 }
 
-func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, ring *key.Ring) {
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
 	handler := platform.New(platform.Parts{
 		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
-		Ready: state.Ready, Decisions: decisions, Keys: ring,
+		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: doors.upstreams,
 	})
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
@@ -207,13 +218,13 @@
 	})
 }
 
-func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring) {
+func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring, doors *doors) {
 	service := operator.New(operator.Parts{
 		Host: cfg.Host.Name, Table: table, Views: views, Book: book, Decisions: decisions,
 		Report: state.Report, Drain: state.draining.Store, Logger: logger,
 	})
 	mux := http.NewServeMux()
-	mux.Handle(wire.EntryPathPrefix, ring.Guard(wire.NewEntryServer(service)))
+	mux.Handle(wire.EntryPathPrefix, doors.operators.Guard(wire.NewEntryServer(service)))
 	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(peer.NewServer(reg))))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -9,8 +9,6 @@
 
 import (
 	"context"
-	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -18,6 +16,7 @@
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/world/logging"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"github.com/twitchtv/twirp"
 )
@@ -90,28 +89,6 @@
 	return response, nil
 }
 
-// Explain says which rule and which instances a request would get.
-func (s *Service) Explain(_ context.Context, req *wire.ExplainRequest) (*wire.ExplainResponse, error) {
-	target, err := url.Parse(req.GetUrl())
-	if err != nil {
-		return nil, twirp.InvalidArgumentError("url", err.Error())
-	}
-	header := http.Header{}
-	for _, one := range req.GetHeaders() {
-		header.Add(one.GetName(), one.GetValue())
-	}
-	inForce := s.parts.Table.Current()
-	response := &wire.ExplainResponse{Version: inForce.Number(), ServedBy: s.parts.Host}
-	matched := inForce.Set().Match(target.Hostname(), req.GetMethod(), target.Path, header)
-	if matched != nil {
-		response.Rule, response.Who, response.Why = matched.String(), matched.Reason().Who(), matched.Reason().Why()
-	}
-	if view := s.parts.Views.Load(target.Hostname()); view != nil {
-		response.Candidates = viewLines(view)
-	}
-	return response, nil
-}
-
 // HostStatus describes this host.
 func (s *Service) HostStatus(context.Context, *wire.HostStatusRequest) (*wire.HostStatusResponse, error) {
 	return &wire.HostStatusResponse{
@@ -128,10 +105,8 @@
 
 // SetLogLevel changes the log level while the program runs.
 func (s *Service) SetLogLevel(_ context.Context, req *wire.LogLevelRequest) (*wire.LogLevelResponse, error) {
-	level := hclog.LevelFromString(req.GetLevel())
-	if level == hclog.NoLevel {
-		return nil, twirp.InvalidArgumentError("level", "is none of trace, debug, info, warn, error")
+	if err := logging.SetLevel(s.parts.Logger, req.GetPackage(), req.GetLevel()); err != nil {
+		return nil, twirp.InvalidArgumentError("level", err.Error())
 	}
-	s.parts.Logger.SetLevel(level)
-	return &wire.LogLevelResponse{Level: level.String()}, nil
+	return &wire.LogLevelResponse{Level: req.GetLevel()}, nil
 }
