--- a/entry/settings/settings_test.go
+++ b/entry/settings/settings_test.go
@@ -29,7 +29,7 @@
 }
 
 func TestAllProblemsAreReportedWithTheirPlace(t *testing.T) {
-	seen := found(t, "[host]\nnmae = 'e'\n[listen]\npeers = '0.0.0.0:7202'\ncallers = 'here'\n[log]\nlevel = 'loud'\n[route]\npolicy = 'leest'\n[limits]\nbodyBytes = 0\n")
+	seen := found(t, "[host]\nnmae = 'e'\n[listen]\npeers = '10.0.0.1:7202'\ncallers = 'here'\n[log]\nlevel = 'loud'\n[route]\npolicy = 'leest'\n[limits]\nbodyBytes = 0\n")
 	for _, want := range []string{
 		":2:1: error: there is no key host.nmae (did you mean host.name?)", "host.name is empty", "control.hosts is empty",
 		":4:1: error: listen.peers is beyond loopback", ":5:1: error: listen.callers is not an address",
@@ -44,13 +44,14 @@
 	file := write(t, "secret\n")
 	keyed := head + "[keys]\npeers = '" + file + "'\n"
 	must.StrContains(t, found(t, keyed), "keys.operators is empty though other keys are set")
-	all := keyed + "operators = '" + file + "'\nupstreams = '" + file + "'\n[listen]\npeers = '0.0.0.0:7202'\nplatform = '0.0.0.0:7201'\n"
+	all := keyed + "operators = '" + file + "'\nupstreams = '" + file + "'\n[listen]\npeers = '10.0.0.1:7202'\nplatform = '10.0.0.1:7201'\n"
 	must.Eq(t, "", found(t, all))
 	must.StrContains(t, found(t, head+"[keys]\npeers = '/nowhere'\n"), "keys.peers cannot be used")
 	must.StrContains(t, found(t, strings.Replace(all, file, write(t, "a b c"), 1)), "holds 3 keys")
-	must.Eq(t, "", found(t, head+"[listen]\npeers = '0.0.0.0:7202'\nallowUnkeyed = true\n"))
+	must.Eq(t, "", found(t, head+"[listen]\npeers = '10.0.0.1:7202'\nallowUnkeyed = true\n"))
 }
 
 func TestOverridesAreNamedInFindings(t *testing.T) {
+	must.StrContains(t, found(t, head, setting.NewOverride("listen.callers", ":7200", "--callers")), "others, who cannot call :7200")
 	must.StrContains(t, found(t, head, setting.NewOverride("log.level", "loud", "--log-level")), "--log-level: error: log.level")
 }
--- a/world/setting/check.go
+++ b/world/setting/check.go
@@ -45,6 +45,18 @@
 	return err == nil
 }
 
+// Told reports an address that others are told to call, and that stands for
+// every address of this machine.
+func (c *Checker) Told(key, address string) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return
+	}
+	if ip := net.ParseIP(host); host == "" || ip != nil && ip.IsUnspecified() {
+		c.Fail(key, "is told to others, who cannot call "+address, "name one address of this machine")
+	}
+}
+
 // OneOf reports a value that is none of the words.
 func (c *Checker) OneOf(key, value string, words ...string) {
 	if !slices.Contains(words, value) {
