platform: refuse bad announcements and queries with a typed problem

Addresses, announcements and unknown paths are refused with RFC 9457 bodies; announcements are bounded and take IP addresses only. Address answers without rules or entry hosts are 503, no longer 404 or an empty list. DNS answers by opcode, class and size, and resolves the targets of its SRV records.

--- a/entry/dns/dns.go
+++ b/entry/dns/dns.go
@@ -3,8 +3,8 @@
 //
 // Usage:
 //
-//	server := dns.New("127.0.0.1:5353", "snipebeam.", answer)
-//	server.Start()
+//	server := dns.New("snipebeam.", 5*time.Second, directory)
+//	address, err := server.Start("127.0.0.1:7253")
 package dns
 
 import (
@@ -19,22 +19,29 @@
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
-// Lookup returns the entry hosts for a service; known is false if no rule
-// names it.
-type Lookup func(service string) (hosts []*wire.HostReport, known bool)
+// Directory knows which entry hosts take a service's callers.
+type Directory interface {
+	// Ready reports whether this host has rules in force.
+	Ready() bool
+	// Service returns the hosts for a service; known is false if no rule names
+	// it.
+	Service(name string) (hosts []*wire.HostReport, known bool)
+	// Host returns an entry host by its name, or nil.
+	Host(name string) *wire.HostReport
+}
 
 // Server answers over UDP and TCP.
 type Server struct {
 	domain   string
 	lifetime time.Duration
-	lookup   Lookup
+	hosts    Directory
 	udp      *mdns.Server
 	tcp      *mdns.Server
 }
 
 // New returns a server for names below the domain, written as "snipebeam.".
-func New(domain string, lifetime time.Duration, lookup Lookup) *Server {
-	return &Server{domain: mdns.Fqdn(domain), lifetime: lifetime, lookup: lookup}
+func New(domain string, lifetime time.Duration, hosts Directory) *Server {
+	return &Server{domain: mdns.Fqdn(domain), lifetime: lifetime, hosts: hosts}
 }
 
 // Start listens on the address and serves until Stop.
@@ -77,26 +84,52 @@
 	reply := new(mdns.Msg)
 	reply.SetReply(req)
 	reply.Authoritative = true
-	if len(req.Question) != 1 {
+	switch {
+	case req.Opcode != mdns.OpcodeQuery:
+		reply.Rcode = mdns.RcodeNotImplemented
+	case len(req.Question) != 1:
 		reply.Rcode = mdns.RcodeFormatError
-	} else {
+	default:
 		s.answer(reply, req.Question[0])
 	}
+	if _, overUDP := w.RemoteAddr().(*net.UDPAddr); overUDP {
+		reply.Truncate(udpSize(req))
+	}
 	// A lost reply is asked for again.
 	_ = w.WriteMsg(reply)
 }
 
+// udpSize returns how large a reply the asker takes over UDP.
+func udpSize(req *mdns.Msg) int {
+	if opt := req.IsEdns0(); opt != nil {
+		return max(mdns.MinMsgSize, int(opt.UDPSize()))
+	}
+	return mdns.MinMsgSize
+}
+
+const (
+	hostsLabel  = ".hosts"      // NAME.hosts.DOMAIN is an entry host
+	httpService = "_http._tcp." // _http._tcp.SERVICE.DOMAIN (RFC 2782)
+)
+
 func (s *Server) answer(reply *mdns.Msg, q mdns.Question) {
-	name := strings.ToLower(q.Name)
-	service, ok := strings.CutSuffix(name, "."+s.domain)
-	if !ok {
+	name, ok := strings.CutSuffix(strings.ToLower(q.Name), "."+s.domain)
+	switch {
+	case !ok || q.Qclass != mdns.ClassINET:
 		reply.Rcode = mdns.RcodeRefused
-		return
+	case !s.hosts.Ready():
+		reply.Rcode = mdns.RcodeServerFailure
+	default:
+		s.find(reply, q, strings.TrimPrefix(name, httpService))
 	}
-	if rest, found := strings.CutPrefix(service, "_http._tcp."); found {
-		service = rest
+}
+
+func (s *Server) find(reply *mdns.Msg, q mdns.Question, name string) {
+	hosts, known := s.hosts.Service(name)
+	if hostName, found := strings.CutSuffix(name, hostsLabel); found {
+		host := s.hosts.Host(hostName)
+		hosts, known = []*wire.HostReport{host}, host != nil
 	}
-	hosts, known := s.lookup(service)
 	if !known {
 		reply.Rcode = mdns.RcodeNameError
 		return
@@ -123,7 +156,7 @@
 		if err != nil {
 			return
 		}
-		target := mdns.Fqdn(host.GetName() + ".hosts." + s.domain)
+		target := mdns.Fqdn(host.GetName() + hostsLabel + "." + s.domain)
 		reply.Answer = append(reply.Answer, &mdns.SRV{Hdr: head, Priority: priority, Weight: 1, Port: uint16(port), Target: target})
 		s.addTarget(reply, target, ip)
 	default:
--- /dev/null
+++ b/entry/host/directory.go
@@ -0,0 +1,39 @@
+package host
+
+import (
+	"strings"
+
+	"github.com/snipebeam/snipebeam/entry/placement"
+	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+// directory answers the DNS server from the rules in force and the entry
+// hosts that are known.
+type directory struct {
+	zone    string
+	table   *rules.Table
+	entries func() []*wire.HostReport
+}
+
+// Ready reports whether this host has rules in force.
+func (d *directory) Ready() bool { return d.table.Current().Number() > 0 }
+
+// Service returns the hosts for a service.
+func (d *directory) Service(name string) ([]*wire.HostReport, bool) {
+	set := d.table.Current().Set()
+	if !set.Knows(name) {
+		return nil, false
+	}
+	return placement.Choose(d.entries(), name, d.zone, set.Terms(name).Spread()), true
+}
+
+// Host returns an entry host by its name, or nil.
+func (d *directory) Host(name string) *wire.HostReport {
+	for _, host := range d.entries() {
+		if strings.EqualFold(host.GetName(), name) {
+			return host
+		}
+	}
+	return nil
+}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -210,7 +210,10 @@
 		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
 		Ready: state.Ready, Decisions: decisions, Keys: doors.upstreams,
 	})
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
+		ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
+	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Platform, "platform", logger) },
 		OnStop:  server.Shutdown,
@@ -233,10 +236,7 @@
 }
 
 func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, watch *control.Watch) {
-	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, func(service string) ([]*wire.HostReport, bool) {
-		set := table.Current().Set()
-		return placement.Choose(watch.Entries(), service, cfg.Host.Zone, set.Terms(service).Spread()), set.Knows(service)
-	})
+	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, table: table, entries: watch.Entries})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			_, err := server.Start(cfg.Listen.DNS)
--- /dev/null
+++ b/entry/platform/address.go
@@ -0,0 +1,57 @@
+package platform
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+	"github.com/snipebeam/snipebeam/entry/decision"
+	"github.com/snipebeam/snipebeam/entry/placement"
+)
+
+// AnswerLifetime is how long a caller may keep an address answer.
+const AnswerLifetime = 5 * time.Second
+
+// Address is one entry host in an address answer.
+type Address struct {
+	Host    string `json:"host"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
+// AddressAnswer tells a caller which entry hosts to use for a service.
+type AddressAnswer struct {
+	Service    string    `json:"service"`
+	TTLSeconds float64   `json:"ttlSeconds"`
+	Addresses  []Address `json:"addresses"`
+}
+
+func (p *platform) addresses(c *gin.Context) {
+	service := c.Param("service")
+	inForce := p.parts.Table.Current()
+	if inForce.Number() == 0 {
+		refuse(c, NotReady, "this host has no rules in force yet")
+		return
+	}
+	set := inForce.Set()
+	if !set.Knows(service) {
+		refuse(c, UnknownService, "no rule names the service "+service)
+		return
+	}
+	answer := AddressAnswer{Service: service, TTLSeconds: AnswerLifetime.Seconds(), Addresses: []Address{}}
+	var names []string
+	for _, host := range placement.Choose(p.parts.Entries(), service, c.Query("zone"), set.Terms(service).Spread()) {
+		answer.Addresses = append(answer.Addresses, Address{Host: host.GetName(), Address: host.GetCallersAddress(), Zone: host.GetZone()})
+		names = append(names, host.GetName())
+	}
+	p.parts.Decisions.Write(&decision.Decision{
+		ID: uuid.NewString(), Kind: decision.Placement, At: time.Now(), Host: p.parts.Host, Service: service,
+		Caller: c.ClientIP(), Hosts: names, Reason: "rendezvous",
+	})
+	if len(names) == 0 {
+		refuse(c, NoEntryHost, "no entry host is ready to take requests for "+service)
+		return
+	}
+	c.JSON(http.StatusOK, answer)
+}
--- /dev/null
+++ b/entry/platform/announcement.go
@@ -0,0 +1,121 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/entry/registry"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+// Bounds of an announcement.
+const (
+	maxAnnouncementBytes = 16 << 10
+	maxSlots             = 10_000
+	maxMaxLinks          = 1_000_000
+	// passOnLimit bounds the time to pass an announcement on to other hosts.
+	passOnLimit = time.Second
+)
+
+// name is what an instance, service or zone may be called.
+var name = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]{0,126}[A-Za-z0-9])?$`)
+
+// Announcement is what an instance says of itself.
+type Announcement struct {
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	Slots       uint32 `json:"slots"`
+	MaxLinks    uint32 `json:"maxLinks"`
+	Cold        bool   `json:"cold"`
+	Draining    bool   `json:"draining"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Lease tells an instance how long its announcement holds.
+type Lease struct {
+	LeaseSeconds float64 `json:"leaseSeconds"`
+	HeardBy      string  `json:"heardBy"`
+}
+
+func (a *Announcement) check() error {
+	switch {
+	case !name.MatchString(a.Service):
+		return errors.Errorf("service %q is not a name", a.Service)
+	case a.Zone != "" && !name.MatchString(a.Zone):
+		return errors.Errorf("zone %q is not a name", a.Zone)
+	case a.Slots > maxSlots:
+		return errors.Errorf("%d slots are over the most, %d", a.Slots, maxSlots)
+	case a.MaxLinks > maxMaxLinks:
+		return errors.Errorf("%d links are over the most, %d", a.MaxLinks, maxMaxLinks)
+	}
+	return checkAddress(a.Address)
+}
+
+// checkAddress takes an IP address with a port: a name would be looked up on
+// the path of each request.
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.Errorf("address %q is not HOST:PORT", address)
+	}
+	ip := net.ParseIP(host)
+	n, err := strconv.ParseUint(port, 10, 16)
+	if ip == nil || ip.IsUnspecified() || ip.IsMulticast() || err != nil || n == 0 {
+		return errors.Errorf("address %q is not an IP address and a port that can be called", address)
+	}
+	return nil
+}
+
+func (p *platform) keyed(c *gin.Context) {
+	if !p.parts.Keys.Accepts(c.Request) {
+		refuse(c, KeyRefused, "key missing or not accepted")
+	}
+}
+
+// named refuses ids that are not names.
+func (p *platform) named(c *gin.Context) {
+	if !name.MatchString(c.Param("id")) {
+		refuse(c, Malformed, "the id of an instance holds up to 128 letters, digits, dots, hyphens and underscores")
+	}
+}
+
+func (p *platform) announce(c *gin.Context) {
+	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxAnnouncementBytes)
+	var a Announcement
+	if err := c.ShouldBindJSON(&a); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			refuse(c, TooLarge, "an announcement has at most "+strconv.Itoa(maxAnnouncementBytes)+" bytes")
+			return
+		}
+		refuse(c, Malformed, "the announcement is not the JSON that is wanted: "+err.Error())
+		return
+	}
+	if err := a.check(); err != nil {
+		refuse(c, Malformed, err.Error())
+		return
+	}
+	p.hear(c, &wire.Instance{
+		Id: c.Param("id"), Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: a.Slots,
+		MaxLinks: a.MaxLinks, Cold: a.Cold, Draining: a.Draining, Incarnation: a.Incarnation,
+	})
+}
+
+func (p *platform) leave(c *gin.Context) {
+	p.hear(c, &wire.Instance{Id: c.Param("id"), Gone: true})
+}
+
+func (p *platform) hear(c *gin.Context, message *wire.Instance) {
+	heard := p.parts.Registry.Announce(message, time.Now())
+	ctx, cancel := context.WithTimeout(c.Request.Context(), passOnLimit)
+	defer cancel()
+	p.parts.PassOn(ctx, heard)
+	c.JSON(http.StatusOK, Lease{LeaseSeconds: registry.LeaseTime.Seconds(), HeardBy: p.parts.Host})
+}
