--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -32,7 +33,7 @@
 	f.handler = platform.New(platform.Parts{
 		Host: "e1", Table: f.table, Registry: f.registry, Entries: func() []*wire.HostReport { return f.entries },
 		PassOn: func(context.Context, *wire.Instance) {}, Ready: func() bool { return true },
-		Decisions: decision.NewLog(hclog.NewNullLogger()), Keys: key.New(keys...),
+		Decisions: decision.NewLog(hclog.NewNullLogger()), Keys: key.New(keys...), Metrics: func(io.Writer) {},
 	})
 	return f
 }
