--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -229,7 +229,10 @@
 		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
 		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: doors.upstreams, HostRate: cfg.Route.HostRate,
 	})
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
+		ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
+	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Platform, "platform", logger) },
 		OnStop:  server.Shutdown,
@@ -252,11 +255,7 @@
 }
 
 func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, watch *control.Watch) {
-	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, func(service string) (placement.Answer, bool) {
-		set := table.Current().Set()
-		plan := placement.Plan{Spread: set.Terms(service).Spread(), HostRate: cfg.Route.HostRate}
-		return placement.Choose(watch.Entries(), service, cfg.Host.Zone, plan), set.Knows(service)
-	})
+	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, table: table, entries: watch.Entries})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			_, err := server.Start(cfg.Listen.DNS)
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -37,6 +37,11 @@
 	active int
 }
 
+// NewAnswer returns an answer of hosts, of which the first ones are active.
+func NewAnswer(hosts []*wire.HostReport, active int) Answer {
+	return Answer{hosts: hosts, active: active}
+}
+
 // Hosts returns the active hosts, then the spares.
 func (a Answer) Hosts() []*wire.HostReport { return a.hosts }
 
@@ -56,7 +61,7 @@
 	sort.SliceStable(hosts[:active], func(i, j int) bool {
 		return hosts[i].GetZone() == zone && hosts[j].GetZone() != zone
 	})
-	return Answer{hosts: hosts, active: active}
+	return NewAnswer(hosts, active)
 }
 
 // activeCount returns how many hosts carry the service's rate.
--- a/snipebeam/command/fake_test.go
+++ b/snipebeam/command/fake_test.go
@@ -32,10 +32,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.seen = append(f.seen, req)
-	if f.dropNext {
-		f.dropNext = false
-		panic(http.ErrAbortHandler)
-	}
 	if f.refuse != nil {
 		return f.refuse, nil
 	}
@@ -53,9 +49,31 @@
 func (f *fakeControl) start(t *testing.T) string {
 	mux := http.NewServeMux()
 	mux.Handle(wire.RulesPathPrefix, wire.NewRulesServer(f))
+	mux.Handle(wire.RulesPathPrefix+"Submit", f.losing(wire.NewRulesServer(f)))
 	return serve(t, mux)
 }
 
+// losing carries out a call whose answer is to be lost, and then cuts the
+// connection.
+func (f *fakeControl) losing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !f.takeDrop() {
+			next.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	})
+}
+
+func (f *fakeControl) takeDrop() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	drop := f.dropNext
+	f.dropNext = false
+	return drop
+}
+
 // fakeEntry is an entry host that answers what a test sets.
 type fakeEntry struct {
 	wire.Entry
