--- /dev/null
+++ b/bench/document/document_test.go
@@ -0,0 +1,163 @@
+package document_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/bench/cluster"
+	"github.com/snipebeam/snipebeam/bench/document"
+	controlhost "github.com/snipebeam/snipebeam/control/host"
+	controlsettings "github.com/snipebeam/snipebeam/control/settings"
+	entryhost "github.com/snipebeam/snipebeam/entry/host"
+	entrysettings "github.com/snipebeam/snipebeam/entry/settings"
+	"github.com/snipebeam/snipebeam/standin/upstream"
+	"github.com/snipebeam/snipebeam/world/knownred"
+	"github.com/snipebeam/snipebeam/world/outcome"
+	"github.com/snipebeam/snipebeam/world/setting"
+	"github.com/snipebeam/snipebeam/world/wire"
+	"go.uber.org/fx"
+)
+
+const (
+	startLimit = 20 * time.Second
+	poll       = 20 * time.Millisecond
+)
+
+// run starts an application for the time of the test.
+func run(t *testing.T, app *fx.App) {
+	must.NoError(t, app.Start(t.Context()))
+	t.Cleanup(func() {
+		// The test does not wait for a graceful stop.
+		ctx, cancel := context.WithTimeout(context.Background(), poll)
+		defer cancel()
+		_ = app.Stop(ctx)
+	})
+}
+
+func free(t *testing.T) string {
+	address, err := cluster.FreeAddress()
+	must.NoError(t, err)
+	return address
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline); time.Sleep(poll) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", startLimit, what)
+}
+
+func startControl(t *testing.T, rules string) string {
+	address := free(t)
+	cfg, findings := controlsettings.Load("", setting.NewOverride("host.name", "control-1", ""),
+		setting.NewOverride("listen.peers", address, ""), setting.NewOverride("data.folder", filepath.Join(t.TempDir(), "data"), ""),
+		setting.NewOverride("quorum.hosts", "control-1="+address, ""))
+	must.NoError(t, findings.Err())
+	run(t, controlhost.New(cfg, hclog.NewNullLogger()))
+	client := wire.NewRulesProtobufClient("http://"+address, http.DefaultClient)
+	eventually(t, "the rules are accepted", func() bool {
+		response, err := client.Submit(t.Context(), &wire.SubmitRequest{SubmissionId: "s", Text: rules, Author: "test"})
+		return err == nil && response.GetAccepted()
+	})
+	return address
+}
+
+// startEntry returns the actual addresses of those that the pages print.
+func startEntry(t *testing.T, control string) map[string]string {
+	addresses := map[string]string{"127.0.0.1:7200": free(t), "127.0.0.1:7201": free(t)}
+	cfg, findings := entrysettings.Load("", setting.NewOverride("host.name", "entry-1", ""),
+		setting.NewOverride("control.hosts", control, ""), setting.NewOverride("listen.callers", addresses["127.0.0.1:7200"], ""),
+		setting.NewOverride("listen.platform", addresses["127.0.0.1:7201"], ""), setting.NewOverride("listen.peers", free(t), ""),
+		setting.NewOverride("listen.dns", free(t), ""))
+	must.NoError(t, findings.Err())
+	run(t, entryhost.New(cfg, hclog.NewNullLogger()))
+	eventually(t, "the entry host is ready", func() bool {
+		response, err := http.Get("http://" + addresses["127.0.0.1:7201"] + "/v1/addresses/catalogue")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	return addresses
+}
+
+// startInstance runs a stand-in that announces itself, and returns its address.
+func startInstance(t *testing.T, service, platform string) string {
+	server := upstream.New(upstream.Config{ID: service + "-1", Service: service, Slots: 3, Work: time.Millisecond, OnceHeader: "Idempotency-Key"})
+	web := httptest.NewServer(server)
+	t.Cleanup(web.Close)
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"incarnation":1}`, service, web.Listener.Addr().String())
+	announce := func() {
+		req, err := http.NewRequest(http.MethodPut, "http://"+platform+"/v1/instances/"+service+"-1", strings.NewReader(body))
+		must.NoError(t, err)
+		response, err := http.DefaultClient.Do(req)
+		must.NoError(t, err)
+		_ = response.Body.Close()
+		must.Eq(t, http.StatusOK, response.StatusCode)
+	}
+	announce()
+	return web.Listener.Addr().String()
+}
+
+func page(t *testing.T, name string) string {
+	text, err := os.ReadFile("../../docs/" + name)
+	must.NoError(t, err)
+	return string(text)
+}
+
+func TestTheExamplesOfThePagesHold(t *testing.T) {
+	addresses := startEntry(t, startControl(t, page(t, "example.rules")))
+	for _, name := range []string{"CALLERS.md", "UPSTREAMS.md"} {
+		examples, err := document.Examples(page(t, name))
+		must.NoError(t, err)
+		must.GreaterEq(t, 4, len(examples), must.Sprint(name))
+		for n, one := range examples {
+			t.Run(fmt.Sprintf("%s-%d", name, n+1), func(t *testing.T) {
+				knownred.Skip(t)
+				holds(t, addresses, one)
+			})
+		}
+	}
+}
+
+func holds(t *testing.T, addresses map[string]string, one document.Example) {
+	for _, service := range []string{"catalogue", "checkout"} {
+		addresses["127.0.0.1:9001"] = startInstance(t, service, addresses["127.0.0.1:7201"])
+	}
+	status, body, err := one.Send(http.DefaultClient, addresses)
+	must.NoError(t, err, must.Sprint(one.Line()))
+	must.Eq(t, one.Status(), status, must.Sprintf("%s: %s", one.Line(), body))
+	must.StrContains(t, body, one.Part(), must.Sprint(one.Line()))
+}
+
+// Every reason of an outcome is explained to callers, with its status.
+func TestCallersKnowEveryReason(t *testing.T) {
+	source, err := os.ReadFile("../../world/outcome/outcome.go")
+	must.NoError(t, err)
+	callers := page(t, "CALLERS.md")
+	reasons := regexp.MustCompile(`Reason\s+=\s+"([a-z-]+)"`).FindAllStringSubmatch(string(source), -1)
+	must.GreaterEq(t, 19, len(reasons))
+	for _, found := range reasons {
+		status := outcome.New(outcome.NotRun, outcome.Reason(found[1]), "").Status()
+		must.StrContains(t, callers, fmt.Sprintf("| `%s` | %d |", found[1], status))
+	}
+}
+
+func TestAnExampleWithoutAPromiseIsAnError(t *testing.T) {
+	_, err := document.Examples("```sh\ncurl http://x\n# works\n```")
+	must.ErrorContains(t, err, "not an example")
+}
--- a/entry/dns/dns.go
+++ b/entry/dns/dns.go
@@ -58,11 +58,19 @@
 	}
 	s.udp = &mdns.Server{PacketConn: packets, Handler: s}
 	s.tcp = &mdns.Server{Listener: listener, Handler: s}
-	go func() { _ = s.udp.ActivateAndServe() }()
-	go func() { _ = s.tcp.ActivateAndServe() }()
+	activate(s.udp)
+	activate(s.tcp)
 	return packets.LocalAddr(), nil
 }
 
+// activate returns once the server serves, so that Stop can end it.
+func activate(server *mdns.Server) {
+	started := make(chan struct{})
+	server.NotifyStartedFunc = func() { close(started) }
+	go func() { _ = server.ActivateAndServe() }()
+	<-started
+}
+
 // Stop ends both servers.
 func (s *Server) Stop(ctx context.Context) error {
 	if s.udp == nil {
