operators: metrics of control hosts, alert rules, a dashboard and a runbook

Cause: a control host showed nothing to a scraper, and an alert had no page that says what to do.

Run: a lone control host answers /readyz with 200 once it has a quorum and writes quorum, term, commit index, claims and members; the alert file parses. The alert rules were not run in a Prometheus server.

--- a/control/host/host.go
+++ b/control/host/host.go
@@ -18,6 +18,7 @@
 	"github.com/snipebeam/snipebeam/control/fleet"
 	"github.com/snipebeam/snipebeam/control/operator"
 	"github.com/snipebeam/snipebeam/control/peer"
+	"github.com/snipebeam/snipebeam/control/prometheus"
 	"github.com/snipebeam/snipebeam/control/settings"
 	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/world/key"
@@ -41,6 +42,7 @@
 			entry.NewClaims,
 			newRing,
 			newOperatorRing,
+			prometheus.New,
 			newServer,
 		),
 		fx.Invoke(runNode),
@@ -54,13 +56,13 @@
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
 
-func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, node *peer.Node, rules *operator.Rules, claims *entry.Claims) *http.Server {
+func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, node *peer.Node, rules *operator.Rules, claims *entry.Claims, exporter *prometheus.Exporter) *http.Server {
 	mux := http.NewServeMux()
 	handleRules(mux, ring, operators, wire.NewRulesServer(rules))
 	handleClaims(mux, ring, operators, wire.NewClaimsServer(claims))
 	mux.Handle(wire.QuorumPathPrefix, ring.Guard(wire.NewQuorumServer(node.Service())))
 	mux.Handle(wire.GroupPathPrefix, operators.Guard(wire.NewGroupServer(node.Group())))
-	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	handleHealth(mux, node, exporter)
 	server := &http.Server{Handler: mux}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
