entry/route: each decision names its candidates and what was known of them

A ticket carries up to 16 candidates with their state, requests in flight, reported load, service time, the ages of both and the score; the caller's handler writes them into its decision line (one line in entry/caller, one field in entry/decision).

--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -232,6 +232,7 @@
 	c.decision.Attempt = attempt
 	c.decision.Reason = ticket.Reason()
 	c.decision.Waited = ticket.Waited()
+	c.decision.Candidates = ticket.Explain()
 	c.decision.Latency = latency
 }
 
--- a/entry/decision/decision.go
+++ b/entry/decision/decision.go
@@ -23,15 +23,16 @@
 
 // Candidate is what was known of one instance when a decision was taken.
 type Candidate struct {
-	Instance    string  `json:"instance"`
-	State       string  `json:"state"`
-	InFlight    int     `json:"inFlight"`             // of this host
-	Others      int     `json:"others,omitempty"`     // of the other entry hosts, as shared
-	Reported    int     `json:"reported,omitempty"`   // by the instance itself
-	KnownAgeNs  int64   `json:"knownAgeNs,omitempty"` // age of what others and the instance said
-	Score       float64 `json:"score"`
-	LatencyNs   int64   `json:"latencyNs,omitempty"`
-	WhyExcluded string  `json:"whyExcluded,omitempty"`
+	Instance     string  `json:"instance"`
+	State        string  `json:"state"`
+	InFlight     int     `json:"inFlight"`             // of this host
+	Others       int     `json:"others,omitempty"`     // of the other entry hosts, as shared
+	Reported     int     `json:"reported,omitempty"`   // by the instance itself
+	KnownAgeNs   int64   `json:"knownAgeNs,omitempty"` // age of what others and the instance said
+	Score        float64 `json:"score"`
+	LatencyNs    int64   `json:"latencyNs,omitempty"`    // service time, normalised by the requests in flight
+	LatencyAgeNs int64   `json:"latencyAgeNs,omitempty"` // age of the last answer that it was learnt from
+	WhyExcluded  string  `json:"whyExcluded,omitempty"`
 }
 
 // Decision is one line of the decision log. It is not changed once written.
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -121,7 +121,7 @@
 
 // policyNamed returns a policy with this host's settings, or nil.
 func policyNamed(cfg settings.Route, name string) route.Policy {
-	if name == route.AdaptiveName {
+	if name == contract.PolicyAdaptive {
 		return route.NewAdaptive(
 			route.WithHeadroom(cfg.Headroom), route.WithLatencyWeight(cfg.LatencyWeight),
 			route.WithZoneCost(time.Duration(cfg.ZoneCostMicros)*time.Microsecond))
--- a/entry/route/adaptive.go
+++ b/entry/route/adaptive.go
@@ -3,10 +3,9 @@
 import (
 	"math"
 	"time"
-)
 
-// AdaptiveName names the default policy.
-const AdaptiveName = "adaptive"
+	"github.com/snipebeam/snipebeam/world/contract"
+)
 
 // Adaptive is the policy "adaptive": the lowest expected time to the answer,
 // among the members that are below their limit of requests in flight. Requests
@@ -54,7 +53,7 @@
 	for _, opt := range opts {
 		opt(e)
 	}
-	return &Adaptive{name: AdaptiveName, why: "lowest expected time to the answer", scorer: e, eject: true}
+	return &Adaptive{name: contract.PolicyAdaptive, why: "lowest expected time to the answer", scorer: e, eject: true}
 }
 
 // unknownLatency stands for the service time before any answer.
--- a/entry/route/baseline.go
+++ b/entry/route/baseline.go
@@ -1,6 +1,10 @@
 package route
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/snipebeam/snipebeam/world/contract"
+)
 
 // constant gives every member the same score.
 type constant struct{}
@@ -9,7 +13,7 @@
 
 // NewRandomChoice returns the policy "random".
 func NewRandomChoice() Policy {
-	return &Lowest[constant]{name: "random", why: "drawn at random", sample: 1}
+	return &Lowest[constant]{name: contract.PolicyRandom, why: "drawn at random", sample: 1}
 }
 
 // ownCount is this host's own requests in flight for each slot.
@@ -22,13 +26,13 @@
 // NewLeastCount returns the policy "least": the fewest of this host's own
 // requests in flight for each slot.
 func NewLeastCount() Policy {
-	return &Lowest[ownCount]{name: "least", why: "fewest own requests in flight a slot"}
+	return &Lowest[ownCount]{name: contract.PolicyLeast, why: "fewest own requests in flight a slot"}
 }
 
 // NewPowerOfTwo returns the policy "powerOfTwo": the better of two random
 // members by this host's own count.
 func NewPowerOfTwo() Policy {
-	return &Lowest[ownCount]{name: "powerOfTwo", why: "the less loaded of two drawn at random", sample: 2}
+	return &Lowest[ownCount]{name: contract.PolicyPowerOfTwo, why: "the less loaded of two drawn at random", sample: 2}
 }
 
 // peakLatency is the peak-sensitive average latency times the own count.
@@ -45,7 +49,7 @@
 // NewPeakEWMA returns the policy "peakEWMA": the better of two random members
 // by peak-sensitive average latency times requests in flight.
 func NewPeakEWMA() Policy {
-	return &Lowest[peakLatency]{name: "peakEWMA", why: "lower peak latency times own count, of two drawn at random", sample: 2}
+	return &Lowest[peakLatency]{name: contract.PolicyPeakEWMA, why: "lower peak latency times own count, of two drawn at random", sample: 2}
 }
 
 // roundRobin takes the members in turn.
@@ -55,7 +59,7 @@
 func NewRoundRobin() Policy { return &roundRobin{} }
 
 // Name returns the policy's name.
-func (*roundRobin) Name() string { return "roundRobin" }
+func (*roundRobin) Name() string { return contract.PolicyRoundRobin }
 
 // Why says what makes a member the chosen one.
 func (*roundRobin) Why() string { return "next in turn" }
@@ -66,7 +70,7 @@
 		at := int(p.next.Add(1) % uint64(len(view.members)))
 		m := &view.members[at]
 		state := stateOf(m, query, now)
-		trace.add(m, state, 0, now)
+		trace.add(m, state, 0, true, now)
 		if state != Draining && state != Excluded {
 			return at
 		}
@@ -84,10 +88,10 @@
 }
 
 var policies = map[string]func() Policy{
-	"adaptive":   func() Policy { return NewAdaptive() },
-	"random":     NewRandomChoice,
-	"roundRobin": NewRoundRobin,
-	"least":      NewLeastCount,
-	"powerOfTwo": NewPowerOfTwo,
-	"peakEWMA":   NewPeakEWMA,
+	contract.PolicyAdaptive:   func() Policy { return NewAdaptive() },
+	contract.PolicyRandom:     NewRandomChoice,
+	contract.PolicyRoundRobin: NewRoundRobin,
+	contract.PolicyLeast:      NewLeastCount,
+	contract.PolicyPowerOfTwo: NewPowerOfTwo,
+	contract.PolicyPeakEWMA:   NewPeakEWMA,
 }
--- a/entry/route/lowest.go
+++ b/entry/route/lowest.go
@@ -90,11 +90,11 @@
 	m := &s.view.members[at]
 	state := stateOf(m, s.query, s.now)
 	if state == Draining || state == Excluded || state == Ejected && eject {
-		s.trace.add(m, state, 0, s.now)
+		s.trace.add(m, state, 0, true, s.now)
 		return false
 	}
 	score, room := s.policy.scorer.Score(m, s.query, s.view.norm.Latency(), state, s.now)
-	s.trace.add(m, state, score, s.now)
+	s.trace.add(m, state, score, room, s.now)
 	if !room {
 		if s.best == NoMember {
 			s.best = AllBusy
--- a/entry/route/policy.go
+++ b/entry/route/policy.go
@@ -39,13 +39,15 @@
 
 // Candidate is what was known of one instance when a choice was made.
 type Candidate struct {
-	ID        instance.ID
-	State     State
-	InFlight  int           // this host's requests
-	Reported  int           // load as the instance last reported it
-	ReportAge time.Duration // negative if unknown
-	Latency   time.Duration // normalised service time, 0 if unknown
-	Score     float64       // the lowest one is chosen
+	ID         instance.ID
+	State      State
+	InFlight   int           // this host's requests
+	Reported   int           // load as the instance last reported it
+	ReportAge  time.Duration // negative if unknown
+	Latency    time.Duration // normalised service time, 0 if unknown
+	LatencyAge time.Duration // negative if unknown
+	Busy       bool          // at its limit of requests in flight
+	Score      float64       // the lowest one is chosen
 }
 
 // maxCandidates is how many candidates of one choice are recorded.
@@ -64,7 +66,7 @@
 // Omitted returns how many candidates were weighed beside the recorded ones.
 func (t *Trace) Omitted() int { return t.omitted }
 
-func (t *Trace) add(m *Member, state State, score float64, now int64) {
+func (t *Trace) add(m *Member, state State, score float64, room bool, now int64) {
 	if t == nil {
 		return
 	}
@@ -75,7 +77,7 @@
 	reported, reportedAt := m.load.Reported()
 	t.all[t.n] = Candidate{
 		ID: m.instance.ID(), State: state, InFlight: m.load.InFlight(),
-		Reported: reported, ReportAge: ageOf(reportedAt, now), Latency: m.load.Latency(), Score: score,
+		Reported: reported, ReportAge: ageOf(reportedAt, now), Latency: m.load.Latency(), LatencyAge: ageOf(m.load.serviceAt.Load(), now), Busy: !room, Score: score,
 	}
 	t.n++
 }
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/world/instance"
 )
 
@@ -54,5 +55,31 @@
 	return t.trace.Omitted()
 }
 
+// Explain returns the candidates as the decision log shows them.
+func (t *Ticket) Explain() []decision.Candidate {
+	all := make([]decision.Candidate, 0, len(t.Candidates()))
+	for _, c := range t.Candidates() {
+		all = append(all, c.explain())
+	}
+	return all
+}
+
+func (c Candidate) explain() decision.Candidate {
+	line := decision.Candidate{
+		Instance: string(c.ID), State: c.State.String(), InFlight: c.InFlight,
+		Score: c.Score, LatencyNs: int64(c.Latency), LatencyAgeNs: int64(max(c.LatencyAge, 0)),
+	}
+	if c.ReportAge >= 0 {
+		line.Reported, line.KnownAgeNs = c.Reported, int64(c.ReportAge)
+	}
+	switch {
+	case c.State == Ejected || c.State == Draining || c.State == Excluded:
+		line.WhyExcluded = c.State.String()
+	case c.Busy:
+		line.WhyExcluded = "at its limit"
+	}
+	return line
+}
+
 // Finish ends the attempt. It is called exactly once.
 func (t *Ticket) Finish(report Report) { t.dispatcher.finish(t, report) }
