standin: callers go to active hosts first and to spares when cut off

An address answer marks spares. Using them like the active hosts would spread a service over all hosts of the answer and undo the concentration.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -14,6 +14,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -56,6 +57,7 @@
 	TTLSeconds float64 `json:"ttlSeconds"`
 	Addresses  []struct {
 		Address string `json:"address"`
+		Spare   bool   `json:"spare"`
 	} `json:"addresses"`
 }
 
@@ -64,7 +66,8 @@
 	client *http.Client
 
 	mu        sync.Mutex
-	addresses []string
+	active    []string
+	spares    []string // used in their order when no active one can be reached
 	freshTill time.Time
 	histogram *hdrhistogram.Histogram
 	summary   Summary
@@ -168,6 +171,9 @@
 		req.Header.Set(l.cfg.Once, id)
 	}
 	response, err := l.client.Do(req)
+	if notConnected(err) && l.avoid(address) {
+		return l.call()
+	}
 	if err != nil {
 		return outcomeNoAnswer, false
 	}
@@ -183,6 +189,13 @@
 	return result, result == "answer" && !bytes.Contains(data, []byte(id))
 }
 
+// notConnected reports whether nothing was sent because the host could not be
+// reached.
+func notConnected(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
+
 func body(n int) io.Reader {
 	if n == 0 {
 		return http.NoBody
@@ -198,10 +211,22 @@
 	if time.Now().After(l.freshTill) {
 		l.ask()
 	}
-	if len(l.addresses) == 0 {
+	if len(l.active) == 0 {
 		return "", errors.New("no entry host was named")
 	}
-	return l.addresses[rand.IntN(len(l.addresses))], nil
+	return l.active[rand.IntN(len(l.active))], nil
+}
+
+// avoid leaves out an address that could not be reached and reports whether
+// another one is left.
+func (l *loader) avoid(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.active = slices.DeleteFunc(l.active, func(one string) bool { return one == address })
+	if len(l.active) == 0 && len(l.spares) > 0 {
+		l.active, l.spares = l.spares[:1], l.spares[1:]
+	}
+	return len(l.active) > 0
 }
 
 func (l *loader) ask() {
@@ -210,9 +235,13 @@
 		if err != nil || len(answer.Addresses) == 0 {
 			continue
 		}
-		l.addresses = nil
+		l.active, l.spares = nil, nil
 		for _, one := range answer.Addresses {
-			l.addresses = append(l.addresses, one.Address)
+			if one.Spare {
+				l.spares = append(l.spares, one.Address)
+			} else {
+				l.active = append(l.active, one.Address)
+			}
 		}
 		l.freshTill = time.Now().Add(time.Duration(answer.TTLSeconds * float64(time.Second)))
 		return
