entry/route: weigh what answers report of other hosts' requests

Reports come free on answers. What they show beyond this host's own count is the other hosts' share; its age is discounted and a report that contradicts our own observation is ignored.

--- a/bench/route/virtual/run.go
+++ b/bench/route/virtual/run.go
@@ -232,7 +232,7 @@
 	case FailFast:
 		f.upstreams[fault.Target].failFast = true
 	case Lie:
-		f.upstreams[fault.Target].lies = true
+		f.upstreams[fault.Target].lies, f.upstreams[fault.Target].lie = true, int(fault.Factor)
 	case Drain:
 		f.clock.after(announceDelay, func() { f.announceDraining(fault.Target) })
 	case LoseHost:
--- a/bench/route/virtual/scenario.go
+++ b/bench/route/virtual/scenario.go
@@ -40,7 +40,7 @@
 	At     time.Duration
 	Kind   FaultKind
 	Target int
-	Factor float64 // of a slowdown
+	Factor float64 // of a slowdown, or the load that is reported
 }
 
 // FaultKind names a fault.
--- a/bench/route/virtual/upstream.go
+++ b/bench/route/virtual/upstream.go
@@ -16,6 +16,7 @@
 	speed    float64
 	slowdown float64
 	failFast bool
+	lie      int // reported whatever the load is, if lies
 	lies     bool
 	running  []*job
 	queue    []*job
@@ -99,7 +100,7 @@
 // load is what the instance reports.
 func (u *upstream) load() int {
 	if u.lies {
-		return 0
+		return u.lie
 	}
 	return len(u.running) + len(u.queue)
 }
--- a/entry/route/adaptive.go
+++ b/entry/route/adaptive.go
@@ -19,6 +19,7 @@
 	headroom int     // requests beyond the slots that may be in flight
 	weight   float64 // exponent of the instance's own speed; 0 ignores it
 	zoneCost float64 // nanoseconds added for another zone
+	reports  float64 // weight of what instances report of other hosts' requests
 	idle     float64 // cost of each busy slot, as a share of the service time
 }
 
@@ -27,6 +28,7 @@
 	DefaultHeadroom = 3
 	DefaultWeight   = 0.5
 	DefaultZoneCost = 500 * time.Microsecond
+	DefaultReports  = 0.5
 	defaultIdle     = 0.5
 )
 
@@ -44,12 +46,16 @@
 	return func(e *expected) { e.zoneCost = float64(d) }
 }
 
+// WithReports sets how much the requests of other hosts weigh that instances
+// report, from 0 to 1.
+func WithReports(w float64) AdaptiveOption { return func(e *expected) { e.reports = w } }
+
 // WithIdleCost sets the cost of each busy slot as a share of the service time.
 func WithIdleCost(share float64) AdaptiveOption { return func(e *expected) { e.idle = share } }
 
 // NewAdaptive returns the policy with the given properties.
 func NewAdaptive(opts ...AdaptiveOption) *Adaptive {
-	e := &expected{headroom: DefaultHeadroom, weight: DefaultWeight, zoneCost: float64(DefaultZoneCost), idle: defaultIdle}
+	e := &expected{headroom: DefaultHeadroom, weight: DefaultWeight, zoneCost: float64(DefaultZoneCost), reports: DefaultReports, idle: defaultIdle}
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -66,6 +72,9 @@
 	}
 	service := m.load.serviceTime(norm, now)
 	level := m.load.level(now)
+	if e.reports > 0 {
+		level += e.reports * m.load.othersNow(now)
+	}
 	slots := float64(m.instance.Slots())
 	// The speed of an instance changes while a request runs: its estimate is damped.
 	damped := norm
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -148,10 +148,11 @@
 	load := t.member.load
 	slots := float64(t.member.instance.Slots())
 	most := slots + maxHeadroom
-	if report.HasReport {
+	view := d.router.views.Load(d.service)
+	if report.HasReport && !report.Failed {
+		load.compare(report.Reported, float64(report.Latency), expectedAt(view, report.Reported, slots))
 		load.SetReported(report.Reported, now)
 	}
-	view := d.router.views.Load(d.service)
 	if report.Failed || report.Lost {
 		load.shrink(most)
 		load.addPenalty(slots, now)
@@ -169,6 +170,14 @@
 	}
 }
 
+// expectedAt returns the mean latency at a reported load, 0 if unknown.
+func expectedAt(view *View, reported int, slots float64) float64 {
+	if view == nil {
+		return 0
+	}
+	return view.norm.Latency() * max(1, float64(reported+1)/slots)
+}
+
 // eject ejects an instance unless too many are ejected already.
 func (d *Dispatcher) eject(view *View, load *Load, now int64) {
 	if view == nil {
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -8,12 +8,17 @@
 
 // Constants of what is learnt from finished attempts.
 const (
-	latencyWeight   = 0.12                   // weight of a new sample of an instance's service time
-	normWeight      = 0.005                  // weight of a new sample of the service's time
-	estimateHalving = 100 * time.Millisecond // age at which an estimate counts half
-	peakDecay       = float64(100 * time.Millisecond)
-	penaltyDecay    = float64(200 * time.Millisecond)
-	maxPenalty      = 30.0
+	latencyWeight    = 0.12                   // weight of a new sample of an instance's service time
+	normWeight       = 0.005                  // weight of a new sample of the service's time
+	estimateHalving  = 100 * time.Millisecond // age at which an estimate counts half
+	peakDecay        = float64(100 * time.Millisecond)
+	penaltyDecay     = float64(200 * time.Millisecond)
+	maxPenalty       = 30.0
+	othersWeight     = 0.3                   // weight of a new report
+	reportHalving    = 20 * time.Millisecond // age at which a report counts half
+	lieTolerance     = 2.0                   // requests by which a report may be below our own count
+	soonestShare     = 0.2                   // of the expected latency, below which a report is not believed
+	liesUntilIgnored = 8                     // in a row
 )
 
 // value is a float64 that is read and changed without a lock.
@@ -69,6 +74,7 @@
 	inFlight   atomic.Int32
 	reported   atomic.Int64
 	reportedAt atomic.Int64
+	others     value // requests of other hosts, from reports less our own count
 	service    value // service time, nanoseconds, normalised by the level at dispatch
 	serviceAt  atomic.Int64
 	peak       value // peak-sensitive average of the latency, nanoseconds
@@ -96,6 +102,29 @@
 	l.reportedAt.Store(at)
 }
 
+// compare learns from a report what other hosts have at the instance. A report
+// is counted as a lie if it is below what we have there ourselves (requests on
+// their way are not known to the instance yet), or if the answer came much
+// sooner than such a load allows; expected is the latency at the reported load.
+func (l *Load) compare(reported int, latency, expected float64) {
+	sample := float64(reported) - float64(l.inFlight.Load()-1)
+	l.others.average(sample, othersWeight)
+	if sample < -lieTolerance || latency < expected*soonestShare {
+		l.health.lies.Add(1)
+	} else {
+		l.health.lies.Store(0)
+	}
+}
+
+// othersNow returns the requests of other hosts, less the older the report is.
+func (l *Load) othersNow(now int64) float64 {
+	at := l.reportedAt.Load()
+	if at == 0 || l.health.lies.Load() >= liesUntilIgnored {
+		return 0
+	}
+	return max(l.others.get(), 0) * discount(now-at, reportHalving)
+}
+
 // level returns the requests at the instance, as far as this host knows;
 // failures count as requests for a while.
 func (l *Load) level(now int64) float64 {
