--- a/entry/route/adaptive.go
+++ b/entry/route/adaptive.go
@@ -3,10 +3,9 @@
 import (
 	"math"
 	"time"
-)
 
-// AdaptiveName names the default policy.
-const AdaptiveName = "adaptive"
+	"github.com/snipebeam/snipebeam/world/contract"
+)
 
 // Adaptive is the policy "adaptive": the lowest expected time to the answer,
 // among the members that are below their limit of requests in flight. Requests
@@ -20,6 +19,7 @@
 	headroom int     // requests beyond the slots that may be in flight
 	weight   float64 // exponent of the instance's own speed; 0 ignores it
 	zoneCost float64 // nanoseconds added for another zone
+	reports  float64 // weight of what instances report of other hosts' requests
 	idle     float64 // cost of each busy slot, as a share of the service time
 }
 
@@ -28,6 +28,7 @@
 	DefaultHeadroom = 3
 	DefaultWeight   = 0.5
 	DefaultZoneCost = 500 * time.Microsecond
+	DefaultReports  = 0.5
 	defaultIdle     = 0.5
 )
 
@@ -45,16 +46,20 @@
 	return func(e *expected) { e.zoneCost = float64(d) }
 }
 
+// WithReports sets how much the requests of other hosts weigh that instances
+// report, from 0 to 1.
+func WithReports(w float64) AdaptiveOption { return func(e *expected) { e.reports = w } }
+
 // WithIdleCost sets the cost of each busy slot as a share of the service time.
 func WithIdleCost(share float64) AdaptiveOption { return func(e *expected) { e.idle = share } }
 
 // NewAdaptive returns the policy with the given properties.
 func NewAdaptive(opts ...AdaptiveOption) *Adaptive {
-	e := &expected{headroom: DefaultHeadroom, weight: DefaultWeight, zoneCost: float64(DefaultZoneCost), idle: defaultIdle}
+	e := &expected{headroom: DefaultHeadroom, weight: DefaultWeight, zoneCost: float64(DefaultZoneCost), reports: DefaultReports, idle: defaultIdle}
 	for _, opt := range opts {
 		opt(e)
 	}
-	return &Adaptive{name: AdaptiveName, why: "lowest expected time to the answer", scorer: e, eject: true}
+	return &Adaptive{name: contract.PolicyAdaptive, why: "lowest expected time to the answer", scorer: e, eject: true}
 }
 
 // unknownLatency stands for the service time before any answer.
@@ -67,6 +72,9 @@
 	}
 	service := m.load.serviceTime(norm, now)
 	level := m.load.level(now)
+	if e.reports > 0 {
+		level += e.reports * m.load.othersNow(now)
+	}
 	slots := float64(m.instance.Slots())
 	// The speed of an instance changes while a request runs: its estimate is damped.
 	damped := norm
