upstream: reuse a link only after a whole exchange; notice silent links

Cause: the thin pool handed out links that the instance had closed while idle, kept links after surplus bytes that came later, blocked in Close on an upload that its caller had stopped sending, gave an answer without a length as whole, read heads without a bound and swallowed interim answers.

--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -179,7 +179,7 @@
 	c.w.Header().Set(outcome.DecisionHeader, c.id)
 	c.w.WriteHeader(response.StatusCode)
 	seen.head(response)
-	if err := stream(c.w, io.TeeReader(response.Body, seen)); err != nil {
+	if err := stream(c.w, io.TeeReader(exchange, seen)); err != nil {
 		report.Failed = true
 		h.write(c, "cut")
 		panic(http.ErrAbortHandler)
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -1,185 +1,97 @@
-// Package upstream speaks HTTP/1.1 to instances over links that this host
-// owns, so that it knows whether a byte of a request was written and whether a
-// link may be used again.
-//
-// Usage:
-//
-//	pool := upstream.NewPool()
-//	exchange, err := pool.Send(ctx, address, request)
-//	io.Copy(w, exchange.Response().Body)
-//	exchange.Close()
 package upstream
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
-	"net/http"
-	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/world/link"
 )
 
+const (
+	maxHeadBytes     = 256 << 10 // of an answer, interim ones included
+	writeBufferBytes = 16 << 10
+)
+
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
 // Link is one connection to an instance.
 type Link struct {
-	conn     net.Conn
-	reader   *bufio.Reader
-	openedAt time.Time
-	written  atomic.Int64
-	reused   bool
+	conn      net.Conn
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	openedAt  time.Time
+	idleSince time.Time
+	written   atomic.Int64
+	progress  time.Duration // bound on a write or read without a byte
+	headLeft  int           // bytes that the head of an answer may still take
+	inHead    bool
+	heard     bool // a byte of the current answer has come
+	reused    bool
 }
 
-// Write sends bytes and counts them.
+func newLink(conn net.Conn, progress time.Duration) *Link {
+	l := &Link{conn: conn, openedAt: time.Now(), progress: progress}
+	l.reader = bufio.NewReader(l)
+	l.writer = bufio.NewWriterSize(l, writeBufferBytes)
+	return l
+}
+
+// Write sends bytes, counts them and bounds the time without progress.
 func (l *Link) Write(p []byte) (int, error) {
+	if err := l.conn.SetWriteDeadline(time.Now().Add(l.progress)); err != nil {
+		return 0, err
+	}
 	n, err := l.conn.Write(p)
 	l.written.Add(int64(n))
 	return n, err
 }
 
-// dialTimeout bounds the opening of a link.
-const dialTimeout = time.Second
-
-// maxIdlePerInstance bounds the idle links kept for one instance.
-const maxIdlePerInstance = 8
-
-// Pool keeps idle links for each address.
-type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*Link
-}
-
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*Link{}} }
-
-// Close closes all idle links.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, links := range p.idle {
-		for _, l := range links {
-			_ = l.conn.Close()
-		}
+// Read receives bytes. The head of an answer is bounded in size, its body in
+// the time without progress.
+func (l *Link) Read(p []byte) (int, error) {
+	if l.inHead {
+		return l.readHead(p)
 	}
-	p.idle = map[string][]*Link{}
-}
-
-func (p *Pool) take(address string) *Link {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	links := p.idle[address]
-	if len(links) == 0 {
-		return nil
+	if err := l.conn.SetReadDeadline(time.Now().Add(l.progress)); err != nil {
+		return 0, err
 	}
-	l := links[len(links)-1]
-	p.idle[address] = links[:len(links)-1]
-	return l
+	return l.conn.Read(p)
 }
 
-func (p *Pool) give(address string, l *Link) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[address]) >= maxIdlePerInstance || l.reader.Buffered() > 0 {
-		_ = l.conn.Close()
-		return
+func (l *Link) readHead(p []byte) (int, error) {
+	if l.headLeft <= 0 {
+		return 0, errHeadTooLarge
 	}
-	p.idle[address] = append(p.idle[address], l)
-}
-
-func (p *Pool) open(ctx context.Context, address string) (*Link, error) {
-	if l := p.take(address); l != nil {
-		l.reused = true
-		return l, nil
-	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "open link")
-	}
-	return &Link{conn: conn, reader: bufio.NewReader(conn), openedAt: time.Now()}, nil
+	n, err := l.conn.Read(p)
+	l.headLeft -= n
+	l.heard = l.heard || n > 0
+	return n, err
 }
 
-// Failure is an exchange that gave no answer.
-type Failure struct {
-	cause error
-	wrote bool
+// beginHead prepares the link for the head of the next answer, for which the
+// deadline of the request is the only bound of time.
+func (l *Link) beginHead() error {
+	l.inHead, l.headLeft, l.heard = true, maxHeadBytes, l.reader.Buffered() > 0
+	return l.conn.SetReadDeadline(time.Time{})
 }
 
-// Error returns the cause.
-func (f *Failure) Error() string { return f.cause.Error() }
-
-// Unwrap returns the cause.
-func (f *Failure) Unwrap() error { return f.cause }
-
-// Wrote reports whether any byte of the request was written to the instance.
-func (f *Failure) Wrote() bool { return f.wrote }
-
-// Exchange is one request and its answer on one link.
-type Exchange struct {
-	pool     *Pool
-	address  string
-	link     *Link
-	response *http.Response
-	sent     chan error
-	stop     func() bool
+// usable reports whether an idle link may carry another request.
+func (l *Link) usable(now time.Time, idleLimit time.Duration) bool {
+	return now.Sub(l.idleSince) <= idleLimit && l.reader.Buffered() == 0 && link.Quiet(l.conn)
 }
 
-// Response returns the answer's head; its body is read from the link.
-func (e *Exchange) Response() *http.Response { return e.response }
+func (l *Link) close() { _ = l.conn.Close() }
 
-// Send writes a request and reads the head of its answer. The body of the
-// request is written while the answer is awaited.
-func (p *Pool) Send(ctx context.Context, address string, req *http.Request) (*Exchange, error) {
-	link, err := p.open(ctx, address)
-	if err != nil {
-		return nil, &Failure{cause: err}
-	}
-	before := link.written.Load()
-	e := &Exchange{pool: p, address: address, link: link, sent: make(chan error, 1)}
-	e.stop = context.AfterFunc(ctx, func() { _ = link.conn.SetDeadline(time.Unix(1, 0)) })
-	go func() { e.sent <- req.Write(link) }()
-	if err := e.readHead(req); err != nil {
-		e.abort()
-		<-e.sent
-		return nil, &Failure{cause: errors.Wrap(err, "read answer"), wrote: link.written.Load() > before}
-	}
-	return e, nil
-}
-
-func (e *Exchange) readHead(req *http.Request) error {
-	for {
-		response, err := http.ReadResponse(e.link.reader, req)
-		if err != nil {
-			return err
-		}
-		if response.StatusCode >= http.StatusOK {
-			e.response = response
-			return nil
+func isClosed(err error) bool {
+	for _, one := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, net.ErrClosed, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, one) {
+			return true
 		}
 	}
-}
-
-func (e *Exchange) abort() {
-	e.stop()
-	_ = e.link.conn.Close()
-}
-
-// Close ends the exchange. The link is kept only if the whole request was
-// sent and the whole answer was read.
-func (e *Exchange) Close() {
-	_, err := e.response.Body.Read(make([]byte, 1))
-	whole := errors.Is(err, io.EOF)
-	select {
-	case sendErr := <-e.sent:
-		whole = whole && sendErr == nil
-	default:
-		whole = false
-	}
-	if !whole || e.response.Close || !e.stop() {
-		e.abort()
-		return
-	}
-	e.pool.give(e.address, e.link)
+	return false
 }
