--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -24,11 +24,13 @@
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/placement"
 	"github.com/snipebeam/snipebeam/entry/platform"
+	"github.com/snipebeam/snipebeam/entry/prometheus"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"go.uber.org/fx"
@@ -40,6 +42,9 @@
 	callTimeout    = 10 * time.Second
 	stopTimeout    = 24 * time.Hour // a planned stop waits for what is in flight
 	drainPoll      = 20 * time.Millisecond
+	// newsLimit bounds how long other hosts go on naming this one in address
+	// answers after it began to drain: two rounds of the control hosts' watch.
+	newsLimit = 3 * time.Second
 )
 
 // New returns the application of one entry host.
@@ -49,15 +54,15 @@
 		fx.Provide(
 			func() hclog.Logger { return logger },
 			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
-			func() route.Policy { return route.LeastCount{} },
+			newPolicy,
 			func() *route.Views { return &route.Views{} },
 			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
-			rules.NewTable, backlog.NewBook, decision.NewLog, route.NewRouter,
+			rules.NewTable, backlog.NewBook, decision.NewLog,
 			func() *upstream.Pool { return upstream.NewPool() },
-			newClient, newState, newWatch, newSender,
+			newClient, newState, newWatch, newSender, newRouter, newDoors, newExporter,
 		),
-		fx.Invoke(runBackground, runPlatform, runPeers, runDNS, runCallers),
-		fx.StopTimeout(stopTimeout),
+		fx.Invoke(runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
+		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 }
@@ -117,6 +122,30 @@
 	return peer.NewSender(cfg.Host.Name, client, watch.Entries, logger)
 }
 
+func newPolicy(cfg *settings.Settings) route.Policy { return policyNamed(cfg.Route, cfg.Route.Policy) }
+
+// policyNamed returns a policy with this host's settings, or nil.
+func policyNamed(cfg settings.Route, name string) route.Policy {
+	if name == route.AdaptiveName {
+		return route.NewAdaptive(
+			route.WithHeadroom(cfg.Headroom), route.WithLatencyWeight(cfg.LatencyWeight),
+			route.WithZoneCost(time.Duration(cfg.ZoneCostMicros)*time.Microsecond))
+	}
+	return route.ByName(name)
+}
+
+func newRouter(cfg *settings.Settings, views *route.Views, policy route.Policy, table *rules.Table) *route.Router {
+	return route.NewRouter(views, policy,
+		route.WithLimits(route.Limits{
+			Waiting: cfg.Route.QueueLength, Wait: seconds(cfg.Route.QueueSeconds),
+			Bypass: cfg.Route.Bypass, MaxEjected: cfg.Route.MaxEjected,
+		}),
+		route.WithPolicies(func(name string) route.Policy { return policyNamed(cfg.Route, name) }),
+		route.WithTerms(func(service string) *contract.Service {
+			return table.Current().Set().Terms(service)
+		}))
+}
+
 // runBackground runs the loops that end with the program.
 func runBackground(lc fx.Lifecycle, watch *control.Watch, reg *registry.Registry, decisions *decision.Log) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -172,13 +201,13 @@
 	})
 }
 
-// drain leaves the address answers, keeps accepting until the last answer's
-// lifetime has passed, and then waits for what is in flight.
+// drain leaves the address answers, keeps accepting until the lifetime of the
+// last answer that any host gave has passed, and then waits for what is in flight.
 func drain(ctx context.Context, state *State, logger hclog.Logger) {
 	state.draining.Store(true)
 	inFlight, oldest := state.book.InFlight(time.Now())
 	logger.Info("draining", "inFlight", inFlight, "oldestMs", oldest.Milliseconds())
-	sleep(ctx, platform.AnswerLifetime)
+	sleep(ctx, newsLimit+platform.AnswerLifetime)
 	for {
 		inFlight, _ = state.book.InFlight(time.Now())
 		if inFlight == 0 || !sleep(ctx, drainPoll) {
@@ -196,25 +225,28 @@
 	}
 }
 
-func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, ring *key.Ring) {
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
 	handler := platform.New(platform.Parts{
 		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
-		Ready: state.Ready, Decisions: decisions, Keys: ring,
+		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: doors.upstreams, HostRate: cfg.Route.HostRate,
 	})
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
+		ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
+	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Platform, "platform", logger) },
 		OnStop:  server.Shutdown,
 	})
 }
 
-func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring) {
+func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring, doors *doors) {
 	service := operator.New(operator.Parts{
 		Host: cfg.Host.Name, Table: table, Views: views, Book: book, Decisions: decisions,
 		Report: state.Report, Drain: state.draining.Store, Logger: logger,
 	})
 	mux := http.NewServeMux()
-	mux.Handle(wire.EntryPathPrefix, ring.Guard(wire.NewEntryServer(service)))
+	mux.Handle(wire.EntryPathPrefix, doors.operators.Guard(wire.NewEntryServer(service)))
 	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(peer.NewServer(reg))))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
@@ -224,10 +256,7 @@
 }
 
 func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, watch *control.Watch) {
-	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, func(service string) ([]*wire.HostReport, bool) {
-		set := table.Current().Set()
-		return placement.Choose(watch.Entries(), service, cfg.Host.Zone, set.Terms(service).Spread()), set.Knows(service)
-	})
+	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, table: table, entries: watch.Entries})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			_, err := server.Start(cfg.Listen.DNS)
