--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -183,7 +183,7 @@
 	c.w.Header().Set(outcome.DecisionHeader, c.id)
 	c.w.WriteHeader(response.StatusCode)
 	seen.head(response)
-	if err := stream(c.w, io.TeeReader(response.Body, seen)); err != nil {
+	if err := stream(c.w, io.TeeReader(exchange, seen)); err != nil {
 		report.Failed = true
 		h.write(c, "cut")
 		panic(http.ErrAbortHandler)
@@ -232,6 +232,7 @@
 	c.decision.Attempt = attempt
 	c.decision.Reason = ticket.Reason()
 	c.decision.Waited = ticket.Waited()
+	c.decision.Candidates = ticket.Explain()
 	c.decision.Latency = latency
 }
 
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -57,7 +57,8 @@
 			newPolicy,
 			func() *route.Views { return &route.Views{} },
 			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
-			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool,
+			rules.NewTable, backlog.NewBook, decision.NewLog,
+			func() *upstream.Pool { return upstream.NewPool() },
 			newClient, newState, newWatch, newSender, newRouter, newDoors, newExporter,
 		),
 		fx.Invoke(runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
@@ -125,7 +126,7 @@
 
 // policyNamed returns a policy with this host's settings, or nil.
 func policyNamed(cfg settings.Route, name string) route.Policy {
-	if name == route.AdaptiveName {
+	if name == contract.PolicyAdaptive {
 		return route.NewAdaptive(
 			route.WithHeadroom(cfg.Headroom), route.WithLatencyWeight(cfg.LatencyWeight),
 			route.WithZoneCost(time.Duration(cfg.ZoneCostMicros)*time.Microsecond))
