--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PROTO = world/wire/wire.proto
 GO_FILES = $$(git ls-files -co --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$' | xargs ls 2>/dev/null)
 
-.PHONY: build test known-red check bench demo fmt generate tools race
+.PHONY: build test known-red check bench demo docs fmt generate tools race
 
 build:
 	for m in entry control standin; do go build -o $(BIN)/snipebeam-$$m ./$$m || exit 1; done; go build -o $(BIN)/snipebeam ./snipebeam
@@ -34,6 +34,11 @@
 demo: build
 	@go run ./bench/demo --programs=$(BIN)
 
+# Files that a test holds to what the programs print.
+docs: build
+	$(BIN)/snipebeam-entry --print-config > examples/entry.toml
+	$(BIN)/snipebeam-control --print-config > examples/control.toml
+
 tools:
 	@cd tools && GOWORK=off go build -o ../$(BIN)/ tool
 
--- a/bench/document/document_test.go
+++ b/bench/document/document_test.go
@@ -23,6 +23,7 @@
 	"github.com/snipebeam/snipebeam/standin/upstream"
 	"github.com/snipebeam/snipebeam/world/knownred"
 	"github.com/snipebeam/snipebeam/world/outcome"
+	"github.com/snipebeam/snipebeam/world/rule"
 	"github.com/snipebeam/snipebeam/world/setting"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"go.uber.org/fx"
@@ -161,3 +162,22 @@
 	_, err := document.Examples("```sh\ncurl http://x\n# works\n```")
 	must.ErrorContains(t, err, "not an example")
 }
+
+// The example settings are what --print-config prints.
+func TestExampleSettingsAreTheDefaults(t *testing.T) {
+	for name, defaults := range map[string]any{"entry.toml": entrysettings.Default(), "control.toml": controlsettings.Default()} {
+		var want strings.Builder
+		must.NoError(t, setting.Print(&want, defaults))
+		text, err := os.ReadFile("../../examples/" + name)
+		must.NoError(t, err)
+		must.Eq(t, want.String(), string(text), must.Sprint("run make docs"))
+	}
+}
+
+// Each term of a rules file is in the operators' page.
+func TestEveryTermHasAManual(t *testing.T) {
+	manual := page(t, "operators/rules-file.md")
+	for _, term := range rule.Terms() {
+		must.StrContains(t, manual, "| `"+term)
+	}
+}
--- a/world/rule/term.go
+++ b/world/rule/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/agnivade/levenshtein"
@@ -63,6 +64,13 @@
 	"callerRate": func(v *values) contract.ServiceOption { return contract.WithEachCallerRate(v.rate()) },
 }
 
+// Terms returns the names of all terms, in order.
+func Terms() []string {
+	all := append(names(routeTermByName), names(serviceTermByName)...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 func (p *parser) routeTerms(line int, nodes []*termNode) []contract.Option {
 	return readTerms(p, line, nodes, routeTermByName)
 }
