upstream: tell a cut body from a closed link

Cause: the uploader closed the link before it handed over its error, so that the reader, woken by the close, found no error of the uploader and called the link closed.

--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -96,10 +96,11 @@
 // a link that the instance closed for writing, but not a cut body or silence.
 func (e *Exchange) upload() {
 	err := e.write()
+	// Told first: whoever sees the link closed then finds the cause.
+	e.sent <- err
 	if cause := causeOf(err); err != nil && (cause == Body || cause == Silent) {
 		e.link.close()
 	}
-	e.sent <- err
 }
 
 // answerOr reads an answer that came although the request could not be sent
