upstream: tell silence by the last acknowledgement, not TCP_USER_TIMEOUT

TCP_USER_TIMEOUT also ends a link whose peer is alive but does not read for a while, as an instance does whose slots are busy during an upload. Links that carry bodies now keep it long; TCP_INFO's age of the last acknowledgement, kept fresh by keepalive, tells a silent link from a slow one. The test makes a socket drop its segments with a filter.

--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -162,6 +162,9 @@
 	if ctx.Err() != nil {
 		cause = Cancelled
 	}
+	if e.link.silent.Load() {
+		cause = Silent
+	}
 	if sent := e.abort(); cause == Closed && sent != nil && causeOf(sent) != Closed {
 		cause, err = causeOf(sent), sent
 	}
@@ -175,7 +178,7 @@
 func (e *Exchange) abort() error {
 	e.stop()
 	e.link.close()
-	e.links.drop()
+	e.links.drop(e.link)
 	if e.sent == nil {
 		return nil
 	}
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -32,6 +32,7 @@
 	inHead    bool
 	heard     bool // a byte of the current answer has come
 	reused    bool
+	silent    atomic.Bool // closed for want of a sign of life
 }
 
 func newLink(conn net.Conn, progress time.Duration) *Link {
--- a/entry/upstream/links.go
+++ b/entry/upstream/links.go
@@ -14,6 +14,7 @@
 	limit         int
 	open          int     // idle, in use and being opened
 	idle          []*Link // used last stands last
+	inUse         map[*Link]struct{}
 	waiting       []chan struct{}
 	retiredBefore time.Time // links opened up to then are not used again
 }
@@ -31,6 +32,7 @@
 		s.idle = s.idle[:len(s.idle)-1]
 		if l.usable(now, maxIdle) {
 			l.reused = true
+			s.inUse[l] = struct{}{}
 			return l, nil
 		}
 		l.close()
@@ -50,10 +52,18 @@
 	return nil, wait
 }
 
+// use counts a link that was opened.
+func (s *links) use(l *Link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inUse[l] = struct{}{}
+}
+
 // give keeps a link for another request.
 func (s *links) give(l *Link) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.inUse, l)
 	if !l.openedAt.After(s.retiredBefore) || s.open > s.limit {
 		l.close()
 		s.open--
@@ -65,9 +75,10 @@
 }
 
 // drop counts a link that is closed or was never opened.
-func (s *links) drop() {
+func (s *links) drop(l *Link) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.inUse, l)
 	s.open--
 	s.wake()
 }
@@ -109,6 +120,28 @@
 	s.wake()
 }
 
+// closeSilent closes the links in use without a sign of life for too long and
+// retires their siblings.
+func (s *links) closeSilent(limit time.Duration) {
+	for _, l := range s.silentOnes(limit) {
+		l.silent.Store(true)
+		l.close()
+		s.retire(l.openedAt.Add(retirementMargin))
+	}
+}
+
+func (s *links) silentOnes(limit time.Duration) []*Link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var silent []*Link
+	for l := range s.inUse {
+		if link.SilentFor(l.conn) > limit {
+			silent = append(silent, l)
+		}
+	}
+	return silent
+}
+
 // sweep closes links that were idle too long and reports whether none is left.
 func (s *links) sweep(now time.Time, idleLimit time.Duration) bool {
 	s.mu.Lock()
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -34,7 +34,11 @@
 	DefaultProgress  = 30 * time.Second
 )
 
-const sweepInterval = time.Second
+const (
+	sweepInterval = time.Second
+	// silentShare is how often links in use are looked at in one silent limit.
+	silentShare = 8
+)
 
 // Dial opens a connection to an address.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -45,6 +49,7 @@
 	maxLinks  int
 	idleLimit time.Duration
 	progress  time.Duration
+	silent    time.Duration
 	instances sync.Map // address to *links
 }
 
@@ -63,11 +68,18 @@
 // WithProgress bounds the time that a body may stand still on a link.
 func WithProgress(d time.Duration) Option { return func(p *Pool) { p.progress = d } }
 
-// WithSilentLimit bounds the time that sent bytes stay unacknowledged.
-func WithSilentLimit(d time.Duration) Option { return WithDial(dialer(d)) }
+// WithSilentLimit bounds the time without a sign of life on a link in use.
+func WithSilentLimit(d time.Duration) Option {
+	return func(p *Pool) {
+		p.silent = d
+		p.dial = dialer(d)
+	}
+}
 
 func dialer(silent time.Duration) Dial {
-	d := link.Dialer(silent)
+	bounds := link.Body
+	bounds.Silent = silent
+	d := link.Dialer(bounds)
 	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 }
 
@@ -75,7 +87,7 @@
 func NewPool(opts ...Option) *Pool {
 	p := &Pool{
 		dial: dialer(link.SilentLimit), maxLinks: DefaultMaxLinks,
-		idleLimit: DefaultIdleLimit, progress: DefaultProgress,
+		idleLimit: DefaultIdleLimit, progress: DefaultProgress, silent: link.SilentLimit,
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -83,21 +95,34 @@
 	return p
 }
 
-// Run closes links that were idle too long, until the context ends.
+// Run closes links that were idle too long and links in use that went silent,
+// until the context ends.
 func (p *Pool) Run(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	look := time.NewTicker(p.silent / silentShare)
+	defer look.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			p.Close()
 			return
-		case now := <-ticker.C:
+		case now := <-sweep.C:
 			p.sweep(now)
+		case <-look.C:
+			p.CloseSilent()
 		}
 	}
 }
 
+// CloseSilent closes links in use that gave no sign of life for too long.
+func (p *Pool) CloseSilent() {
+	p.instances.Range(func(_, value any) bool {
+		value.(*links).closeSilent(p.silent)
+		return true
+	})
+}
+
 // Close closes all idle links.
 func (p *Pool) Close() { p.sweep(time.Now().Add(p.idleLimit + time.Hour)) }
 
@@ -114,7 +139,7 @@
 	if all, ok := p.instances.Load(address); ok {
 		return all.(*links)
 	}
-	all, _ := p.instances.LoadOrStore(address, &links{limit: p.maxLinks})
+	all, _ := p.instances.LoadOrStore(address, &links{limit: p.maxLinks, inUse: map[*Link]struct{}{}})
 	return all.(*links)
 }
 
@@ -139,10 +164,12 @@
 	}
 	conn, err := p.dial(ctx, address)
 	if err != nil {
-		all.drop()
+		all.drop(nil)
 		return nil, all, &Failure{cause: Unopened, err: err, address: address}
 	}
-	return newLink(conn, p.progress), all, nil
+	l := newLink(conn, p.progress)
+	all.use(l)
+	return l, all, nil
 }
 
 // Reachable reports whether an instance is there: an idle link is still open,
--- a/entry/upstream/pool_test.go
+++ b/entry/upstream/pool_test.go
@@ -296,6 +296,7 @@
 		}
 	})
 	pool := upstream.NewPool(upstream.WithSilentLimit(300 * time.Millisecond))
+	go pool.Run(t.Context())
 	var exchanges []*upstream.Exchange
 	for range 3 {
 		exchange, err := pool.Send(t.Context(), i.address(), get(t, "/"))
--- a/world/link/quiet.go
+++ b/world/link/quiet.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -34,3 +35,26 @@
 	})
 	return err == nil && quiet
 }
+
+// SilentFor returns how long ago the last sign of life came over a link, 0
+// if that is not known.
+func SilentFor(conn net.Conn) time.Duration {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	silent := time.Duration(0)
+	err = raw.Control(func(fd uintptr) {
+		if info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); infoErr == nil {
+			silent = time.Duration(info.Last_ack_recv) * time.Millisecond
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return silent
+}
--- a/world/link/socket.go
+++ b/world/link/socket.go
@@ -1,12 +1,17 @@
-// Package link opens and accepts TCP connections that notice a silent peer
-// within a bound: the kernel's keepalive watches a link that waits, and
-// TCP_USER_TIMEOUT one with bytes that were never acknowledged.
+// Package link opens and accepts TCP connections whose silence is noticed
+// within a bound. The kernel's keepalive asks for a sign of life while nothing
+// else is sent, SilentFor tells how long ago the last one came, and
+// TCP_USER_TIMEOUT is the bound where nobody looks.
+//
+// TCP_USER_TIMEOUT also ends a link whose peer is alive but takes no more
+// bytes, so it is long on links that carry bodies and short between the
+// system's own processes.
 //
 // Usage:
 //
-//	conn, err := link.Dialer(link.SilentLimit).DialContext(ctx, "tcp", address)
-//	listener, err := link.Listen(ctx, "127.0.0.1:7200", link.SilentLimit)
-//	client := &http.Client{Transport: link.Transport(link.SilentLimit)}
+//	conn, err := link.Dialer(link.Body).DialContext(ctx, "tcp", address)
+//	listener, err := link.Listen(ctx, "127.0.0.1:7200", link.Body)
+//	client := &http.Client{Transport: link.Transport()}
 package link
 
 import (
@@ -20,49 +25,60 @@
 	"golang.org/x/sys/unix"
 )
 
-// SilentLimit is how long bytes may stay unacknowledged on a link.
+// SilentLimit is how long a link may go without a sign of life.
 const SilentLimit = 2 * time.Second
 
+// Bounds are those of one kind of link.
+type Bounds struct {
+	Silent  time.Duration // without a sign of life
+	Unacked time.Duration // with bytes that the peer does not take
+}
+
+// Kinds of links.
+var (
+	Body    = Bounds{Silent: SilentLimit, Unacked: 30 * time.Second} // carries bodies of any size
+	Message = Bounds{Silent: SilentLimit, Unacked: SilentLimit}      // carries short messages
+)
+
 const (
 	dialTimeout     = time.Second
-	keepaliveShare  = 4 // keepalive probes in one silent limit
+	keepaliveShare  = 2 // keepalive probes in one silent limit
 	idleLimit       = 30 * time.Second
 	maxIdlePerHost  = 64
 	keepaliveProbes = 4
 )
 
-// Dialer returns a dialer whose links notice silence within the limit.
-func Dialer(silent time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepalive(silent), Control: control(silent)}
+// Dialer returns a dialer of links with the bounds.
+func Dialer(b Bounds) *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepalive(b.Silent), Control: control(b.Unacked)}
 }
 
-// Listen opens a listener whose links notice silence within the limit.
-func Listen(ctx context.Context, address string, silent time.Duration) (net.Listener, error) {
-	cfg := net.ListenConfig{KeepAliveConfig: keepalive(silent), Control: control(silent)}
+// Listen opens a listener whose links have the bounds.
+func Listen(ctx context.Context, address string, b Bounds) (net.Listener, error) {
+	cfg := net.ListenConfig{KeepAliveConfig: keepalive(b.Silent), Control: control(b.Unacked)}
 	listener, err := cfg.Listen(ctx, "tcp", address)
 	return listener, errors.Wrapf(err, "listen on %s", address)
 }
 
 // Transport returns an HTTP transport for calls between the system's own
 // processes.
-func Transport(silent time.Duration) *http.Transport {
+func Transport() *http.Transport {
 	return &http.Transport{
-		DialContext: Dialer(silent).DialContext, IdleConnTimeout: idleLimit, MaxIdleConnsPerHost: maxIdlePerHost,
+		DialContext: Dialer(Message).DialContext, IdleConnTimeout: idleLimit, MaxIdleConnsPerHost: maxIdlePerHost,
 	}
 }
 
-// keepalive sends its first probe after a part of the limit, so that a link
-// that only waits is given up soon after the limit.
+// keepalive asks for signs of life more often than the limit.
 func keepalive(silent time.Duration) net.KeepAliveConfig {
 	step := max(silent/keepaliveShare, time.Second)
 	return net.KeepAliveConfig{Enable: true, Idle: step, Interval: step, Count: keepaliveProbes}
 }
 
-func control(silent time.Duration) func(network, address string, c syscall.RawConn) error {
+func control(unacked time.Duration) func(network, address string, c syscall.RawConn) error {
 	return func(_, _ string, c syscall.RawConn) error {
 		var failed error
 		err := c.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silent.Milliseconds()))
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
 		})
 		if err != nil {
 			return err
