framing: refuse requests whose end could be read in two ways

The HTTP library takes a request with both Content-Length and Transfer-Encoding, and lines that end in a bare LF. Doors and bad requests are tried against whole hosts in one process (bench/local).

--- a/bench/document/document_test.go
+++ b/bench/document/document_test.go
@@ -1,24 +1,19 @@
 package document_test
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
-	"github.com/snipebeam/snipebeam/bench/cluster"
 	"github.com/snipebeam/snipebeam/bench/document"
-	controlhost "github.com/snipebeam/snipebeam/control/host"
+	"github.com/snipebeam/snipebeam/bench/local"
 	controlsettings "github.com/snipebeam/snipebeam/control/settings"
-	entryhost "github.com/snipebeam/snipebeam/entry/host"
 	entrysettings "github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/standin/upstream"
 	"github.com/snipebeam/snipebeam/world/knownred"
@@ -26,74 +21,26 @@
 	"github.com/snipebeam/snipebeam/world/rule"
 	"github.com/snipebeam/snipebeam/world/setting"
 	"github.com/snipebeam/snipebeam/world/wire"
-	"go.uber.org/fx"
 )
 
-const (
-	startLimit = 20 * time.Second
-	poll       = 20 * time.Millisecond
-)
-
-// run starts an application for the time of the test.
-func run(t *testing.T, app *fx.App) {
-	must.NoError(t, app.Start(t.Context()))
-	t.Cleanup(func() {
-		// The test does not wait for a graceful stop.
-		ctx, cancel := context.WithTimeout(context.Background(), poll)
-		defer cancel()
-		_ = app.Stop(ctx)
-	})
-}
-
-func free(t *testing.T) string {
-	address, err := cluster.FreeAddress()
-	must.NoError(t, err)
-	return address
-}
-
-// eventually waits until a condition holds.
-func eventually(t *testing.T, what string, holds func() bool) {
-	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline); time.Sleep(poll) {
-		if holds() {
-			return
-		}
-	}
-	t.Fatalf("not within %s: %s", startLimit, what)
-}
-
-func startControl(t *testing.T, rules string) string {
-	address := free(t)
-	cfg, findings := controlsettings.Load("", setting.NewOverride("host.name", "control-1", ""),
-		setting.NewOverride("listen.peers", address, ""), setting.NewOverride("data.folder", filepath.Join(t.TempDir(), "data"), ""),
-		setting.NewOverride("quorum.hosts", "control-1="+address, ""))
-	must.NoError(t, findings.Err())
-	run(t, controlhost.New(cfg, hclog.NewNullLogger()))
-	client := wire.NewRulesProtobufClient("http://"+address, http.DefaultClient)
-	eventually(t, "the rules are accepted", func() bool {
+// startHosts returns the actual addresses of those that the pages print.
+func startHosts(t *testing.T, rules string) map[string]string {
+	control := local.StartControl(t, nil)
+	client := wire.NewRulesProtobufClient("http://"+control, http.DefaultClient)
+	local.Eventually(t, "the rules are accepted", func() bool {
 		response, err := client.Submit(t.Context(), &wire.SubmitRequest{SubmissionId: "s", Text: rules, Author: "test"})
 		return err == nil && response.GetAccepted()
 	})
-	return address
-}
-
-// startEntry returns the actual addresses of those that the pages print.
-func startEntry(t *testing.T, control string) map[string]string {
-	addresses := map[string]string{"127.0.0.1:7200": free(t), "127.0.0.1:7201": free(t)}
-	cfg, findings := entrysettings.Load("", setting.NewOverride("host.name", "entry-1", ""),
-		setting.NewOverride("control.hosts", control, ""), setting.NewOverride("listen.callers", addresses["127.0.0.1:7200"], ""),
-		setting.NewOverride("listen.platform", addresses["127.0.0.1:7201"], ""), setting.NewOverride("listen.peers", free(t), ""),
-		setting.NewOverride("listen.dns", free(t), ""))
-	must.NoError(t, findings.Err())
-	run(t, entryhost.New(cfg, hclog.NewNullLogger()))
-	eventually(t, "the entry host is ready", func() bool {
-		response, err := http.Get("http://" + addresses["127.0.0.1:7201"] + "/v1/addresses/catalogue")
+	entry := local.StartEntry(t, control, nil)
+	local.Eventually(t, "the entry host is in the address answers", func() bool {
+		response, err := http.Get("http://" + entry.Platform + "/v1/addresses/catalogue")
 		if err != nil {
 			return false
 		}
 		_ = response.Body.Close()
 		return response.StatusCode == http.StatusOK
 	})
-	return addresses
+	return map[string]string{"127.0.0.1:7200": entry.Callers, "127.0.0.1:7201": entry.Platform}
 }
 
 // startInstance runs a stand-in that announces itself, and returns its address.
@@ -102,15 +49,12 @@
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
 	body := fmt.Sprintf(`{"service":%q,"address":%q,"incarnation":1}`, service, web.Listener.Addr().String())
-	announce := func() {
-		req, err := http.NewRequest(http.MethodPut, "http://"+platform+"/v1/instances/"+service+"-1", strings.NewReader(body))
-		must.NoError(t, err)
-		response, err := http.DefaultClient.Do(req)
-		must.NoError(t, err)
-		_ = response.Body.Close()
-		must.Eq(t, http.StatusOK, response.StatusCode)
-	}
-	announce()
+	req, err := http.NewRequest(http.MethodPut, "http://"+platform+"/v1/instances/"+service+"-1", strings.NewReader(body))
+	must.NoError(t, err)
+	response, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	_ = response.Body.Close()
+	must.Eq(t, http.StatusOK, response.StatusCode)
 	return web.Listener.Addr().String()
 }
 
@@ -121,7 +65,7 @@
 }
 
 func TestTheExamplesOfThePagesHold(t *testing.T) {
-	addresses := startEntry(t, startControl(t, page(t, "example.rules")))
+	addresses := startHosts(t, page(t, "example.rules"))
 	for _, name := range []string{"CALLERS.md", "UPSTREAMS.md"} {
 		examples, err := document.Examples(page(t, name))
 		must.NoError(t, err)
--- /dev/null
+++ b/bench/local/door_test.go
@@ -0,0 +1,173 @@
+package local_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/bench/local"
+	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/wire"
+	"github.com/twitchtv/twirp"
+)
+
+const rules = "service a: owner O # w: y\nroute a: deadline 5s, maxBody 1KB # w: y"
+
+// submit puts the rules in force through a control host.
+func submit(t *testing.T, control string, client *http.Client) {
+	service := wire.NewRulesProtobufClient("http://"+control, client)
+	local.Eventually(t, "the rules are accepted", func() bool {
+		response, err := service.Submit(t.Context(), &wire.SubmitRequest{SubmissionId: "s", Text: rules, Author: "test"})
+		return err == nil && response.GetAccepted()
+	})
+}
+
+func keyFile(t *testing.T, content string) string {
+	path := filepath.Join(t.TempDir(), "key")
+	must.NoError(t, os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+// opened reports whether a call got past the door.
+func opened(err error) bool {
+	var t twirp.Error
+	if err == nil {
+		return true
+	}
+	return asTwirp(err, &t) && t.Code() != twirp.Unauthenticated
+}
+
+func asTwirp(err error, t *twirp.Error) bool {
+	found, ok := err.(twirp.Error)
+	*t = found
+	return ok
+}
+
+// Each door opens to its own keys, the old and the new one, and to no other.
+func TestEachDoorHasItsOwnKeys(t *testing.T) {
+	files := local.Settings{"keys.peers": keyFile(t, "p2 p1"), "keys.operators": keyFile(t, "o2 o1")}
+	control := local.StartControl(t, files)
+	files["keys.upstreams"] = keyFile(t, "u2 u1")
+	entry := local.StartEntry(t, control, files)
+	client := func(k string) *http.Client { return key.New(k).Client(http.DefaultClient) }
+	submit(t, control, client("o1"))
+
+	doors := map[string]struct {
+		keys string // those that open it begin with this letter
+		call func(ctx context.Context, c *http.Client) error
+	}{
+		"submit": {"o", func(ctx context.Context, c *http.Client) error {
+			_, err := wire.NewRulesProtobufClient("http://"+control, c).Submit(ctx, &wire.SubmitRequest{SubmissionId: "x", BaseVersion: 99, Text: rules})
+			return err
+		}},
+		"status": {"o", func(ctx context.Context, c *http.Client) error {
+			_, err := wire.NewRulesProtobufClient("http://"+control, c).Status(ctx, &wire.StatusRequest{})
+			return err
+		}},
+		"resolve": {"o", func(ctx context.Context, c *http.Client) error {
+			_, err := wire.NewClaimsProtobufClient("http://"+control, c).Resolve(ctx, &wire.ResolveClaimRequest{})
+			return err
+		}},
+		"group": {"o", func(ctx context.Context, c *http.Client) error {
+			_, err := wire.NewGroupProtobufClient("http://"+control, c).Transfer(ctx, &wire.TransferRequest{To: "nobody"})
+			return err
+		}},
+		"drain": {"o", func(ctx context.Context, c *http.Client) error {
+			_, err := wire.NewEntryProtobufClient("http://"+entry.Peers, c).Drain(ctx, &wire.DrainRequest{})
+			return err
+		}},
+		"watch": {"p", func(ctx context.Context, c *http.Client) error {
+			_, err := wire.NewRulesProtobufClient("http://"+control, c).Watch(ctx, &wire.WatchRequest{})
+			return err
+		}},
+		"claim": {"p", func(ctx context.Context, c *http.Client) error {
+			_, err := wire.NewClaimsProtobufClient("http://"+control, c).Release(ctx, &wire.ReleaseRequest{Key: &wire.ClaimKey{Service: "a"}})
+			return err
+		}},
+		"quorum": {"p", func(ctx context.Context, c *http.Client) error {
+			_, err := wire.NewQuorumProtobufClient("http://"+control, c).Hello(ctx, &wire.HelloRequest{})
+			return err
+		}},
+		"announce": {"u", func(ctx context.Context, c *http.Client) error {
+			return announce(ctx, c, entry.Platform, "127.0.0.1:9")
+		}},
+	}
+	for name, door := range doors {
+		for _, k := range []string{"p1", "p2", "o1", "o2", "u1", "u2", "other", ""} {
+			want := strings.HasPrefix(k, door.keys) && k != "other"
+			must.Eq(t, want, opened(door.call(t.Context(), client(k))), must.Sprintf("%s with key %q", name, k))
+		}
+	}
+}
+
+// announce fails with Twirp's error for a closed door.
+func announce(ctx context.Context, c *http.Client, platform, address string) error {
+	body := fmt.Sprintf(`{"service":"a","address":%q,"incarnation":1}`, address)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+platform+"/v1/instances/a-1", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = response.Body.Close()
+	if response.StatusCode == http.StatusUnauthorized {
+		return twirp.NewError(twirp.Unauthenticated, "refused")
+	}
+	return nil
+}
+
+// What callers may send wrong is refused with a status, and the host serves on.
+func TestBadRequestsOfCallers(t *testing.T) {
+	control := local.StartControl(t, nil)
+	submit(t, control, http.DefaultClient)
+	entry := local.StartEntry(t, control, local.Settings{"limits.headerBytes": "8192"})
+	local.Ready(t, entry)
+	seen := make(chan *http.Request, 1)
+	instance := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen <- r }))
+	defer instance.Close()
+	must.NoError(t, announce(t.Context(), http.DefaultClient, entry.Platform, instance.Listener.Addr().String()))
+
+	cases := []struct {
+		name, request string
+		status        int
+	}{
+		{"unknown service", "GET / HTTP/1.1\r\nHost: b\r\n\r\n", http.StatusNotFound},
+		{"dots", "GET /../x HTTP/1.1\r\nHost: a\r\n\r\n", http.StatusNotFound},
+		{"large headers", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("y", 20<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"no HTTP", "hello\r\n\r\n", http.StatusBadRequest},
+		{"length and chunks", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", http.StatusBadRequest},
+		{"bare LF", "GET / HTTP/1.1\r\nHost: a\n\r\n", http.StatusBadRequest},
+	}
+	for _, c := range cases {
+		must.Eq(t, c.status, raw(t, entry.Callers, c.request), must.Sprint(c.name))
+	}
+	must.Eq(t, http.StatusOK, raw(t, entry.Callers, "GET / HTTP/1.1\r\nHost: a\r\nConnection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nTe: trailers\r\nX-Kept: 1\r\n\r\n"))
+	passed := (<-seen).Header
+	must.Eq(t, "1", passed.Get("X-Kept"))
+	for _, hop := range []string{"X-Hop", "Keep-Alive", "Te", "Connection"} {
+		must.Eq(t, "", passed.Get(hop), must.Sprint(hop))
+	}
+}
+
+// raw sends bytes and returns the status of the first answer.
+func raw(t *testing.T, address, request string) int {
+	conn, err := net.Dial("tcp", address)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte(request))
+	must.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
--- /dev/null
+++ b/entry/framing/framing.go
@@ -0,0 +1,64 @@
+// Package framing refuses HTTP/1.1 requests whose end could be read in two
+// ways: with both Content-Length and Transfer-Encoding, with either of them
+// twice, with lines that end in a bare line feed or hold a bare carriage
+// return, or with folded header lines. The HTTP library accepts some of these;
+// what stands behind or before this host might read them differently (request
+// smuggling, RFC 9112, section 11.2).
+//
+// Usage:
+//
+//	listener = framing.Protect(server, listener)
+//	server.Serve(listener)
+package framing
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/snipebeam/snipebeam/world/outcome"
+)
+
+// Protect makes a server refuse ambiguous requests, and returns the listener
+// that it must serve.
+func Protect(server *http.Server, listener net.Listener) net.Listener {
+	server.Handler = guard(server.Handler)
+	outer := server.ConnContext
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if outer != nil {
+			ctx = outer(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return &watchedListener{Listener: listener}
+}
+
+type connKey struct{}
+
+// guard refuses requests on a connection that carried an ambiguous one.
+func guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		watched, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if fault := watched.fault(); fault != "" {
+			w.Header().Set("Connection", "close")
+			outcome.New(outcome.NotRun, outcome.Malformed, fault).Write(w, "")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type watchedListener struct{ net.Listener }
+
+// Accept returns a connection whose bytes are watched.
+func (l *watchedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -20,6 +20,7 @@
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/dns"
+	"github.com/snipebeam/snipebeam/entry/framing"
 	"github.com/snipebeam/snipebeam/entry/operator"
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/placement"
@@ -271,6 +272,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", name)
 	}
+	listener = framing.Protect(server, listener)
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("listener failed", "listener", name, "error", err)
