upstream: the stand-in spreads its announcements and numbers them

All stand-ins announced to the first entry host of their list, so one host heard every instance. They now start at a host chosen by their id, number their announcements so that an overtaken one is recognised, name their incarnation when they leave, and remember the alternates they are told.

--- a/standin/upstream/announce.go
+++ b/standin/upstream/announce.go
@@ -4,9 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/world/key"
@@ -15,6 +19,9 @@
 // heartbeatInterval is how often an announcement is renewed.
 const heartbeatInterval = time.Second
 
+// maxEntries bounds the entry hosts that an instance remembers.
+const maxEntries = 64
+
 // announcement is the body of PUT /v1/instances/ID at an entry host.
 type announcement struct {
 	Service     string `json:"service"`
@@ -24,6 +31,12 @@
 	Cold        bool   `json:"cold"`
 	Draining    bool   `json:"draining"`
 	Incarnation uint64 `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+}
+
+// lease is what an entry host answers.
+type lease struct {
+	Alternates []string `json:"alternates"`
 }
 
 // Announcer renews an instance's announcement at one of several entry hosts.
@@ -35,16 +48,21 @@
 	logger  hclog.Logger
 	client  *http.Client
 	started uint64
+	said    uint64 // announcements so far
 	next    int
 }
 
 // NewAnnouncer returns an announcer; entries are addresses of platform listeners,
 // and the ring holds the instances' key.
 func NewAnnouncer(server *Server, address, zone string, entries []string, ring *key.Ring, logger hclog.Logger) *Announcer {
-	return &Announcer{
+	a := &Announcer{
 		server: server, address: address, zone: zone, entries: entries, logger: logger,
 		client: ring.Client(&http.Client{Timeout: heartbeatInterval}), started: uint64(time.Now().UnixNano()),
 	}
+	if len(entries) > 0 {
+		a.next = int(xxhash.Sum64String(server.cfg.ID) % uint64(len(entries))) // instances spread over the entry hosts
+	}
+	return a
 }
 
 // Run announces until the context ends, then leaves.
@@ -75,9 +93,10 @@
 // Announce renews the announcement at the first entry host that answers.
 func (a *Announcer) Announce(ctx context.Context) error {
 	cfg := a.server.cfg
+	a.said++
 	body, err := json.Marshal(announcement{
 		Service: cfg.Service, Address: a.address, Zone: a.zone, Slots: cfg.Slots,
-		Cold: a.server.Cold(), Draining: a.server.Draining(), Incarnation: a.started,
+		Cold: a.server.Cold(), Draining: a.server.Draining(), Incarnation: a.started, Sequence: a.said,
 	})
 	if err != nil {
 		return errors.Wrap(err, "encode announcement")
@@ -101,6 +120,9 @@
 
 func (a *Announcer) send(ctx context.Context, method string, body []byte) error {
 	url := "http://" + a.entries[a.next] + "/v1/instances/" + a.server.cfg.ID
+	if method == http.MethodDelete {
+		url += fmt.Sprintf("?incarnation=%d", a.started)
+	}
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "make request")
@@ -113,5 +135,19 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Errorf("announce: %s", response.Status)
 	}
+	return a.learn(response.Body)
+}
+
+// learn adds entry hosts that the answer names.
+func (a *Announcer) learn(body io.Reader) error {
+	var answer lease
+	if err := json.NewDecoder(body).Decode(&answer); err != nil {
+		return errors.Wrap(err, "read answer to an announcement")
+	}
+	for _, one := range answer.Alternates {
+		if len(a.entries) < maxEntries && !slices.Contains(a.entries, one) {
+			a.entries = append(a.entries, one)
+		}
+	}
 	return nil
 }
