peer: learn hosts and instances by gossip

Announcements were forwarded by Twirp to every host on each heartbeat, the hosts were those that one control host had heard, and leases compared clocks of different hosts. The node drives entry/gossip over UDP on the port of the peers listener; a host that starts fetches the state in pages over Twirp. A control host's answer held the report of every host; it now names at most three, which is enough to join. The registry rebuilds only the view of a service that changed, and keeps what is known of an instance's load over a change of address and a short silence. A view that was published is not written again (route.Views.Store).

The tests of platform used registry.All; they now ask the membership core, with the same assertions.

--- /dev/null
+++ b/control/fleet/fleet_test.go
@@ -0,0 +1,44 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/control/fleet"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+func TestSeedsAreAFewOthersThatReportedLately(t *testing.T) {
+	f := fleet.New()
+	start := time.Unix(1000, 0)
+	must.SliceEmpty(t, f.Seeds("e0", start))
+	f.Report(&wire.HostReport{Name: "old", Role: "entry", PeersAddress: "old"}, start.Add(-time.Minute))
+	for n := range 29 {
+		name := fmt.Sprintf("e%d", n)
+		f.Report(&wire.HostReport{Name: name, Role: "entry", PeersAddress: name}, start)
+	}
+	seen := map[string]bool{}
+	for range 500 {
+		seeds := f.Seeds("e0", start)
+		must.Len(t, 3, seeds)
+		for _, seed := range seeds {
+			seen[seed.GetName()] = true
+		}
+	}
+	must.False(t, seen["e0"])
+	must.False(t, seen["old"])
+	must.MapLen(t, 28, seen)
+}
+
+func TestSilentHostsAreMarkedAndForgotten(t *testing.T) {
+	f := fleet.New()
+	start := time.Unix(1000, 0)
+	f.Report(&wire.HostReport{Name: "e1", Version: 7, State: "ready"}, start)
+	must.Eq(t, "ready", f.Hosts(start.Add(fleet.SilentAfter))[0].GetState())
+	silent := f.Hosts(start.Add(fleet.SilentAfter + 1))[0]
+	must.Eq(t, fleet.StateSilent, silent.GetState())
+	must.Eq(t, 7, silent.GetVersion())
+	must.SliceEmpty(t, f.Hosts(start.Add(fleet.ForgetAfter+1)))
+}
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -38,6 +38,6 @@
 	}
 	return &wire.WatchResponse{
 		Version: version, Text: text, Stale: s.confirm(ctx) != nil,
-		AsOf: time.Now().UnixNano(), Entries: s.fleet.Hosts(time.Now()),
+		AsOf: time.Now().UnixNano(), Seeds: s.fleet.Seeds(req.GetReport().GetName(), time.Now()), ServedBy: s.name,
 	}
 }
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -19,24 +18,17 @@
 
 // Watch keeps the rules table at the newest version.
 type Watch struct {
-	client  *Client
-	table   *rules.Table
-	report  func() *wire.HostReport
-	logger  hclog.Logger
-	entries atomic.Pointer[[]*wire.HostReport]
+	client *Client
+	table  *rules.Table
+	report func() *wire.HostReport
+	logger hclog.Logger
+	join   func(seeds []*wire.GossipHost)
 }
 
-// NewWatch returns a watch; report describes this host at each poll.
-func NewWatch(client *Client, table *rules.Table, report func() *wire.HostReport, logger hclog.Logger) *Watch {
-	return &Watch{client: client, table: table, report: report, logger: logger.Named("control")}
-}
-
-// Entries returns the entry hosts that the control hosts last named.
-func (w *Watch) Entries() []*wire.HostReport {
-	if entries := w.entries.Load(); entries != nil {
-		return *entries
-	}
-	return nil
+// NewWatch returns a watch; report describes this host at each poll, and join
+// is told other entry hosts.
+func NewWatch(client *Client, table *rules.Table, report func() *wire.HostReport, join func([]*wire.GossipHost), logger hclog.Logger) *Watch {
+	return &Watch{client: client, table: table, report: report, join: join, logger: logger.Named("control")}
 }
 
 // Run polls until the context ends.
@@ -63,8 +55,7 @@
 }
 
 func (w *Watch) take(response *wire.WatchResponse) {
-	entries := response.GetEntries()
-	w.entries.Store(&entries)
+	w.join(response.GetSeeds())
 	if response.GetStale() {
 		return
 	}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -38,13 +38,12 @@
 )
 
 const (
-	expiryInterval = 200 * time.Millisecond
-	callTimeout    = 10 * time.Second
-	stopTimeout    = 24 * time.Hour // a planned stop waits for what is in flight
-	drainPoll      = 20 * time.Millisecond
+	callTimeout = 10 * time.Second
+	stopTimeout = 24 * time.Hour // a planned stop waits for what is in flight
+	drainPoll   = 20 * time.Millisecond
 	// newsLimit bounds how long other hosts go on naming this one in address
-	// answers after it began to drain: two rounds of the control hosts' watch.
-	newsLimit = 3 * time.Second
+	// answers after it began to drain: the bound of the membership protocol.
+	newsLimit = 2 * time.Second
 )
 
 // New returns the application of one entry host.
@@ -56,11 +55,11 @@
 			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
 			newPolicy,
 			func() *route.Views { return &route.Views{} },
-			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
+			registry.New,
 			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool,
-			newClient, newState, newWatch, newSender, newRouter, newDoors, newExporter,
+			newClient, newState, newWatch, newNode, newRouter, newDoors, newExporter,
 		),
-		fx.Invoke(runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
+		fx.Invoke(runNode, runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
 		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
@@ -113,12 +112,8 @@
 	return control.NewClient(cfg.Control.Hosts, client), client
 }
 
-func newWatch(client *control.Client, table *rules.Table, state *State, logger hclog.Logger) *control.Watch {
-	return control.NewWatch(client, table, state.Report, logger)
-}
-
-func newSender(cfg *settings.Settings, client *http.Client, watch *control.Watch, logger hclog.Logger) *peer.Sender {
-	return peer.NewSender(cfg.Host.Name, client, watch.Entries, logger)
+func newWatch(client *control.Client, table *rules.Table, state *State, node *peer.Node, logger hclog.Logger) *control.Watch {
+	return control.NewWatch(client, table, state.Report, node.Join, logger)
 }
 
 func newPolicy(cfg *settings.Settings) route.Policy { return policyNamed(cfg.Route, cfg.Route.Policy) }
@@ -146,13 +141,12 @@
 }
 
 // runBackground runs the loops that end with the program.
-func runBackground(lc fx.Lifecycle, watch *control.Watch, reg *registry.Registry, decisions *decision.Log) {
+func runBackground(lc fx.Lifecycle, watch *control.Watch, decisions *decision.Log) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go watch.Run(ctx)
 			go decisions.Run(ctx)
-			go expire(ctx, reg)
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -162,19 +156,6 @@
 	})
 }
 
-func expire(ctx context.Context, reg *registry.Registry) {
-	ticker := time.NewTicker(expiryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			reg.Expire(now)
-		}
-	}
-}
-
 func runCallers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, router *route.Router, links *upstream.Pool, client *control.Client, book *backlog.Book, decisions *decision.Log) {
 	handler := caller.New(caller.Parts{
 		Host: cfg.Host.Name, Zone: cfg.Host.Zone, Table: table, Router: router, Links: links,
@@ -224,9 +205,9 @@
 	}
 }
 
-func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, node *peer.Node, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
 	handler := platform.New(platform.Parts{
-		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
+		Host: cfg.Host.Name, Table: table, Members: node, Entries: node.Entries,
 		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: doors.upstreams, HostRate: cfg.Route.HostRate,
 	})
 	server := &http.Server{
@@ -239,14 +220,14 @@
 	})
 }
 
-func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring, doors *doors) {
+func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, node *peer.Node, ring *key.Ring, doors *doors) {
 	service := operator.New(operator.Parts{
 		Host: cfg.Host.Name, Table: table, Views: views, Book: book, Decisions: decisions,
 		Report: state.Report, Drain: state.draining.Store, Logger: logger,
 	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.EntryPathPrefix, doors.operators.Guard(wire.NewEntryServer(service)))
-	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(peer.NewServer(reg))))
+	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(node.Service())))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Peers, "peers", logger) },
@@ -254,8 +235,8 @@
 	})
 }
 
-func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, watch *control.Watch) {
-	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, table: table, entries: watch.Entries})
+func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, node *peer.Node) {
+	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, table: table, entries: node.Entries})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			_, err := server.Start(cfg.Listen.DNS)
--- /dev/null
+++ b/entry/host/membership.go
@@ -0,0 +1,48 @@
+package host
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/snipebeam/snipebeam/entry/peer"
+	"github.com/snipebeam/snipebeam/entry/registry"
+	"github.com/snipebeam/snipebeam/entry/settings"
+	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/wire"
+	"go.uber.org/fx"
+)
+
+func newNode(cfg *settings.Settings, ring *key.Ring, client *http.Client, reg *registry.Registry, state *State, logger hclog.Logger) (*peer.Node, error) {
+	return peer.New(peer.Config{
+		Self: &wire.GossipHost{
+			Name: cfg.Host.Name, Zone: cfg.Host.Zone, State: state.Name(), CallersAddress: cfg.Listen.Callers,
+			PeersAddress: cfg.Listen.Peers, PlatformAddress: cfg.Listen.Platform,
+		},
+		Registry: reg, State: state.Name, Ring: ring, Client: client, BytesPerSecond: cfg.Peers.BytesPerSecond, Logger: logger,
+	})
+}
+
+// runNode is the first to start and the last to stop, so that the others learn
+// that this host drains, and at the end that it left.
+func runNode(lc fx.Lifecycle, node *peer.Node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if err := node.Listen(); err != nil {
+				return err
+			}
+			go func() {
+				defer close(done)
+				node.Run(ctx)
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			<-done
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/entry/peer/alternates.go
@@ -0,0 +1,33 @@
+package peer
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/snipebeam/snipebeam/entry/placement"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+// maxAlternates is how many other hosts an instance is told.
+const maxAlternates = 3
+
+// Alternates returns the platform addresses of other hosts that an instance
+// may announce itself to, spread by the instance's id.
+func (n *Node) Alternates(id string) []string {
+	var ready []*wire.HostReport
+	for _, host := range n.Entries() {
+		if host.GetName() != n.cfg.Self.GetName() && host.GetState() == placement.StateReady {
+			ready = append(ready, host)
+		}
+	}
+	sort.Slice(ready, func(i, j int) bool { return weight(id, ready[i]) > weight(id, ready[j]) })
+	var addresses []string
+	for _, host := range ready[:min(maxAlternates, len(ready))] {
+		addresses = append(addresses, host.GetPlatformAddress())
+	}
+	return addresses
+}
+
+func weight(id string, host *wire.HostReport) uint64 {
+	return xxhash.Sum64String(id + "\x00" + host.GetName())
+}
--- /dev/null
+++ b/entry/peer/fetch.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/snipebeam/snipebeam/entry/gossip"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+// Times of what is done beside the protocol.
+const (
+	pullLimit  = 10 * time.Second
+	checkLimit = 500 * time.Millisecond
+)
+
+// pull fetches the whole state of another host, one fetch at a time.
+func (n *Node) pull(ctx context.Context, address string) {
+	if !n.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	n.work.Go(func() {
+		defer n.pulling.Store(false)
+		ctx, cancel := context.WithTimeout(ctx, pullLimit)
+		defer cancel()
+		if err := n.pullPages(ctx, address); err != nil {
+			n.logger.Warn("membership not fetched", "from", address, "error", err)
+		}
+	})
+}
+
+func (n *Node) pullPages(ctx context.Context, address string) error {
+	remote := wire.NewPeerProtobufClient("http://"+address, n.cfg.Client)
+	after := ""
+	for {
+		page, err := remote.Announce(ctx, &wire.AnnounceRequest{From: n.cfg.Self.GetName(), After: after})
+		if err != nil {
+			return err
+		}
+		n.step(ctx, func(now time.Duration) gossip.Output {
+			return n.core.Merge(now, page.GetHosts(), page.GetInstances())
+		})
+		if page.GetNext() <= after {
+			return nil
+		}
+		after = page.GetNext()
+	}
+}
+
+// check tries to connect to an instance whose owner is lost.
+func (n *Node) check(ctx context.Context, one *wire.Instance) {
+	select {
+	case n.checks <- struct{}{}:
+	default:
+		return // the core asks again
+	}
+	n.work.Go(func() {
+		defer func() { <-n.checks }()
+		conn, err := (&net.Dialer{Timeout: checkLimit}).DialContext(ctx, "tcp", one.GetAddress())
+		if err == nil {
+			_ = conn.Close()
+		}
+		n.step(ctx, func(now time.Duration) gossip.Output { return n.core.Checked(now, one, err == nil) })
+	})
+}
+
+// Service returns the Twirp service Peer.
+func (n *Node) Service() wire.Peer { return &service{node: n} }
+
+type service struct {
+	node *Node
+}
+
+// Announce returns one page of what this host knows.
+func (s *service) Announce(_ context.Context, req *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	hosts, instances, next := s.node.core.Page(req.GetAfter())
+	return &wire.AnnounceResponse{Hosts: hosts, Instances: instances, Next: next}, nil
+}
+
+// Suspects takes fingerprints of requests that were in flight at lost instances.
+func (s *service) Suspects(context.Context, *wire.SuspectsRequest) (*wire.SuspectsResponse, error) {
+	return &wire.SuspectsResponse{}, nil
+}
--- a/entry/platform/announcement.go
+++ b/entry/platform/announcement.go
@@ -1,16 +1,14 @@
 package platform
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"regexp"
 	"strconv"
-	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/pkg/errors"
-	"github.com/snipebeam/snipebeam/entry/registry"
+	"github.com/snipebeam/snipebeam/entry/gossip"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -19,8 +17,6 @@
 	maxAnnouncementBytes = 16 << 10
 	maxSlots             = 10_000
 	maxMaxLinks          = 1_000_000
-	// passOnLimit bounds the time to pass an announcement on to other hosts.
-	passOnLimit = time.Second
 )
 
 // name is what an instance, service or zone may be called.
@@ -35,13 +31,27 @@
 	MaxLinks    uint32 `json:"maxLinks"`
 	Cold        bool   `json:"cold"`
 	Draining    bool   `json:"draining"`
-	Incarnation uint64 `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation"` // raised on each start
+	Sequence    uint64 `json:"sequence"`    // raised with each announcement
 }
 
-// Lease tells an instance how long its announcement holds.
+// Lease tells an instance how long its announcement holds, and which other
+// entry hosts it can turn to.
 type Lease struct {
-	LeaseSeconds float64 `json:"leaseSeconds"`
-	HeardBy      string  `json:"heardBy"`
+	LeaseSeconds float64  `json:"leaseSeconds"`
+	HeardBy      string   `json:"heardBy"`
+	Alternates   []string `json:"alternates,omitempty"`
+}
+
+// Membership takes what instances say of themselves.
+type Membership interface {
+	// Hear takes an announcement and renews its lease.
+	Hear(m *wire.Instance) error
+	// Gone takes an instance's word that it leaves; incarnation 0 means the
+	// one that is known.
+	Gone(id string, incarnation uint64) error
+	// Alternates returns platform addresses of other entry hosts.
+	Alternates(id string) []string
 }
 
 func (a *Announcement) check() error {
@@ -102,20 +112,30 @@
 		refuse(c, Malformed, err.Error())
 		return
 	}
-	p.hear(c, &wire.Instance{
-		Id: c.Param("id"), Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: a.Slots,
-		MaxLinks: a.MaxLinks, Cold: a.Cold, Draining: a.Draining, Incarnation: a.Incarnation,
-	})
+	p.answer(c, p.parts.Members.Hear(&wire.Instance{
+		Id: c.Param("id"), Service: a.Service, Address: a.Address, Zone: a.Zone, Slots: a.Slots, MaxLinks: a.MaxLinks,
+		Cold: a.Cold, Draining: a.Draining, Incarnation: a.Incarnation, Sequence: a.Sequence,
+	}))
 }
 
 func (p *platform) leave(c *gin.Context) {
-	p.hear(c, &wire.Instance{Id: c.Param("id"), Gone: true})
+	incarnation, err := strconv.ParseUint(c.DefaultQuery("incarnation", "0"), 10, 64)
+	if err != nil {
+		refuse(c, Malformed, "incarnation is not a number")
+		return
+	}
+	p.answer(c, p.parts.Members.Gone(c.Param("id"), incarnation))
 }
 
-func (p *platform) hear(c *gin.Context, message *wire.Instance) {
-	heard := p.parts.Registry.Announce(message, time.Now())
-	ctx, cancel := context.WithTimeout(c.Request.Context(), passOnLimit)
-	defer cancel()
-	p.parts.PassOn(ctx, heard)
-	c.JSON(http.StatusOK, Lease{LeaseSeconds: registry.LeaseTime.Seconds(), HeardBy: p.parts.Host})
+func (p *platform) answer(c *gin.Context, err error) {
+	switch {
+	case err == nil:
+		c.JSON(http.StatusOK, Lease{
+			LeaseSeconds: gossip.LeaseTime.Seconds(), HeardBy: p.parts.Host, Alternates: p.parts.Members.Alternates(c.Param("id")),
+		})
+	case errors.Is(err, gossip.ErrOldIncarnation), errors.Is(err, gossip.ErrLeft):
+		refuse(c, OldIncarnation, err.Error())
+	default:
+		refuse(c, Malformed, err.Error())
+	}
 }
--- a/entry/platform/platform.go
+++ b/entry/platform/platform.go
@@ -15,13 +15,11 @@
 package platform
 
 import (
-	"context"
 	"io"
 	"net/http"
 
 	"github.com/gin-gonic/gin"
 	"github.com/snipebeam/snipebeam/entry/decision"
-	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -31,9 +29,8 @@
 type Parts struct {
 	Host      string
 	Table     *rules.Table
-	Registry  *registry.Registry
+	Members   Membership
 	Entries   func() []*wire.HostReport
-	PassOn    func(ctx context.Context, message *wire.Instance)
 	Ready     func() bool
 	Metrics   func(w io.Writer) // writes the Prometheus text format
 	Decisions *decision.Log
--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -1,7 +1,6 @@
 package platform_test
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -13,8 +12,6 @@
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/platform"
-	"github.com/snipebeam/snipebeam/entry/registry"
-	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -22,17 +19,17 @@
 
 // fixture is a platform handler with what it works with.
 type fixture struct {
-	table    *rules.Table
-	registry *registry.Registry
-	entries  []*wire.HostReport
-	handler  http.Handler
+	table   *rules.Table
+	members *members
+	entries []*wire.HostReport
+	handler http.Handler
 }
 
 func newFixture(keys ...string) *fixture {
-	f := &fixture{table: rules.NewTable(), registry: registry.New("e1", &route.Views{})}
+	f := &fixture{table: rules.NewTable(), members: newMembers()}
 	f.handler = platform.New(platform.Parts{
-		Host: "e1", Table: f.table, Registry: f.registry, Entries: func() []*wire.HostReport { return f.entries },
-		PassOn: func(context.Context, *wire.Instance) {}, Ready: func() bool { return true },
+		Host: "e1", Table: f.table, Members: f.members, Entries: func() []*wire.HostReport { return f.entries },
+		Ready:     func() bool { return true },
 		Decisions: decision.NewLog(hclog.NewNullLogger()), Keys: key.New(keys...), Metrics: func(io.Writer) {},
 	})
 	return f
@@ -83,7 +80,7 @@
 	f := newFixture()
 	good := `{"service":"a","address":"127.0.0.1:9001","slots":3}`
 	must.Eq(t, http.StatusOK, f.call(http.MethodPut, "/v1/instances/a-1", good).Code)
-	must.Len(t, 1, f.registry.All())
+	must.Len(t, 1, f.members.core.Instances())
 	cases := map[string]string{
 		"not JSON":         `{"service":`,
 		"another type":     `{"service":"a","address":"127.0.0.1:9001","slots":"three"}`,
@@ -106,7 +103,7 @@
 	must.Eq(t, platform.TooLarge, refusal(t, f.call(http.MethodPut, "/v1/instances/a-2", `{"service":"`+strings.Repeat("a", 20<<10)+`"}`)))
 	must.Eq(t, platform.WrongMethod, refusal(t, f.call(http.MethodPost, "/v1/instances/a-2", good)))
 	must.Eq(t, platform.NotFound, refusal(t, f.call(http.MethodGet, "/v2", "")))
-	must.Len(t, 1, f.registry.All())
+	must.Len(t, 1, f.members.core.Instances())
 }
 
 func TestAnnouncementsNeedAKeyOnceThereAreKeys(t *testing.T) {
--- a/entry/platform/problem.go
+++ b/entry/platform/problem.go
@@ -19,6 +19,7 @@
 	KeyRefused     Reason = "key-refused"
 	NotFound       Reason = "not-found"
 	WrongMethod    Reason = "wrong-method"
+	OldIncarnation Reason = "old-incarnation"
 )
 
 var statusOf = map[Reason]int{
@@ -30,6 +31,7 @@
 	KeyRefused:     http.StatusUnauthorized,
 	NotFound:       http.StatusNotFound,
 	WrongMethod:    http.StatusMethodNotAllowed,
+	OldIncarnation: http.StatusConflict,
 }
 
 // retryAfterSeconds is advised to callers that came too early.
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -1,131 +1,142 @@
-// Package registry keeps the instances that announced themselves, directly or
-// through another entry host, and publishes the views that requests read.
+// Package registry folds what membership learns of instances into the views
+// that requests read. A change rebuilds the view of its service alone; what is
+// known of an instance's load outlives views, changes of address and short
+// silences, and ends with the incarnation.
 //
 // Usage:
 //
-//	reg := registry.New("entry-1", views)
-//	granted := reg.Announce(announcement, time.Now())
-//	reg.Expire(time.Now())
+//	reg := registry.New(views)
+//	reg.Update([]registry.Change{registry.Announced(message), registry.Lost("catalogue-2")})
 package registry
 
 import (
-	"sort"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
-	"time"
 
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
-// LeaseTime is how long an announcement holds unless it is renewed.
-const LeaseTime = 3 * time.Second
+// Change is a new record of one instance.
+type Change struct {
+	id      instance.ID
+	message *wire.Instance // nil: the instance is not to be used
+}
+
+// Announced returns the change to a new record.
+func Announced(message *wire.Instance) Change {
+	return Change{id: instance.ID(message.GetId()), message: message}
+}
+
+// Lost returns the change of an instance that is not to be used any more.
+func Lost(id string) Change { return Change{id: instance.ID(id)} }
 
-// Registry holds the instances known to one entry host.
+// Registry holds the instances that this host may use.
 type Registry struct {
-	host  string
 	views *route.Views
 
-	mu        sync.Mutex
-	instances map[string]*record
-}
-
-type record struct {
-	message *wire.Instance
-	load    *route.Load
+	mu      sync.Mutex
+	members map[instance.ID]route.Member
+	retired map[instance.ID]route.Member // lost with requests in flight
 }
 
 // New returns a registry that publishes to the views.
-func New(host string, views *route.Views) *Registry {
-	return &Registry{host: host, views: views, instances: map[string]*record{}}
+func New(views *route.Views) *Registry {
+	return &Registry{views: views, members: map[instance.ID]route.Member{}, retired: map[instance.ID]route.Member{}}
 }
 
-// Announce takes an announcement that this host heard itself and returns it
-// with the lease that it was given.
-func (r *Registry) Announce(message *wire.Instance, now time.Time) *wire.Instance {
+// Len returns the number of instances that may be used.
+func (r *Registry) Len() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	message.HeardBy = r.host
-	message.LeaseUntil = now.Add(LeaseTime).UnixNano()
-	if old := r.instances[message.GetId()]; old != nil {
-		message.Revision = old.message.GetRevision() + 1
-	}
-	r.put(message)
-	return message
+	return len(r.members)
 }
 
-// Merge takes announcements that another entry host heard.
-func (r *Registry) Merge(messages []*wire.Instance) {
+// Update takes changes and publishes the views of the services concerned.
+func (r *Registry) Update(changes []Change) {
+	if len(changes) == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, message := range messages {
-		old := r.instances[message.GetId()]
-		if old == nil || newer(message, old.message) {
-			r.put(message)
-		}
+	concerned := map[string]bool{}
+	for _, change := range changes {
+		r.take(change, concerned)
 	}
-}
-
-func newer(a, b *wire.Instance) bool {
-	if a.GetIncarnation() != b.GetIncarnation() {
-		return a.GetIncarnation() > b.GetIncarnation()
+	r.forgetRetired()
+	if len(concerned) > 0 {
+		r.publish(concerned)
 	}
-	return a.GetRevision() > b.GetRevision()
 }
 
-// Expire removes instances whose lease has ended.
-func (r *Registry) Expire(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	changed := false
-	for id, one := range r.instances {
-		if one.message.GetLeaseUntil() <= now.UnixNano() {
-			delete(r.instances, id)
-			changed = true
+func (r *Registry) take(change Change, concerned map[string]bool) {
+	old, known := r.members[change.id]
+	if change.message == nil {
+		if known {
+			concerned[old.Instance().Service()] = true
+			delete(r.members, change.id)
+			r.retired[change.id] = old
 		}
+		return
+	}
+	next := instance.FromWire(change.message)
+	if known && *old.Instance() == *next {
+		return
 	}
-	if changed {
-		r.publish()
+	if !known {
+		old, known = r.retired[change.id]
+		delete(r.retired, change.id)
+	} else {
+		concerned[old.Instance().Service()] = true
 	}
+	load := &route.Load{}
+	if known && old.Instance().Incarnation() == next.Incarnation() {
+		load = old.Load()
+	}
+	concerned[next.Service()] = true
+	r.members[change.id] = route.NewMember(next, load)
 }
 
-// All returns every announcement known.
-func (r *Registry) All() []*wire.Instance {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	all := make([]*wire.Instance, 0, len(r.instances))
-	for _, one := range r.instances {
-		all = append(all, one.message)
+// forgetRetired drops the loads of lost instances once nothing is in flight.
+func (r *Registry) forgetRetired() {
+	for id, member := range r.retired {
+		if member.Load().InFlight() == 0 {
+			delete(r.retired, id)
+		}
 	}
-	return all
 }
 
-func (r *Registry) put(message *wire.Instance) {
-	if message.GetGone() {
-		delete(r.instances, message.GetId())
-		r.publish()
-		return
+func (r *Registry) publish(concerned map[string]bool) {
+	views := maps.Clone(r.views.All())
+	if views == nil {
+		views = map[string]*route.View{}
 	}
-	old := r.instances[message.GetId()]
-	next := &record{message: message, load: &route.Load{}}
-	if old != nil && old.message.GetIncarnation() == message.GetIncarnation() {
-		next.load = old.load
+	byService := r.group(concerned)
+	for service := range concerned {
+		if len(byService[service]) == 0 {
+			delete(views, service)
+			continue
+		}
+		views[service] = route.NewView(service, byService[service])
 	}
-	r.instances[message.GetId()] = next
-	r.publish()
+	r.views.Store(views)
 }
 
-func (r *Registry) publish() {
+func (r *Registry) group(concerned map[string]bool) map[string][]route.Member {
 	byService := map[string][]route.Member{}
-	for _, one := range r.instances {
-		member := route.NewMember(instance.FromWire(one.message), one.load)
+	for _, member := range r.members {
 		service := member.Instance().Service()
-		byService[service] = append(byService[service], member)
+		if concerned[service] {
+			byService[service] = append(byService[service], member)
+		}
 	}
-	views := make(map[string]*route.View, len(byService))
-	for service, members := range byService {
-		sort.Slice(members, func(i, j int) bool { return members[i].Instance().ID() < members[j].Instance().ID() })
-		views[service] = route.NewView(service, members)
+	for _, members := range byService {
+		slices.SortFunc(members, func(a, b route.Member) int {
+			return strings.Compare(string(a.Instance().ID()), string(b.Instance().ID()))
+		})
 	}
-	r.views.Store(views)
+	return byService
 }
--- a/entry/route/view.go
+++ b/entry/route/view.go
@@ -62,7 +62,9 @@
 		if v.norms[service] == nil {
 			v.norms[service] = view.norm
 		}
-		view.norm = v.norms[service]
+		if view.norm != v.norms[service] { // a view that was published before is not written
+			view.norm = v.norms[service]
+		}
 	}
 	v.current.Store(&views)
 	watchers := v.watchers
--- /dev/null
+++ b/entry/settings/peers.go
@@ -0,0 +1,26 @@
+package settings
+
+import (
+	"fmt"
+
+	"github.com/snipebeam/snipebeam/world/setting"
+)
+
+// Peers says how this host speaks to the other entry hosts.
+type Peers struct {
+	BytesPerSecond int `toml:"bytesPerSecond" comment:"bound of what this host sends to learn of hosts and instances, bytes a second"`
+}
+
+// Bounds of what a host sends to the others.
+const (
+	defaultPeersBytes = 3072
+	minPeersBytes     = 1024
+)
+
+func defaultPeers() Peers { return Peers{BytesPerSecond: defaultPeersBytes} }
+
+func (p Peers) check(c *setting.Checker) {
+	if p.BytesPerSecond < minPeersBytes {
+		c.Fail("peers.bytesPerSecond", fmt.Sprintf("is %d", p.BytesPerSecond), fmt.Sprintf("set at least %d", minPeersBytes))
+	}
+}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -16,6 +16,7 @@
 	Host    Host    `toml:"host" comment:"what this host is"`
 	Listen  Listen  `toml:"listen" comment:"addresses that this host listens on"`
 	Control Control `toml:"control" comment:"the control hosts"`
+	Peers   Peers   `toml:"peers" comment:"the other entry hosts"`
 	Route   Route   `toml:"route" comment:"how instances are chosen"`
 	Limits  Limits  `toml:"limits" comment:"bounds of what callers may send"`
 	Keys    Keys    `toml:"keys" comment:"key files, each with one or two keys; set all of them or none"`
@@ -24,7 +25,7 @@
 
 // Default returns the settings that a file need not name.
 func Default() *Settings {
-	return &Settings{Listen: defaultListen(), Route: defaultRoute(), Limits: defaultLimits(), Log: defaultLog()}
+	return &Settings{Listen: defaultListen(), Peers: defaultPeers(), Route: defaultRoute(), Limits: defaultLimits(), Log: defaultLog()}
 }
 
 // Load reads and checks a file, before which the overrides go. All findings
@@ -39,6 +40,7 @@
 func (s *Settings) check(c *setting.Checker) {
 	s.Host.check(c)
 	s.Control.check(c)
+	s.Peers.check(c)
 	s.Route.check(c)
 	s.Limits.check(c)
 	s.Keys.check(c)
