--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -26,6 +26,8 @@
 	clock  int64 // the group's running time, which expiry follows
 	rules  rulesState
 	claims claimsState
+
+	changed chan struct{} // closed when another version comes in force
 }
 
 // New returns an empty machine.
@@ -40,6 +42,7 @@
 func (m *Machine) Apply(cmd *wire.Command) *wire.Result {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.announce(m.inForce())
 	return m.apply(cmd)
 }
 
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -82,6 +82,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.announce(m.inForce())
 	m.clock = s.GetClock()
 	m.rules, m.claims = next.rules, next.claims
 	return nil
