control: every control host is watched, and tells a version as it is applied

One control host was polled each second for the whole text; one that was stale or silent held the host back, and each control host knew only the hosts that happened to poll it. An applied version was committed, so it is taken even from a stale host; only an answer that a quorum confirmed after it was asked lets a host take callers: readyz, address answers and requests wait for it. The age of the version is kept on the running clock. TCP probes end a link that lost its path after 2 s.

Weighed: one poll that moves on, with version numbers in gossip (fewer bytes, but the move itself is a time-out); a tree (its inner hosts fail too).

--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -31,11 +31,13 @@
 	log     agreement.Log
 	machine *state.Machine
 	fleet   *fleet.Fleet
+	watched watched
+	shared  *confirmer
 }
 
 // New returns the service of one control host.
 func New(name string, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet) *Rules {
-	return &Rules{name: name, log: log, machine: machine, fleet: hosts}
+	return &Rules{name: name, log: log, machine: machine, fleet: hosts, shared: newConfirmer(log)}
 }
 
 // Submit checks a rules file and proposes it.
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -2,42 +2,101 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/snipebeam/snipebeam/world/delta"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
-// Bounds of a long poll.
-const (
-	maxWatch  = 10 * time.Second
-	watchStep = 50 * time.Millisecond
-)
+// maxWatch bounds a long poll.
+const maxWatch = 10 * time.Second
 
 // Watch records the host's report and waits for a version newer than the
-// known one.
+// known one. A newer version is told at once, without a question to the
+// quorum: what this host applied was committed, so it is or was in force. An
+// answer is stale when no quorum said that nothing newer is.
 func (s *Rules) Watch(ctx context.Context, req *wire.WatchRequest) (*wire.WatchResponse, error) {
 	s.fleet.Report(req.GetReport(), time.Now())
+	newer := s.await(ctx, req)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	response := &wire.WatchResponse{Stale: true, ServedBy: s.name}
+	if !newer || req.GetKnownVersion() == 0 {
+		s.confirmWatch(ctx, response)
+	}
+	version, text := s.machine.InForce()
+	response.Version = version
+	if version.GetNumber() > req.GetKnownVersion() {
+		s.addText(req, response, text)
+	}
+	response.AsOf = time.Now().UnixNano()
+	response.Seeds = s.fleet.Seeds(req.GetReport().GetName(), time.Now())
+	return response, nil
+}
+
+// await reports whether a newer version came in force within the wait.
+func (s *Rules) await(ctx context.Context, req *wire.WatchRequest) bool {
 	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatch)
-	deadline := time.Now().Add(wait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	for {
-		version, text := s.machine.InForce()
-		if version.GetNumber() > req.GetKnownVersion() || time.Now().After(deadline) {
-			return s.watched(ctx, req, version, text), nil
+		changed := s.machine.Changed()
+		if version, _ := s.machine.InForce(); version.GetNumber() > req.GetKnownVersion() {
+			return true
 		}
 		select {
+		case <-changed:
+		case <-timer.C:
+			return false
 		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(watchStep):
+			return false
 		}
 	}
 }
 
-func (s *Rules) watched(ctx context.Context, req *wire.WatchRequest, version *wire.Version, text string) *wire.WatchResponse {
-	if version.GetNumber() <= req.GetKnownVersion() {
-		text = ""
+// confirmWatch asks before the version is read, so that the version is at
+// least as new as any that was accepted before the question.
+func (s *Rules) confirmWatch(ctx context.Context, response *wire.WatchResponse) {
+	age, err := s.shared.confirm(ctx)
+	response.Stale = err != nil
+	response.ConfirmAgeNs = int64(age)
+}
+
+// addText adds the difference to the known version, or the whole text if that
+// is smaller or asked for.
+func (s *Rules) addText(req *wire.WatchRequest, response *wire.WatchResponse, text string) {
+	if !req.GetWhole() && req.GetKnownVersion() > 0 {
+		_, known := s.machine.Version(req.GetKnownVersion())
+		if data := s.watched.difference(req.GetKnownVersion(), response.GetVersion().GetNumber(), known, text); len(data) > 0 && len(data) < len(text) {
+			response.Delta = data
+			return
+		}
+	}
+	response.Text = text
+}
+
+// watched keeps the last difference: most hosts know the version before.
+type watched struct {
+	mu       sync.Mutex
+	from, to uint64
+	data     []byte
+}
+
+func (w *watched) difference(from, to uint64, older, newer string) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.from == from && w.to == to {
+		return w.data
+	}
+	if older == "" {
+		return nil // no longer kept
 	}
-	return &wire.WatchResponse{
-		Version: version, Text: text, Stale: s.confirm(ctx) != nil,
-		AsOf: time.Now().UnixNano(), Seeds: s.fleet.Seeds(req.GetReport().GetName(), time.Now()), ServedBy: s.name,
+	data, err := delta.Make(older, newer)
+	if err != nil {
+		return nil
 	}
+	w.from, w.to, w.data = from, to, data
+	return data
 }
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -108,8 +108,8 @@
 func (h *Handler) match(c *call) *outcome.Problem {
 	inForce := h.parts.Table.Current()
 	c.version = inForce.Number()
-	if inForce.Number() == 0 {
-		return outcome.New(outcome.NotRun, outcome.NotReady, "this host has no rules in force yet")
+	if !h.parts.Table.Learned() {
+		return outcome.New(outcome.NotRun, outcome.NotReady, "this host has not learned the rules in force yet")
 	}
 	if !inForce.Set().Knows(c.service) {
 		return outcome.New(outcome.NotRun, outcome.UnknownService, "no rule names the service "+strconv.Quote(c.service))
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -31,7 +31,6 @@
 }
 
 type peer struct {
-	rules  wire.Rules
 	claims wire.Claims
 }
 
@@ -41,7 +40,6 @@
 	for _, address := range addresses {
 		url := "http://" + address
 		c.hosts = append(c.hosts, peer{
-			rules:  wire.NewRulesProtobufClient(url, client),
 			claims: wire.NewClaimsProtobufClient(url, client),
 		})
 	}
@@ -71,11 +69,6 @@
 	return zero, errors.Wrap(last, "call control hosts")
 }
 
-// Watch reports this host's state and waits for a newer version.
-func (c *Client) Watch(ctx context.Context, req *wire.WatchRequest) (*wire.WatchResponse, error) {
-	return try(ctx, c, func(p peer) (*wire.WatchResponse, error) { return p.rules.Watch(ctx, req) })
-}
-
 // Claim claims a key.
 func (c *Client) Claim(ctx context.Context, req *wire.ClaimRequest) (*wire.ClaimResponse, error) {
 	return try(ctx, c, func(p peer) (*wire.ClaimResponse, error) { return p.claims.Claim(ctx, req) })
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -2,72 +2,156 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/world/delta"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
 // Times of the watch.
 const (
-	watchWait  = time.Second
-	watchLimit = 5 * time.Second
+	watchWait  = 3 * time.Second
+	watchLimit = watchWait + 2*time.Second // the control host may ask its quorum for a second
+	firstWait  = 200 * time.Millisecond
 	retryPause = 200 * time.Millisecond
 )
 
-// Watch keeps the rules table at the newest version.
+// errDigest means that a text is not the one that was accepted.
+var errDigest = errors.New("the text's digest is not the version's")
+
+// Watch keeps the rules table at the newest version. It polls every control
+// host at the same time: the first one that has applied a version tells it, so
+// no control host that failed, is cut off or is stale can hold it back, and
+// each one has this host's report.
 type Watch struct {
-	client *Client
+	hosts  []watched
 	table  *rules.Table
 	report func() *wire.HostReport
-	logger hclog.Logger
 	join   func(seeds []*wire.GossipHost)
+	logger hclog.Logger
 }
 
-// NewWatch returns a watch; report describes this host at each poll, and join
-// is told other entry hosts.
-func NewWatch(client *Client, table *rules.Table, report func() *wire.HostReport, join func([]*wire.GossipHost), logger hclog.Logger) *Watch {
-	return &Watch{client: client, table: table, report: report, join: join, logger: logger.Named("control")}
+// watched is one control host.
+type watched struct {
+	address string
+	rules   wire.Rules
+}
+
+// NewWatch returns a watch of the control hosts at the addresses; report
+// describes this host at each poll, and join is told other entry hosts.
+func NewWatch(addresses []string, client *http.Client, table *rules.Table, report func() *wire.HostReport, join func([]*wire.GossipHost), logger hclog.Logger) *Watch {
+	w := &Watch{table: table, report: report, join: join, logger: logger.Named("control")}
+	for _, address := range addresses {
+		w.hosts = append(w.hosts, watched{address: address, rules: wire.NewRulesProtobufClient("http://"+address, client)})
+	}
+	return w
 }
 
 // Run polls until the context ends.
 func (w *Watch) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, host := range w.hosts {
+		group.Go(func() { w.follow(ctx, host) })
+	}
+	group.Wait()
+}
+
+// follow polls one control host.
+func (w *Watch) follow(ctx context.Context, host watched) {
+	silent, whole := false, &atomic.Bool{}
 	for ctx.Err() == nil {
-		if err := w.poll(ctx); err != nil {
-			w.logger.Warn("no control host answers", "error", err)
-			pause(ctx, retryPause)
+		err := w.poll(ctx, host, whole)
+		if ctx.Err() != nil {
+			return
+		}
+		if (err != nil) != silent {
+			silent = err != nil
+			w.logger.Info("control host", "address", host.address, "answers", !silent, "error", err)
+		}
+		if err != nil {
+			pause(ctx, retryPause+rand.N(retryPause))
 		}
 	}
 }
 
-func (w *Watch) poll(ctx context.Context) error {
+func (w *Watch) poll(ctx context.Context, host watched, whole *atomic.Bool) error {
 	ctx, cancel := context.WithTimeout(ctx, watchLimit)
 	defer cancel()
-	response, err := w.client.Watch(ctx, &wire.WatchRequest{
-		Report: w.report(), KnownVersion: w.table.Current().Number(), WaitMs: watchWait.Milliseconds(),
+	known := w.table.Current()
+	response, err := host.rules.Watch(ctx, &wire.WatchRequest{
+		Report: w.report(), KnownVersion: known.Number(), WaitMs: w.wait().Milliseconds(), Whole: whole.Load(),
 	})
 	if err != nil {
 		return err
 	}
-	w.take(response)
+	whole.Store(false)
+	w.join(response.GetSeeds())
+	if err := w.take(response, known); err != nil {
+		whole.Store(true)
+		w.logger.Error("a version cannot be put in force", "version", response.GetVersion().GetNumber(), "error", err)
+		return err
+	}
 	return nil
 }
 
-func (w *Watch) take(response *wire.WatchResponse) {
-	w.join(response.GetSeeds())
-	if response.GetStale() {
-		return
+// wait is short while a quorum has not confirmed the version that a stale
+// answer brought, since this host takes no callers before.
+func (w *Watch) wait() time.Duration {
+	if w.table.Current().Number() > 0 && !w.table.Learned() {
+		return firstWait
 	}
-	changed, err := w.table.Advance(response.GetVersion(), response.GetText())
+	return watchWait
+}
+
+// take puts a newer version in force. A stale answer may bring one, since it
+// was accepted by a quorum once, but confirms nothing.
+func (w *Watch) take(response *wire.WatchResponse, known *rules.InForce) error {
+	version := response.GetVersion()
+	if version.GetNumber() > w.table.Current().Number() {
+		if err := w.advance(response, known); err != nil {
+			return err
+		}
+	}
+	if !response.GetStale() && version.GetNumber() > 0 {
+		w.table.Confirm(version.GetNumber(), time.Now().Add(-time.Duration(response.GetConfirmAgeNs())))
+	}
+	return nil
+}
+
+func (w *Watch) advance(response *wire.WatchResponse, known *rules.InForce) error {
+	text, err := textOf(response, known)
+	if err != nil {
+		return err
+	}
+	changed, err := w.table.Advance(response.GetVersion(), text)
 	if err != nil {
-		w.logger.Error("a version cannot be put in force", "error", err)
-		return
+		return err
 	}
-	w.table.Confirm(time.Now())
 	if changed {
-		w.logger.Info("version in force", "version", response.GetVersion().GetNumber(), "author", response.GetVersion().GetAuthor())
+		w.logger.Info("version in force", "version", response.GetVersion().GetNumber(), "author", response.GetVersion().GetAuthor(), "from", response.GetServedBy())
+	}
+	return nil
+}
+
+func textOf(response *wire.WatchResponse, known *rules.InForce) (string, error) {
+	text := response.GetText()
+	if len(response.GetDelta()) > 0 {
+		var err error
+		if text, err = delta.Apply(known.Text(), response.GetDelta()); err != nil {
+			return "", err
+		}
+	}
+	if delta.Digest(text) != response.GetVersion().GetDigest() {
+		return "", errDigest
 	}
+	return text, nil
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/entry/host/directory.go
+++ b/entry/host/directory.go
@@ -17,8 +17,8 @@
 	entries  func() []*wire.HostReport
 }
 
-// Ready reports whether this host has rules in force.
-func (d *directory) Ready() bool { return d.table.Current().Number() > 0 }
+// Ready reports whether this host knows the rules in force.
+func (d *directory) Ready() bool { return d.table.Learned() }
 
 // Service returns the hosts for a service.
 func (d *directory) Service(name string) (placement.Answer, bool) {
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -81,7 +81,7 @@
 
 // Ready reports whether this host takes callers.
 func (s *State) Ready() bool {
-	return s.bound.Load() && !s.draining.Load() && s.table.Current().Number() > 0
+	return s.bound.Load() && !s.draining.Load() && s.table.Learned()
 }
 
 // Name returns "starting", "ready" or "draining".
@@ -104,7 +104,7 @@
 		Name: s.cfg.Host.Name, Zone: s.cfg.Host.Zone, Role: "entry", State: s.Name(),
 		CallersAddress: s.cfg.Listen.Callers, PeersAddress: s.cfg.Listen.Peers, PlatformAddress: s.cfg.Listen.Platform,
 		Version: s.table.Current().Number(), ReportedAt: now.UnixNano(), Backlog: s.book.Services(now),
-		VersionConfirmedAt: s.table.ConfirmedAt().UnixNano(), InFlight: uint32(inFlight),
+		VersionConfirmedAt: s.table.ConfirmedNano(), InFlight: uint32(inFlight),
 	}
 }
 
@@ -113,10 +113,6 @@
 	return control.NewClient(cfg.Control.Hosts, client), client
 }
 
-func newWatch(client *control.Client, table *rules.Table, state *State, node *peer.Node, logger hclog.Logger) *control.Watch {
-	return control.NewWatch(client, table, state.Report, node.Join, logger)
-}
-
 func newPolicy(cfg *settings.Settings) route.Policy { return policyNamed(cfg.Route, cfg.Route.Policy) }
 
 // policyNamed returns a policy with this host's settings, or nil.
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -5,8 +5,10 @@
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/registry"
+	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -46,3 +48,8 @@
 		},
 	})
 }
+
+func newWatch(cfg *settings.Settings, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, logger hclog.Logger) *control.Watch {
+	client := ring.Client(&http.Client{Transport: control.NewTransport()})
+	return control.NewWatch(cfg.Control.Hosts, client, table, state.Report, node.Join, logger)
+}
--- a/entry/platform/address.go
+++ b/entry/platform/address.go
@@ -32,8 +32,8 @@
 func (p *platform) addresses(c *gin.Context) {
 	service := c.Param("service")
 	inForce := p.parts.Table.Current()
-	if inForce.Number() == 0 {
-		refuse(c, NotReady, "this host has no rules in force yet")
+	if !p.parts.Table.Learned() {
+		refuse(c, NotReady, "this host has not learned the rules in force yet")
 		return
 	}
 	set := inForce.Set()
--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
@@ -38,6 +39,8 @@
 func (f *fixture) rules(t *testing.T) {
 	_, err := f.table.Advance(&wire.Version{Number: 1}, "service a: spread 2 # w: y\nroute a # w: y")
 	must.NoError(t, err)
+	must.Eq(t, platform.NotReady, refusal(t, f.call(http.MethodGet, "/v1/addresses/a", "")))
+	f.table.Confirm(1, time.Now())
 }
 
 func (f *fixture) call(method, path, body string, headers ...string) *httptest.ResponseRecorder {
--- a/entry/rules/rules.go
+++ b/entry/rules/rules.go
@@ -3,7 +3,8 @@
 // Usage:
 //
 //	table := rules.NewTable()
-//	changed := table.Advance(version, text, confirmedAt)
+//	changed, err := table.Advance(version, text)
+//	table.Confirm(version.GetNumber(), confirmedAt)
 //	current := table.Current()
 package rules
 
@@ -41,7 +42,7 @@
 type Table struct {
 	mu          sync.Mutex
 	current     atomic.Pointer[InForce]
-	confirmedAt atomic.Int64 // Unix nanoseconds of a quorum's last word
+	confirmedAt atomic.Pointer[time.Time] // of a quorum's last word, on this host's running clock
 }
 
 // NewTable returns a table with no rules.
@@ -58,15 +59,34 @@
 // ConfirmedAt returns when a quorum last confirmed the version in force, the
 // zero time if it never did.
 func (t *Table) ConfirmedAt() time.Time {
-	at := t.confirmedAt.Load()
-	if at == 0 {
-		return time.Time{}
+	if at := t.confirmedAt.Load(); at != nil {
+		return *at
 	}
-	return time.Unix(0, at)
+	return time.Time{}
 }
 
-// Confirm records that a quorum confirmed the version in force.
-func (t *Table) Confirm(at time.Time) { t.confirmedAt.Store(at.UnixNano()) }
+// ConfirmedNano returns ConfirmedAt in Unix nanoseconds, 0 if it never was.
+func (t *Table) ConfirmedNano() int64 {
+	if at := t.ConfirmedAt(); !at.IsZero() {
+		return at.UnixNano()
+	}
+	return 0
+}
+
+// Learned reports whether a quorum confirmed a version since this host
+// started. Until then the host does not know which version is in force.
+func (t *Table) Learned() bool { return t.Current().Number() > 0 && t.confirmedAt.Load() != nil }
+
+// Confirm records that a quorum confirmed a version at a time. A version that
+// is older than the one in force says nothing.
+func (t *Table) Confirm(number uint64, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if number < t.Current().Number() || !at.After(t.ConfirmedAt()) {
+		return
+	}
+	t.confirmedAt.Store(&at)
+}
 
 // Advance puts a newer version in force; an older or equal one is ignored.
 func (t *Table) Advance(version *wire.Version, text string) (bool, error) {
