--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -96,10 +96,11 @@
 // a link that the instance closed for writing, but not a cut body or silence.
 func (e *Exchange) upload() {
 	err := e.write()
+	// Told first: whoever sees the link closed then finds the cause.
+	e.sent <- err
 	if cause := causeOf(err); err != nil && (cause == Body || cause == Silent) {
 		e.link.close()
 	}
-	e.sent <- err
 }
 
 // answerOr reads an answer that came although the request could not be sent
@@ -162,6 +163,9 @@
 	if ctx.Err() != nil {
 		cause = Cancelled
 	}
+	if e.link.silent.Load() {
+		cause = Silent
+	}
 	if sent := e.abort(); cause == Closed && sent != nil && causeOf(sent) != Closed {
 		cause, err = causeOf(sent), sent
 	}
@@ -175,7 +179,7 @@
 func (e *Exchange) abort() error {
 	e.stop()
 	e.link.close()
-	e.links.drop()
+	e.links.drop(e.link)
 	if e.sent == nil {
 		return nil
 	}
