--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipebeam/snipebeam/control/agreement"
@@ -33,6 +34,7 @@
 	fleet   *fleet.Fleet
 	watched watched
 	shared  *confirmer
+	checked atomic.Pointer[rule.Set] // the last submission without errors
 }
 
 // New returns the service of one control host.
@@ -45,9 +47,11 @@
 	if req.GetSubmissionId() == "" {
 		return nil, twirp.RequiredArgumentError("submission_id")
 	}
-	if _, findings := rule.Parse("rules", req.GetText()); findings.HasErrors() {
-		return nil, twirp.InvalidArgumentError("text", findings.Err().Error())
+	set, findings := rule.ParseChange(s.checked.Load(), "rules", req.GetText())
+	if err := findings.Err(); err != nil {
+		return nil, twirp.InvalidArgumentError("text", err.Error())
 	}
+	s.checked.Store(set)
 	cmd := &wire.Command{At: time.Now().UnixNano(), Body: &wire.Command_Submit{Submit: req}}
 	result, err := s.log.Propose(ctx, cmd)
 	if err != nil {
