--- a/world/finding/finding.go
+++ b/world/finding/finding.go
@@ -105,6 +105,9 @@
 	l.findings = append(l.findings, other.findings...)
 }
 
+// Len returns the number of findings.
+func (l *List) Len() int { return len(l.findings) }
+
 // All returns the findings in order of their places.
 func (l *List) All() []Finding {
 	sorted := append([]Finding(nil), l.findings...)
--- a/world/rule/parse.go
+++ b/world/rule/parse.go
@@ -16,8 +16,12 @@
 
 // Parse reads and checks a rules file. All findings are reported together; the
 // set holds the lines that could be read.
-func Parse(file, text string) (*Set, finding.List) {
-	set, findings := Read(file, text)
+func Parse(file, text string) (*Set, finding.List) { return ParseChange(nil, file, text) }
+
+// ParseChange is Parse for a file that is much like one that was read before:
+// lines that stand in both are not parsed again.
+func ParseChange(before *Set, file, text string) (*Set, finding.List) {
+	set, findings := ReadChange(before, file, text)
 	findings.Merge(lint(set))
 	return set, findings
 }
@@ -25,19 +29,30 @@
 // Read reads a rules file that was checked when it was submitted: what is well
 // formed is taken, so that a version once accepted stays usable when a later
 // release checks more.
-func Read(file, text string) (*Set, finding.List) {
+func Read(file, text string) (*Set, finding.List) { return ReadChange(nil, file, text) }
+
+// ReadChange is Read for a file that is much like one that was read before:
+// lines that stand in both are not parsed again.
+func ReadChange(before *Set, file, text string) (*Set, finding.List) {
 	p := newParser(file)
 	if !p.fits(text) {
 		return p.set, p.findings
 	}
-	for n, line := range strings.Split(text, "\n") {
-		p.line(n+1, line)
+	if before != nil {
+		p.known = before.lines
+	}
+	n := 0
+	for line := range strings.SplitSeq(text, "\n") {
+		n++
+		if !p.again(n, line) {
+			p.fresh(n, line)
+		}
 	}
 	return p.set, p.findings
 }
 
 func newParser(file string) *parser {
-	return &parser{file: file, set: &Set{routes: map[string][]*Rule{}, services: map[string]*ServiceLine{}}}
+	return &parser{file: file, set: &Set{routes: map[string][]*Rule{}, services: map[string]*ServiceLine{}, lines: map[string]lineContent{}}}
 }
 
 func (p *parser) fits(text string) bool {
@@ -52,23 +67,53 @@
 	file     string
 	set      *Set
 	findings finding.List
+	known    map[string]lineContent // of the file that was read before
 }
 
 func (p *parser) fail(line, column int, text, hint string) {
 	p.findings.Add(finding.Error, finding.At(p.file, line, column), text, hint)
 }
 
-func (p *parser) line(n int, text string) {
+// fresh parses a line and remembers it if it has no findings.
+func (p *parser) fresh(n int, text string) {
+	before := p.findings.Len()
+	// A copy, so that what is kept of a line does not keep its whole file.
+	content := p.line(n, strings.Clone(text))
+	if p.findings.Len() == before && content != (lineContent{}) {
+		p.set.lines[text] = content
+	}
+}
+
+// again takes a line that is known, and reports whether it is.
+func (p *parser) again(n int, text string) bool {
+	known, ok := p.known[text]
+	switch {
+	case !ok:
+		return false
+	case known.service != nil:
+		line := *known.service
+		line.place = finding.At(p.file, n, line.place.Column())
+		p.addService(line.terms.Name(), &line)
+		p.set.lines[text] = lineContent{service: &line}
+	default:
+		r := *known.rule
+		r.place = finding.At(p.file, n, r.place.Column())
+		p.add(&r)
+		p.set.lines[text] = lineContent{rule: &r}
+	}
+	return true
+}
+
+func (p *parser) line(n int, text string) lineContent {
 	node := p.read(n, text)
 	if node == nil {
-		return
+		return lineContent{}
 	}
 	reason := p.reason(n, text, node.Comment)
 	if node.Service != nil {
-		p.service(n, node, reason)
-		return
+		return lineContent{service: p.service(n, node, reason)}
 	}
-	p.route(n, node, reason)
+	return lineContent{rule: p.route(n, node, reason)}
 }
 
 // read returns the parts of a line, or nil if it is blank, a comment, or
@@ -143,21 +188,26 @@
 	}
 }
 
-func (p *parser) service(n int, node *lineNode, reason Reason) {
+func (p *parser) service(n int, node *lineNode, reason Reason) *ServiceLine {
 	name := node.Service.Name
 	p.named(n, name, node.Service.Pos)
-	if old := p.set.services[name]; old != nil {
-		p.fail(n, node.Service.Pos.Column, fmt.Sprintf("service %s already has a line", name), "it is at "+old.place.String())
-		return
-	}
 	line := &ServiceLine{place: finding.At(p.file, n, node.Service.Pos.Column), reason: reason}
 	line.terms = contract.NewService(name, p.serviceTerms(n, node.Terms)...)
 	line.text = formatLine(node)
+	p.addService(name, line)
+	return line
+}
+
+func (p *parser) addService(name string, line *ServiceLine) {
+	if old := p.set.services[name]; old != nil {
+		p.findings.Add(finding.Error, line.place, fmt.Sprintf("service %s already has a line", name), "it is at "+old.place.String())
+		return
+	}
 	p.know(name)
 	p.set.services[name] = line
 }
 
-func (p *parser) route(n int, node *lineNode, reason Reason) {
+func (p *parser) route(n int, node *lineNode, reason Reason) *Rule {
 	name := node.Route.Service
 	p.named(n, name, node.Route.Pos)
 	r := &Rule{
@@ -173,6 +223,7 @@
 	}
 	r.contract = contract.New(p.routeTerms(n, node.Terms)...)
 	p.add(r)
+	return r
 }
 
 func (p *parser) pattern(n int, node *pathNode) pattern {
--- a/world/rule/path.go
+++ b/world/rule/path.go
@@ -10,24 +10,26 @@
 // for a path that servers read in different ways: one with a segment "." or
 // "..", however it is encoded, a backslash, or a NUL. Such a path falls under
 // no rule, lest it reach a handler that another rule protects.
-func pathSegments(escaped string) ([]string, bool) {
+//
+// The segments are appended to the given slice, so that the caller can keep
+// them on its stack.
+func pathSegments(escaped string, segments []string) ([]string, bool) {
 	if escaped == "" || escaped == "*" {
 		return nil, true
 	}
 	if escaped[0] != '/' {
 		return nil, false
 	}
-	parts := strings.Split(escaped[1:], "/")
-	segments := parts[:0]
-	for n, part := range parts {
+	for rest, more := escaped[1:], true; more; {
+		var part string
+		part, rest, more = strings.Cut(rest, "/")
 		segment, ok := decodeSegment(part)
 		if !ok {
 			return nil, false
 		}
-		if segment == "" && n < len(parts)-1 {
-			continue
+		if segment != "" || !more {
+			segments = append(segments, segment)
 		}
-		segments = append(segments, segment)
 	}
 	return segments, true
 }
--- a/world/rule/pattern.go
+++ b/world/rule/pattern.go
@@ -16,8 +16,14 @@
 // pattern is a path pattern of a rule. The zero value matches every path.
 type pattern struct {
 	given    bool
-	open     bool     // ends in anySegments
-	segments []string // decoded, without the trailing anySegments
+	open     bool          // ends in anySegments
+	segments []patternPart // without the trailing anySegments
+}
+
+// patternPart is one segment of a pattern.
+type patternPart struct {
+	text string // decoded
+	wild bool   // holds anyCharacters
 }
 
 // parsePattern reads a pattern as it stands in a rules file.
@@ -39,7 +45,7 @@
 		if err != nil {
 			return pattern{}, err
 		}
-		p.segments = append(p.segments, segment)
+		p.segments = append(p.segments, patternPart{text: segment, wild: strings.Contains(segment, anyCharacters)})
 	}
 	return p, nil
 }
@@ -80,13 +86,20 @@
 		return false
 	}
 	for n, want := range p.segments {
-		if !matchSegment(want, segments[n]) {
+		if !want.matches(segments[n]) {
 			return false
 		}
 	}
 	return true
 }
 
+func (p patternPart) matches(segment string) bool {
+	if !p.wild {
+		return p.text == segment
+	}
+	return matchSegment(p.text, segment)
+}
+
 // matchSegment matches one segment. A pattern of wildcards alone does not
 // match an empty segment, so that /x/* is not the same as /x/.
 func matchSegment(want, segment string) bool {
@@ -125,7 +138,7 @@
 		return false
 	}
 	for n, want := range p.segments {
-		if !segmentCovers(want, other.segments[n]) {
+		if !segmentCovers(want.text, other.segments[n].text) {
 			return false
 		}
 	}
--- a/world/rule/property_test.go
+++ b/world/rule/property_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/world/finding"
 	"github.com/snipebeam/snipebeam/world/rule"
 	"github.com/snipebeam/snipebeam/world/testseed"
 	"pgregory.net/rapid"
@@ -109,3 +110,42 @@
 		must.Eq(t, formatted, again)
 	})
 }
+
+// Reading a change gives what reading the whole file gives.
+func TestReadChangeGivesTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before, _ := rule.Read("rules", drawFile(t))
+		text := drawFile(t)
+		whole, wholeFindings := rule.Read("rules", text)
+		change, changeFindings := rule.ReadChange(before, "rules", text)
+		must.Eq(t, placed(whole), placed(change))
+		must.Eq(t, places(wholeFindings), places(changeFindings))
+	})
+}
+
+func placed(set *rule.Set) []string {
+	var all []string
+	for _, name := range set.Services() {
+		if line := set.Service(name); line != nil {
+			all = append(all, line.Place().String()+line.String())
+		}
+		for _, r := range set.Routes(name) {
+			all = append(all, r.Place().String()+r.String())
+		}
+	}
+	return all
+}
+
+func places(findings finding.List) []string {
+	var all []string
+	for _, f := range findings.All() {
+		all = append(all, f.String())
+	}
+	return all
+}
+
+func TestMatchingAllocatesNothing(t *testing.T) {
+	set, findings := rule.Parse("rules", "route a GET /x/*/y/**: deadline 1s # w: why")
+	must.NoError(t, findings.Err())
+	must.Zero(t, testing.AllocsPerRun(100, func() { set.Match("a", "GET", "/x/1/y/2/3", nil) }))
+}
--- a/world/rule/rule.go
+++ b/world/rule/rule.go
@@ -28,6 +28,10 @@
 	"github.com/snipebeam/snipebeam/world/finding"
 )
 
+// usualSegments is the number of path segments up to which matching allocates
+// nothing.
+const usualSegments = 16
+
 // Bounds of a rules file.
 const (
 	MaxFileBytes = 1 << 20
@@ -124,6 +128,13 @@
 	routes   map[string][]*Rule
 	services map[string]*ServiceLine
 	order    []string
+	lines    map[string]lineContent // lines without findings, by their text
+}
+
+// lineContent is what a line holds: a service line or a rule.
+type lineContent struct {
+	service *ServiceLine
+	rule    *Rule
 }
 
 // Services returns the names of all services in the order of the file.
@@ -151,7 +162,8 @@
 // Match returns the first rule that a request falls under, or nil. The path is
 // escaped, as it stands in the request.
 func (s *Set) Match(service, method, escapedPath string, header http.Header) *Rule {
-	segments, ok := pathSegments(escapedPath)
+	var kept [usualSegments]string
+	segments, ok := pathSegments(escapedPath, kept[:0])
 	if !ok {
 		return nil
 	}
