--- a/bench/decision.go
+++ b/bench/decision.go
@@ -16,12 +16,12 @@
 const (
 	decisionLines = 200_000
 	decisionRate  = 20_000 // lines a second
-	candidates    = 10
+	usualCount    = 10     // candidates of a decision
 )
 
-func sampleDecision(n int) *decision.Decision {
+func decisionOf(candidates int) *decision.Decision {
 	d := &decision.Decision{
-		ID: fmt.Sprint(n), Kind: decision.Route, At: time.Now(), Host: "entry-1", Service: "catalogue", Method: "GET",
+		ID: "0193a1c2-aaaa-bbbb-cccc-000000000001", Kind: decision.Route, At: time.Now(), Host: "entry-1", Service: "catalogue", Method: "GET",
 		Path: "/lookup/titanium", Caller: "studio-7", Rule: "rules:3:7", Version: 12, Attempt: 1, Instance: "catalogue-4",
 		Reason: "least", Latency: 5 * time.Millisecond, Status: 200, Outcome: "answer",
 	}
@@ -43,7 +43,7 @@
 	}()
 	prepared := make([]*decision.Decision, decisionLines)
 	for n := range prepared {
-		prepared[n] = sampleDecision(n)
+		prepared[n] = decisionOf(usualCount)
 	}
 	var spent time.Duration
 	start := time.Now()
@@ -58,6 +58,6 @@
 	cancel()
 	<-done
 	emit(figure.Plain("see", "decisionLogNs", float64(spent.Nanoseconds())/decisionLines, "ns").With("a line, on the request's path"))
-	emit(figure.Plain("see", "decisionLinesDropped", float64(log.Dropped()), "lines").With(fmt.Sprintf("of %d at %d a second, %d candidates each", decisionLines, decisionRate, candidates)))
+	emit(figure.Plain("see", "decisionLinesDropped", float64(log.Dropped()), "lines").With(fmt.Sprintf("of %d at %d a second, %d candidates each", decisionLines, decisionRate, usualCount)))
 	return nil
 }
--- a/bench/figure/figure.go
+++ b/bench/figure/figure.go
@@ -8,6 +8,8 @@
 import (
 	"encoding/json"
 	"io"
+
+	"github.com/snipebeam/snipebeam/bench/slope"
 )
 
 // Figure is one measured value, with the bound it is held against if any.
@@ -19,6 +21,15 @@
 	Bound *float64 `json:"bound,omitempty"`
 	OK    *bool    `json:"ok,omitempty"`
 	Note  string   `json:"note,omitempty"`
+	Fit   *Fit     `json:"fit,omitempty"`
+}
+
+// Fit is the line through measured points of which the value is the slope.
+type Fit struct {
+	Intercept  float64      `json:"intercept"`
+	SlopeError float64      `json:"slopeError"`
+	R2         float64      `json:"r2"`
+	Points     [][2]float64 `json:"points"` // size and cost
 }
 
 // Plain returns a figure without a bound.
@@ -38,6 +49,16 @@
 	return Figure{Area: area, Name: name, Value: value, Unit: unit, Bound: &bound, OK: &ok}
 }
 
+// Slope returns the slope of a fitted line with its points.
+func Slope(area, name, unit string, line slope.Line, points []slope.Point) Figure {
+	f := Plain(area, name, line.Slope, unit)
+	f.Fit = &Fit{Intercept: line.Intercept, SlopeError: line.SlopeError, R2: line.R2}
+	for _, p := range points {
+		f.Fit.Points = append(f.Fit.Points, [2]float64{p.X, p.Y})
+	}
+	return f
+}
+
 // With returns the figure with a note.
 func (f Figure) With(note string) Figure {
 	f.Note = note
