--- /dev/null
+++ b/bench/control.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+
+	"github.com/snipebeam/snipebeam/bench/figure"
+	"github.com/snipebeam/snipebeam/control/schedule"
+)
+
+func init() { register("control", measureSchedules) }
+
+// Size of the generated schedules. The seeds differ from those of the tests.
+const (
+	scheduleCount     = 5000
+	scheduleSteps     = 600
+	scheduleFirstSeed = 1_000_000
+	scheduleWorkers   = 3
+)
+
+// scheduleTally sums up what many schedules did and broke.
+type scheduleTally struct {
+	mu       sync.Mutex
+	runs     int
+	broken   map[schedule.Promise]int
+	first    string
+	accepted int
+	claims   int
+	crashes  int
+	blanks   int
+	changes  int
+}
+
+func (t *scheduleTally) add(seed uint64, r *schedule.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs++
+	t.accepted += r.Accepted()
+	t.claims += r.Dispatched()
+	t.crashes += r.Crashes()
+	t.blanks += r.Blanks()
+	t.changes += r.Changes()
+	for _, v := range r.Violations() {
+		t.broken[v.Promise()]++
+		if t.first == "" {
+			t.first = fmt.Sprintf("seed %d: %s", seed, v)
+		}
+	}
+}
+
+func (t *scheduleTally) all() int {
+	n := 0
+	for _, count := range t.broken {
+		n += count
+	}
+	return n
+}
+
+func (t *scheduleTally) note() string {
+	note := fmt.Sprintf("%d schedules of %d steps, 3 and 5 hosts: %d changes accepted, %d claims dispatched, %d crashes, %d disks lost, %d memberships committed",
+		t.runs, scheduleSteps, t.accepted, t.claims, t.crashes, t.blanks, t.changes)
+	if t.first != "" {
+		note += "; first violation: " + t.first
+	}
+	return note
+}
+
+// measureSchedules runs generated schedules on disks that lose what was not
+// synced and counts the promises that were broken.
+func measureSchedules(emit func(figure.Figure)) error {
+	tally := &scheduleTally{broken: map[schedule.Promise]int{}}
+	var next atomic.Uint64
+	var group sync.WaitGroup
+	for range min(scheduleWorkers, runtime.GOMAXPROCS(0)) {
+		group.Go(func() {
+			for n := next.Add(1); n <= scheduleCount; n = next.Add(1) {
+				seed := scheduleFirstSeed + n
+				tally.add(seed, schedule.Run(schedule.NewRandom(seed), schedule.WithHosts(3+2*int(n%2)), schedule.WithSteps(scheduleSteps)))
+			}
+		})
+	}
+	group.Wait()
+	lost := tally.broken[schedule.NoLoss] + tally.broken[schedule.SameEntries]
+	doubled := tally.broken[schedule.OneHolder]
+	emit(figure.AtLeast("control", "schedules", float64(tally.runs), "schedules", scheduleCount).With(tally.note()))
+	emit(figure.AtMost("control", "lostAcceptedChanges", float64(lost), "changes", 0))
+	emit(figure.AtMost("control", "revertedVersions", float64(tally.broken[schedule.NoReversal]), "versions", 0))
+	emit(figure.AtMost("control", "doubleClaims", float64(doubled), "claims", 0))
+	emit(figure.AtMost("control", "brokenPromises", float64(tally.all()), "violations", 0).With("all promises of the schedules, those above among them"))
+	return nil
+}
