quorum: a replica that is the only voter stands at once

A group of one waited an election timeout for votes that nobody else gives. Requests to the group service that a follower passes on carry the hosts' key: it is accepted beside the operators'.

--- a/control/host/host.go
+++ b/control/host/host.go
@@ -59,7 +59,7 @@
 	handleRules(mux, ring, operators, wire.NewRulesServer(rules))
 	handleClaims(mux, ring, operators, wire.NewClaimsServer(claims))
 	mux.Handle(wire.QuorumPathPrefix, ring.Guard(wire.NewQuorumServer(node.Service())))
-	mux.Handle(wire.GroupPathPrefix, operators.Guard(wire.NewGroupServer(node.Group())))
+	handleGroup(mux, ring, operators, wire.NewGroupServer(node.Group()))
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	server := &http.Server{Handler: mux}
 	lc.Append(fx.Hook{
--- a/control/quorum/members.go
+++ b/control/quorum/members.go
@@ -85,6 +85,12 @@
 
 func (m *membership) isVoter(id string) bool { return m.member(id).GetRole() == Voter }
 
+// isOnlyVoter reports whether a replica needs no other one's vote.
+func (m *membership) isOnlyVoter(id string) bool {
+	voters := m.voters()
+	return len(voters) == 1 && voters[0] == id
+}
+
 func (m *membership) voters() []string {
 	var ids []string
 	for _, one := range m.newest().members {
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -120,7 +120,7 @@
 	if !r.members.isVoter(r.id) {
 		return
 	}
-	if r.elapsed >= r.timeout {
+	if r.elapsed >= r.timeout || r.members.isOnlyVoter(r.id) {
 		r.campaign()
 		return
 	}
