--- /dev/null
+++ b/control/peer/group_test.go
@@ -0,0 +1,179 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/control/disk"
+	"github.com/snipebeam/snipebeam/control/disk/memory"
+	"github.com/snipebeam/snipebeam/control/peer"
+	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+// patience ends a test that hangs; no verdict depends on it otherwise.
+const patience = time.Minute
+
+// host is an address at which nodes come and go.
+type host struct {
+	name    string
+	server  *httptest.Server
+	handler atomic.Pointer[http.Handler]
+	folder  *memory.Folder
+	store   *disk.Store
+	machine *state.Machine
+	node    *peer.Node
+	stop    func()
+}
+
+func (h *host) address() string { return strings.TrimPrefix(h.server.URL, "http://") }
+
+// ServeHTTP passes requests to the node that runs, if any.
+func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if handler := h.handler.Load(); handler != nil {
+		(*handler).ServeHTTP(w, r)
+		return
+	}
+	panic(http.ErrAbortHandler)
+}
+
+type group struct {
+	t     *testing.T
+	hosts []*host
+}
+
+// newGroup starts n nodes that form a group.
+func newGroup(t *testing.T, n int) *group {
+	g := &group{t: t}
+	for i := range n {
+		h := &host{name: fmt.Sprintf("control-%d", i+1), folder: memory.New()}
+		h.server = httptest.NewServer(h)
+		t.Cleanup(h.server.Close)
+		g.hosts = append(g.hosts, h)
+	}
+	for _, h := range g.hosts {
+		g.start(h)
+	}
+	return g
+}
+
+func (g *group) initial() []peer.Host {
+	var all []peer.Host
+	for _, h := range g.hosts {
+		all = append(all, peer.Host{Name: h.name, Address: h.address()})
+	}
+	return all
+}
+
+// start runs a node on the host's folder.
+func (g *group) start(h *host) {
+	store, saved, err := peer.OpenStore(h.folder, h.name)
+	must.NoError(g.t, err)
+	h.store, h.machine = store, state.New()
+	h.node, err = peer.New(peer.Config{
+		Name: h.name, Initial: g.initial(), Tick: 5 * time.Millisecond, ElectionTicks: 30, HeartbeatTicks: 3,
+		Logger: hclog.NewNullLogger(),
+	}, store, saved, h.machine)
+	must.NoError(g.t, err)
+	mux := http.NewServeMux()
+	mux.Handle(wire.QuorumPathPrefix, wire.NewQuorumServer(h.node.Service()))
+	mux.Handle(wire.GroupPathPrefix, wire.NewGroupServer(h.node.Group()))
+	var handler http.Handler = mux
+	h.handler.Store(&handler)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.node.Run(ctx)
+	}()
+	h.stop = func() {
+		h.handler.Store(nil)
+		cancel()
+		<-done
+		_ = store.Close()
+	}
+	g.t.Cleanup(func() { h.stop() })
+}
+
+// lose stops a host and gives it a blank disk.
+func (g *group) lose(h *host) {
+	h.stop()
+	h.folder = memory.New()
+}
+
+func (g *group) eventually(what string, condition func() bool) {
+	g.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		must.True(g.t, time.Now().Before(deadline), must.Sprint(what))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func submission(base uint64) *wire.Command {
+	return &wire.Command{Body: &wire.Command_Submit{Submit: &wire.SubmitRequest{
+		SubmissionId: fmt.Sprint("on ", base), BaseVersion: base, Text: fmt.Sprint("text ", base),
+	}}}
+}
+
+// submit proposes at a host until the answer is certain.
+func (g *group) submit(h *host, base uint64) *wire.SubmitResponse {
+	g.t.Helper()
+	var response *wire.SubmitResponse
+	g.eventually("submit at "+h.name, func() bool {
+		result, err := h.node.Propose(context.Background(), submission(base))
+		response = result.GetSubmit()
+		return err == nil
+	})
+	return response
+}
+
+func (g *group) leader() *host {
+	var found *host
+	g.eventually("a leader", func() bool {
+		for _, h := range g.hosts {
+			status := h.node.Status()
+			if status.Quorum() && status.Leader() == h.name && status.LeaderAddress() == h.address() && h.handler.Load() != nil {
+				found = h
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// others returns all hosts but one.
+func (g *group) others(not *host) []*host {
+	var all []*host
+	for _, h := range g.hosts {
+		if h != not {
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
+// change asks a host for a change of membership until it is done.
+func (g *group) change(h *host, change string, m *wire.Member) {
+	g.t.Helper()
+	last := ""
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		response, err := h.node.Group().Change(context.Background(), &wire.GroupChangeRequest{Change: change, Member: m})
+		if err == nil && response.GetDone() {
+			return
+		}
+		last = fmt.Sprint(response.GetRefusal(), err)
+		time.Sleep(time.Millisecond)
+	}
+	must.Unreachable(g.t, must.Sprintf("%s: %s", change, last))
+}
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -54,7 +54,7 @@
 const (
 	workQueue    = 4096
 	maxDrain     = 2048
-	keptEntries  = 4096 // entries kept in memory behind a snapshot
+	keptBytes    = 2 << 20 // of entries kept in memory behind a snapshot
 	minSnapshot  = 4 << 20
 	maxSnapshot  = 32 << 20
 	leaderWait   = 3 // election times that a proposal waits for a leader
--- /dev/null
+++ b/control/peer/peer_test.go
@@ -0,0 +1,169 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/control/agreement"
+	"github.com/snipebeam/snipebeam/control/peer"
+	"github.com/snipebeam/snipebeam/control/quorum"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+func TestAnyHostTakesProposalsAndConfirmsReads(t *testing.T) {
+	g := newGroup(t, 3)
+	for n, h := range g.hosts {
+		must.True(t, g.submit(h, uint64(n)).GetAccepted())
+	}
+	for _, h := range g.hosts {
+		g.eventually("a confirmed read", func() bool { return h.node.Confirm(context.Background()) == nil })
+		version, _ := h.machine.InForce()
+		must.Eq(t, 3, version.GetNumber())
+	}
+}
+
+func TestFailedDiskStopsAcceptanceForGood(t *testing.T) {
+	g := newGroup(t, 3)
+	g.submit(g.hosts[0], 0)
+	failed := g.leader()
+	failed.folder.FailSyncs(errors.New("input/output error"))
+	_, err := failed.node.Propose(context.Background(), submission(1))
+	must.Error(t, err)
+	failed.folder.FailSyncs(nil)
+	must.ErrorIs(t, failed.node.Confirm(context.Background()), agreement.ErrNoQuorum)
+	_, err = failed.node.Propose(context.Background(), submission(1))
+	must.ErrorIs(t, err, agreement.ErrNoQuorum)
+	must.False(t, failed.node.Status().Quorum())
+	must.True(t, g.submit(g.others(failed)[0], 1).GetAccepted())
+}
+
+func TestHostWithoutQuorumTakesAndConfirmsNothing(t *testing.T) {
+	g := newGroup(t, 3)
+	g.submit(g.hosts[0], 0)
+	alone := g.leader()
+	for _, h := range g.others(alone) {
+		h.stop()
+	}
+	must.ErrorIs(t, alone.node.Confirm(context.Background()), agreement.ErrNoQuorum)
+	_, err := alone.node.Propose(context.Background(), submission(1))
+	must.Error(t, err)
+	version, _ := alone.machine.InForce()
+	must.Eq(t, 1, version.GetNumber())
+}
+
+func TestRestartedGroupKnowsWhatIsInForce(t *testing.T) {
+	g := newGroup(t, 3)
+	for n := range uint64(20) {
+		g.submit(g.hosts[n%3], n)
+	}
+	for _, h := range g.hosts {
+		h.stop()
+	}
+	for _, h := range g.hosts {
+		g.start(h)
+	}
+	again := g.submit(g.hosts[1], 7)
+	must.True(t, again.GetAccepted())
+	must.Eq(t, 8, again.GetVersion().GetNumber())
+	must.True(t, g.submit(g.hosts[2], 20).GetAccepted())
+}
+
+func TestStoppingLeaderHandsOver(t *testing.T) {
+	g := newGroup(t, 3)
+	g.submit(g.hosts[0], 0)
+	old := g.leader()
+	term := old.node.Status().Term()
+	old.node.HandOver(context.Background())
+	old.stop()
+	next := g.leader()
+	must.NotEq(t, old.name, next.name)
+	must.Greater(t, term, next.node.Status().Term())
+	must.True(t, g.submit(g.others(old)[0], 1).GetAccepted())
+}
+
+// replace takes a host with a blank disk into the group in place of its old
+// identity.
+func (g *group) replace(h *host, old string) {
+	asked := g.others(h)[0]
+	g.change(asked, peer.ChangeAddLearner, &wire.Member{Name: h.name, Address: h.address()})
+	g.change(asked, peer.ChangePromote, &wire.Member{Identity: h.store.Identity().GetIdentity()})
+	g.change(asked, peer.ChangeRemove, &wire.Member{Identity: old})
+}
+
+func TestLostDiskIsReplacedThenASecondIsLost(t *testing.T) {
+	g := newGroup(t, 3)
+	g.submit(g.hosts[0], 0)
+	for n, h := range g.hosts {
+		old := h.store.Identity().GetIdentity()
+		g.lose(h)
+		g.start(h)
+		must.NotEq(t, old, h.store.Identity().GetIdentity())
+		g.replace(h, old)
+		must.True(t, g.submit(h, uint64(n+1)).GetAccepted())
+	}
+	for _, m := range g.leader().node.Status().Members() {
+		must.Eq(t, quorum.Voter, m.GetRole())
+	}
+	version, _ := g.leader().machine.InForce()
+	must.Eq(t, 4, version.GetNumber())
+}
+
+// The first host of the membership forms groups; with a blank disk it must
+// not, as long as another host belongs to one.
+func TestBlankHostFormsNoSecondGroup(t *testing.T) {
+	g := newGroup(t, 3)
+	g.submit(g.hosts[0], 0)
+	founder := g.hosts[0]
+	g.lose(founder)
+	g.start(founder)
+	g.submit(g.hosts[1], 1)
+	must.Eq(t, "", founder.store.Identity().GetGroup())
+	must.False(t, founder.node.Status().Quorum())
+}
+
+func TestFollowerFarBehindCatchesUpBySnapshot(t *testing.T) {
+	g := newGroup(t, 3)
+	g.submit(g.hosts[0], 0)
+	leader := g.leader()
+	behind := g.others(leader)[0]
+	behind.stop()
+	body := bytes.Repeat([]byte("x"), 60<<10)
+	for n := range 150 {
+		key := &wire.ClaimKey{IdempotencyKey: string(rune('a' + n))}
+		claim := &wire.Command{Body: &wire.Command_Claim{Claim: &wire.ClaimRequest{Key: key, ClaimId: "one"}}}
+		complete := &wire.Command{Body: &wire.Command_Complete{Complete: &wire.CompleteRequest{Key: key, ClaimId: "one", Answer: &wire.StoredAnswer{Body: body}}}}
+		for _, cmd := range []*wire.Command{claim, complete} {
+			g.eventually("a command", func() bool {
+				_, err := leader.node.Propose(context.Background(), cmd)
+				return err == nil
+			})
+		}
+	}
+	g.eventually("a snapshot", func() bool {
+		snapshot, err := leader.store.Snapshot()
+		must.NoError(t, err)
+		return snapshot.GetIndex() > 100
+	})
+	g.start(behind)
+	g.eventually("the same state", func() bool {
+		want, err := leader.machine.Snapshot()
+		must.NoError(t, err)
+		got, err := behind.machine.Snapshot()
+		must.NoError(t, err)
+		return bytes.Equal(want, got)
+	})
+}
+
+func TestTransferMovesTheLeadershipToAName(t *testing.T) {
+	g := newGroup(t, 3)
+	g.submit(g.hosts[0], 0)
+	leader := g.leader()
+	next := g.others(leader)[1]
+	g.eventually("the transfer", func() bool {
+		response, err := g.others(leader)[0].node.Group().Transfer(context.Background(), &wire.TransferRequest{To: next.name})
+		return (err == nil && response.GetLeader() == next.name) || g.leader() == next
+	})
+}
--- a/control/peer/snapshot.go
+++ b/control/peer/snapshot.go
@@ -49,6 +49,6 @@
 			return
 		}
 		n.snapshots.lastBytes = len(data)
-		n.replica.Compact(meta.GetIndex(), keptEntries)
+		n.replica.Compact(meta.GetIndex(), keptBytes)
 	})
 }
--- a/control/quorum/compact.go
+++ b/control/quorum/compact.go
@@ -12,13 +12,10 @@
 	}
 }
 
-// Compact drops the entries that a durable snapshot covers, but for some that
-// replicas a little behind may still need.
-func (r *Replica) Compact(snapshotIndex, keep uint64) {
-	if snapshotIndex < keep {
-		return
-	}
-	upTo := min(snapshotIndex-keep, r.log.applied)
+// Compact drops the entries that a durable snapshot covers, but for the last
+// ones up to a size, which replicas a little behind may still need.
+func (r *Replica) Compact(snapshotIndex uint64, keepBytes int) {
+	upTo := r.log.keepFrom(min(snapshotIndex, r.log.applied), keepBytes)
 	if upTo <= r.log.offset {
 		return
 	}
@@ -26,5 +23,20 @@
 	r.members.compact(upTo)
 }
 
+// keepFrom returns the index before the last entries of a size up to an index.
+func (l *entryLog) keepFrom(index uint64, keepBytes int) uint64 {
+	size := 0
+	for ; index > l.offset; index-- {
+		size += len(l.entries[index-l.offset-1].GetData()) + entryOverhead
+		if size > keepBytes {
+			return index
+		}
+	}
+	return index
+}
+
+// entryOverhead is what an entry takes in memory beside its data, in bytes.
+const entryOverhead = 128
+
 // LogBytes returns the size of the entries kept in memory.
 func (r *Replica) LogBytes() int { return r.log.bytes }
--- a/control/schedule/host.go
+++ b/control/schedule/host.go
@@ -215,7 +215,7 @@
 }
 
 // snapshot saves the state and shortens the log.
-func (h *host) snapshot(keep uint64) {
+func (h *host) snapshot(keepBytes int) {
 	if h.replica.AppliedIndex() == 0 {
 		return
 	}
@@ -237,5 +237,5 @@
 		h.crash()
 		return
 	}
-	h.replica.Compact(s.GetIndex(), keep)
+	h.replica.Compact(s.GetIndex(), keepBytes)
 }
--- a/control/schedule/world.go
+++ b/control/schedule/world.go
@@ -41,6 +41,9 @@
 // maxDelivered bounds the messages that arrive in one step.
 const maxDelivered = 6
 
+// maxKeptBytes bounds the entries kept behind a snapshot.
+const maxKeptBytes = 1500
+
 // maxFlight bounds the messages that are on their way.
 const maxFlight = 200
 
@@ -122,7 +125,7 @@
 		w.breakSomething()
 	case n < 98:
 		if h := w.anyHost(); h.up {
-			h.snapshot(uint64(w.source.Int(8)))
+			h.snapshot(w.source.Int(maxKeptBytes))
 		}
 	default:
 		w.changeMembers()
