--- a/control/disk/disk.go
+++ b/control/disk/disk.go
@@ -91,14 +91,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.create(identity); err != nil {
+	if err := s.create(identity, nil); err != nil {
 		_ = s.Close()
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *Store) create(identity *wire.ReplicaIdentity) error {
+func (s *Store) create(identity *wire.ReplicaIdentity, snapshot *wire.LogSnapshot) error {
 	names, err := s.folder.Names()
 	if err != nil {
 		return errors.Wrap(err, "list data folder")
@@ -118,6 +118,11 @@
 	if err := s.rotate(); err != nil {
 		return err
 	}
+	if snapshot != nil {
+		if err := s.SaveSnapshot(snapshot); err != nil {
+			return err
+		}
+	}
 	return s.saveIdentity(identity)
 }
 
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -269,6 +269,7 @@
 	case wire.EntryKind_ENTRY_MEMBERS:
 		n.logger.Info("membership committed", "index", e.GetIndex(), "members", describe(e.GetMembers().GetMembers()))
 		n.syncLinks()
+		n.publish()
 	}
 	n.applied = e.GetIndex()
 	n.snapshots.logBytes += len(e.GetData()) + entryOverhead
