operator: stale answers name the time a quorum was last heard

A host without a quorum marked its answers as of now, which is what it cannot know. Errors of proposals now carry whether the command may still be carried out.

--- a/control/agreement/agreement.go
+++ b/control/agreement/agreement.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -45,6 +46,7 @@
 	commitIndex   uint64
 	quorum        bool
 	members       []*wire.Member
+	asOf          time.Time
 }
 
 // NewStatus returns a status.
@@ -55,6 +57,15 @@
 	}
 }
 
+// WithAsOf returns the status with the time at which a quorum was last heard.
+func (s Status) WithAsOf(t time.Time) Status {
+	s.asOf = t
+	return s
+}
+
+// AsOf returns when this host last heard a quorum's word; zero if it never did.
+func (s Status) AsOf() time.Time { return s.asOf }
+
 // Leader returns the leader's name, empty if unknown.
 func (s Status) Leader() string { return s.leader }
 
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -27,6 +28,9 @@
 	"go.uber.org/fx/fxevent"
 )
 
+// readHeaderLimit bounds how long a client may take to send its headers.
+const readHeaderLimit = 5 * time.Second
+
 // New returns the application of one control host.
 func New(cfg *settings.Settings, logger hclog.Logger) *fx.App {
 	return fx.New(
@@ -63,7 +67,7 @@
 	mux.Handle(wire.QuorumPathPrefix, ring.Guard(wire.NewQuorumServer(node.Service())))
 	handleGroup(mux, ring, operators, wire.NewGroupServer(node.Group()))
 	handleHealth(mux, node, exporter)
-	server := &http.Server{Handler: mux}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderLimit}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			listener, err := net.Listen("tcp", cfg.Listen.Peers)
--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -9,8 +9,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/control/agreement"
 	"github.com/snipebeam/snipebeam/control/fleet"
 	"github.com/snipebeam/snipebeam/control/state"
@@ -23,6 +25,7 @@
 const (
 	maxHistory   = 10_000
 	confirmLimit = time.Second
+	maxTextBytes = 1 << 20
 )
 
 // Rules implements the Twirp service.
@@ -45,6 +48,9 @@
 	if req.GetSubmissionId() == "" {
 		return nil, twirp.RequiredArgumentError("submission_id")
 	}
+	if len(req.GetText()) > maxTextBytes {
+		return nil, twirp.InvalidArgumentError("text", fmt.Sprintf("is larger than %d bytes", maxTextBytes))
+	}
 	if _, findings := rule.Parse("rules", req.GetText()); findings.HasErrors() {
 		return nil, twirp.InvalidArgumentError("text", findings.Err().Error())
 	}
@@ -56,9 +62,23 @@
 	return result.GetSubmit(), nil
 }
 
+// MetaTaken is the key under which an error says whether the command may still
+// be carried out: TakenNo or TakenUnknown.
+const MetaTaken = "taken"
+
+// Values of MetaTaken.
+const (
+	TakenNo      = "no"
+	TakenUnknown = "unknown"
+)
+
 // ProposeError turns an error of the log into one of Twirp.
 func ProposeError(err error) error {
-	return twirp.WrapError(twirp.NewError(twirp.Unavailable, err.Error()), err)
+	taken := TakenUnknown
+	if errors.Is(err, agreement.ErrNotLeader) || errors.Is(err, agreement.ErrNoQuorum) {
+		taken = TakenNo
+	}
+	return twirp.WrapError(twirp.NewError(twirp.Unavailable, err.Error()).WithMeta(MetaTaken, taken), err)
 }
 
 // Read returns one version.
@@ -69,7 +89,7 @@
 		version, text = s.machine.Version(req.GetNumber())
 	}
 	return &wire.ReadResponse{
-		Version: version, Text: text, Stale: stale, AsOf: time.Now().UnixNano(), ServedBy: s.name,
+		Version: version, Text: text, Stale: stale, AsOf: s.asOf(stale), ServedBy: s.name,
 	}, nil
 }
 
@@ -79,6 +99,18 @@
 	return s.log.Confirm(ctx)
 }
 
+// asOf returns now for a current answer, and for a stale one the time at which
+// a quorum was last heard; zero if that was never.
+func (s *Rules) asOf(stale bool) int64 {
+	if !stale {
+		return time.Now().UnixNano()
+	}
+	if heard := s.log.Status().AsOf(); !heard.IsZero() {
+		return heard.UnixNano()
+	}
+	return 0
+}
+
 // History lists accepted versions, newest first.
 func (s *Rules) History(ctx context.Context, req *wire.HistoryRequest) (*wire.HistoryResponse, error) {
 	stale := s.confirm(ctx) != nil
@@ -86,7 +118,7 @@
 	if limit <= 0 || limit > maxHistory {
 		limit = maxHistory
 	}
-	return &wire.HistoryResponse{Versions: s.machine.History(limit), Stale: stale, AsOf: time.Now().UnixNano()}, nil
+	return &wire.HistoryResponse{Versions: s.machine.History(limit), Stale: stale, AsOf: s.asOf(stale)}, nil
 }
 
 // Status describes the control group and the hosts that report to it.
@@ -95,7 +127,7 @@
 	version, _ := s.machine.InForce()
 	held, unknown := s.machine.CountClaims()
 	return &wire.StatusResponse{
-		ServedBy: s.name, AsOf: time.Now().UnixNano(), Quorum: status.Quorum(), Leader: status.Leader(),
+		ServedBy: s.name, AsOf: s.asOf(!status.Quorum()), Quorum: status.Quorum(), Leader: status.Leader(),
 		Term: status.Term(), Members: status.Members(), Hosts: s.fleet.Hosts(time.Now()), Version: version,
 		ClaimsOutstanding: uint64(held), ClaimsUnknown: uint64(unknown), CommitIndex: status.CommitIndex(),
 	}, nil
--- a/control/peer/link.go
+++ b/control/peer/link.go
@@ -15,9 +15,10 @@
 const (
 	linkQueue         = 4096
 	maxStepMessages   = 256
-	maxStepBytes      = 4 << 20
+	maxStepBytes      = 512 << 10
 	snapshotSendLimit = 30 * time.Second
 	idleLimit         = 30 * time.Second
+	snapshotReads     = 3
 )
 
 // link sends messages to one other replica, one request at a time. A request
@@ -119,7 +120,7 @@
 // sendSnapshot attaches the newest snapshot, which may be newer than the one
 // the replica knew of.
 func (l *link) sendSnapshot(ctx context.Context, m *wire.QuorumMessage) {
-	snapshot, err := l.node.store.Snapshot()
+	snapshot, err := l.newestSnapshot(ctx)
 	if err != nil || snapshot == nil {
 		l.node.logger.Error("there is no snapshot to send", "error", err)
 		return
@@ -129,6 +130,20 @@
 	l.step(ctx, []*wire.QuorumMessage{m}, snapshotSendLimit)
 }
 
+// newestSnapshot reads the newest snapshot. A newer one may replace the file
+// while it is read.
+func (l *link) newestSnapshot(ctx context.Context) (*wire.LogSnapshot, error) {
+	var snapshot *wire.LogSnapshot
+	var err error
+	for range snapshotReads {
+		if snapshot, err = l.node.store.Snapshot(); err == nil {
+			return snapshot, nil
+		}
+		pause(ctx, retryPause)
+	}
+	return nil, err
+}
+
 func (l *link) close() {
 	l.cancel()
 	l.transport.CloseIdleConnections()
--- a/control/peer/view.go
+++ b/control/peer/view.go
@@ -18,13 +18,14 @@
 	term          uint64
 	commitIndex   uint64
 	quorum        bool
+	heardAt       time.Time // when a quorum's word was last heard
 	members       []*wire.Member
 }
 
 // Status describes the control group as this host sees it.
 func (n *Node) Status() agreement.Status {
 	v := n.view.Load()
-	return agreement.NewStatus(v.leaderName, v.leaderAddress, v.term, v.commitIndex, v.quorum, v.members)
+	return agreement.NewStatus(v.leaderName, v.leaderAddress, v.term, v.commitIndex, v.quorum, v.members).WithAsOf(v.heardAt)
 }
 
 // noteLeader publishes the view at once when the leader or the term changed.
@@ -50,6 +51,10 @@
 		leader:   n.replica.Leader(), term: n.replica.Term(), commitIndex: n.replica.CommitIndex(),
 		quorum: n.replica.HeardQuorum() && n.failure() == nil,
 	}
+	v.heardAt = n.view.Load().heardAt
+	if v.quorum {
+		v.heardAt = time.Now()
+	}
 	for _, m := range n.replica.Members() {
 		if m.GetIdentity() == v.leader {
 			v.leaderName, v.leaderAddress = m.GetName(), m.GetAddress()
--- a/control/quorum/options.go
+++ b/control/quorum/options.go
@@ -11,7 +11,7 @@
 
 func defaultOptions() options {
 	return options{
-		electionTicks: 12, heartbeatTicks: 2, maxBatchBytes: 1 << 20,
+		electionTicks: 12, heartbeatTicks: 2, maxBatchBytes: 256 << 10,
 		maxInFlight: 8192, maxPromotionLag: 1024, seed: 1,
 	}
 }
