--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -54,7 +54,7 @@
 const (
 	workQueue    = 4096
 	maxDrain     = 2048
-	keptEntries  = 4096 // entries kept in memory behind a snapshot
+	keptBytes    = 2 << 20 // of entries kept in memory behind a snapshot
 	minSnapshot  = 4 << 20
 	maxSnapshot  = 32 << 20
 	leaderWait   = 3 // election times that a proposal waits for a leader
@@ -269,6 +269,7 @@
 	case wire.EntryKind_ENTRY_MEMBERS:
 		n.logger.Info("membership committed", "index", e.GetIndex(), "members", describe(e.GetMembers().GetMembers()))
 		n.syncLinks()
+		n.publish()
 	}
 	n.applied = e.GetIndex()
 	n.snapshots.logBytes += len(e.GetData()) + entryOverhead
