--- a/snipebeam/control/client.go
+++ b/snipebeam/control/client.go
@@ -142,9 +142,11 @@
 	case twirp.InvalidArgument, twirp.NotFound:
 		return ""
 	case twirp.BadRoute, twirp.Unimplemented:
-		return " (this control host does not know the call; is it a control host, of this release?)"
+		return " (is that the peers listener of a control host, of this release?)"
+	case twirp.Unavailable:
+		return " (see which control hosts can be reached with \"snipebeam status\")"
 	default:
-		return " (no control host could do it; look at \"snipebeam status\", or name other hosts with --control)"
+		return " (does a control host run there? name others with --control)"
 	}
 }
 
--- /dev/null
+++ b/world/program/level.go
@@ -0,0 +1,48 @@
+package program
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/snipebeam/snipebeam/world/logging"
+)
+
+// debugLevel is what SIGUSR1 sets; SIGUSR2 goes back.
+const debugLevel = "debug"
+
+// followLevel changes the log level on signals until the returned function is
+// called: SIGUSR1 sets debug for all packages, SIGUSR2 the level at the start.
+func followLevel(logger hclog.Logger) func() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2)
+	first := logger.GetLevel().String()
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case s := <-signals:
+				setLevel(logger, s, first)
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
+
+func setLevel(logger hclog.Logger, s os.Signal, first string) {
+	level := first
+	if s == syscall.SIGUSR1 {
+		level = debugLevel
+	}
+	if err := logging.SetLevel(logger, "", level); err != nil {
+		logger.Error("log level not changed", "error", err)
+		return
+	}
+	logger.Info("log level changed", "level", level)
+}
