--- a/snipebeam/command/backlog.go
+++ b/snipebeam/command/backlog.go
@@ -44,7 +44,7 @@
 		lines = append(lines, c.wanted(answer.Value.GetServices())...)
 	}
 	view := backlogView{
-		AsOf: time.Now().Format(time.RFC3339), Heard: len(gathered.Answers), Unheard: gathered.Unheard,
+		AsOf: time.Now().Format(time.RFC3339), Heard: len(gathered.Answers), Unheard: append([]string{}, gathered.Unheard...),
 		Services: entry.Combine(lines, len(gathered.Unheard) > 0),
 	}
 	if err := c.own(ctx, g, view.Services); err != nil {
--- a/snipebeam/command/explain.go
+++ b/snipebeam/command/explain.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/url"
@@ -110,12 +111,21 @@
 	} else {
 		out.Line("rule: %s", r.GetRule())
 	}
-	if r.GetDecisionJson() != "" {
-		out.Line("decision: %s", r.GetDecisionJson())
+	if view.Decision != nil {
+		out.Line("decision: %s", indented(view.Decision))
+		return out.Show(view, nil)
 	}
 	return out.Show(view, candidateRows(out, view.Candidates))
 }
 
+func indented(document json.RawMessage) string {
+	var b bytes.Buffer
+	if err := json.Indent(&b, document, "", "  "); err != nil {
+		return string(document)
+	}
+	return b.String()
+}
+
 func candidates(r *wire.ExplainResponse) []candidateView {
 	views := []candidateView{}
 	for _, c := range r.GetCandidates() {
--- a/snipebeam/command/group.go
+++ b/snipebeam/command/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/snipebeam/control"
 	"github.com/snipebeam/snipebeam/snipebeam/terminal"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
@@ -87,6 +88,9 @@
 	ctx, cancel := g.context()
 	defer cancel()
 	r, err := client.Transfer(ctx, c.To)
+	if control.Refused(err) {
+		return &Refusal{text: "refused: " + err.Error()}
+	}
 	if err != nil {
 		return errors.Wrap(err, "hand leadership over")
 	}
--- a/snipebeam/control/client.go
+++ b/snipebeam/control/client.go
@@ -108,6 +108,22 @@
 	return errors.As(err, &t) && t.Code() == twirp.InvalidArgument
 }
 
+// Refused reports whether a control host answered that a call cannot be done
+// as things stand.
+func Refused(err error) bool {
+	var failure *Failure
+	if !errors.As(err, &failure) {
+		return false
+	}
+	for _, one := range failure.errs {
+		var t twirp.Error
+		if errors.As(one, &t) && t.Code() == twirp.FailedPrecondition {
+			return true
+		}
+	}
+	return false
+}
+
 // Failure is the error of a call that no control host answered.
 type Failure struct {
 	hosts []string
@@ -139,7 +155,7 @@
 	switch t.Code() {
 	case twirp.Unauthenticated, twirp.PermissionDenied:
 		return " (give the operators' key with --key-file)"
-	case twirp.InvalidArgument, twirp.NotFound:
+	case twirp.InvalidArgument, twirp.NotFound, twirp.FailedPrecondition:
 		return ""
 	case twirp.BadRoute, twirp.Unimplemented:
 		return " (is that the peers listener of a control host, of this release?)"
