--- a/world/outcome/outcome.go
+++ b/world/outcome/outcome.go
@@ -54,6 +54,9 @@
 	Malformed        Reason = "malformed"
 	UpgradeRefused   Reason = "upgrade-refused"
 	CallerGone       Reason = "caller-gone"
+	BodyCut          Reason = "body-cut"
+	AnswerLost       Reason = "answer-lost"
+	Internal         Reason = "internal"
 )
 
 type reasonFacts struct {
@@ -81,6 +84,9 @@
 	Malformed:        {http.StatusBadRequest, 0},
 	UpgradeRefused:   {http.StatusNotImplemented, 0},
 	CallerGone:       {499, 0},
+	BodyCut:          {http.StatusBadRequest, 0},
+	AnswerLost:       {http.StatusConflict, 0},
+	Internal:         {http.StatusInternalServerError, 0},
 }
 
 // Problem is an outcome other than an answer. It is an error, and a JSON
@@ -102,6 +108,9 @@
 // Reason returns the machine-readable reason.
 func (p *Problem) Reason() Reason { return p.reason }
 
+// Detail returns the explanation for people.
+func (p *Problem) Detail() string { return p.detail }
+
 // Status returns the HTTP status.
 func (p *Problem) Status() int { return facts[p.reason].status }
 
