poison: refuse a request that was lost with two instances

Everything in flight at a lost instance is a suspect; an answer elsewhere clears it; suspects run one at a time, so that an innocent request is not lost with its second instance beside the poison; losses of three or more instances within a second count for nobody. Weighed and dropped: noting only requests that were alone, which misses a poison that shares its instance.

--- /dev/null
+++ b/entry/poison/book_test.go
@@ -0,0 +1,134 @@
+package poison_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/poison"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+func lose(book *poison.Book, fp poison.Fingerprint, instance string, others ...poison.Fingerprint) {
+	var flights []*poison.Flight
+	for _, other := range others {
+		flights = append(flights, book.Enter(context.Background(), other, instance))
+	}
+	flight := book.Enter(context.Background(), fp, instance)
+	flight.Lost(context.Background())
+	flight.Leave()
+	for _, one := range flights {
+		one.Lost(context.Background())
+		one.Leave()
+	}
+}
+
+func refused(book *poison.Book, fp poison.Fingerprint) bool {
+	_, yes := book.Refused(fp, time.Now())
+	return yes
+}
+
+func TestSecondLossRefusesForASetTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := poison.NewBook(poison.WithRefusal(time.Minute))
+		lose(book, 1, "a")
+		must.False(t, refused(book, 1))
+		lose(book, 1, "a") // the same instance, noticed by another request
+		must.False(t, refused(book, 1))
+		lose(book, 1, "b")
+		must.True(t, refused(book, 1))
+		must.False(t, refused(book, 2))
+		time.Sleep(time.Minute)
+		must.False(t, refused(book, 1))
+	})
+}
+
+func TestInnocentCompanionIsCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := poison.NewBook()
+		lose(book, 1, "a", 2)
+		ran := book.Enter(t.Context(), 2, "b")
+		ran.Answered()
+		ran.Leave()
+		lose(book, 1, "b", 2)
+		must.True(t, refused(book, 1))
+		must.False(t, refused(book, 2))
+	})
+}
+
+func TestSuspectsRunOneAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := poison.NewBook()
+		lose(book, 1, "a", 2)
+		first := book.Enter(t.Context(), 1, "b")
+		entered := make(chan *poison.Flight, 1)
+		go func() { entered <- book.Enter(context.Background(), 2, "b") }()
+		synctest.Wait()
+		must.Eq(t, 0, len(entered))
+		first.Lost(t.Context())
+		first.Leave()
+		synctest.Wait()
+		second := <-entered
+		second.Answered()
+		second.Leave()
+		must.True(t, refused(book, 1))
+		must.False(t, refused(book, 2))
+	})
+}
+
+func TestLostRackCondemnsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := poison.NewBook()
+		for n := range 6 {
+			lose(book, 7, fmt.Sprint("rack-", n), poison.Fingerprint(100+n))
+		}
+		must.False(t, refused(book, 7))
+		for n := range 6 {
+			must.False(t, refused(book, poison.Fingerprint(100+n)))
+		}
+	})
+}
+
+func TestOtherHostsKnowBeforeTheCallerIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := make([]*poison.Book, 29)
+		for n := range hosts {
+			hosts[n] = poison.NewBook(poison.WithShare(func(_ context.Context, suspects []*wire.Suspect) {
+				for other := range hosts {
+					if other != n {
+						hosts[other].Merge(suspects, time.Now())
+					}
+				}
+			}))
+		}
+		lost := 0
+		for n := range 100 {
+			if host := hosts[n%len(hosts)]; !refused(host, 1) {
+				lose(host, 1, fmt.Sprint("instance-", lost))
+				lost++
+			}
+		}
+		must.Eq(t, 2, lost)
+	})
+}
+
+func TestRefusalOfAnotherHostIsNoLongerThanOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := poison.NewBook(poison.WithRefusal(time.Minute))
+		book.Merge([]*wire.Suspect{{Fingerprint: 1, Instances: []string{"a", "b"}, RefusedUntil: time.Now().Add(24 * time.Hour).UnixNano()}}, time.Now())
+		until, yes := book.Refused(1, time.Now())
+		must.True(t, yes)
+		must.True(t, !until.After(time.Now().Add(time.Minute)))
+	})
+}
+
+func TestFingerprintTellsBodiesAndPartsApart(t *testing.T) {
+	base := poison.Of(1, []byte("a"), "x", "y")
+	must.Eq(t, base, poison.Of(1, []byte("a"), "x", "y"))
+	for _, other := range []poison.Fingerprint{poison.Of(1, []byte("b"), "x", "y"), poison.Of(2, []byte("a"), "x", "y"), poison.Of(1, []byte("a"), "xy", "")} {
+		must.NotEq(t, base, other)
+	}
+}
