--- a/entry/caller/once.go
+++ b/entry/caller/once.go
@@ -2,116 +2,175 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/world/outcome"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
 // Times of claims.
 const (
-	claimLimit    = 2 * time.Second
-	heldPause     = 50 * time.Millisecond
-	completeLimit = 5 * time.Second
+	claimLimit     = 2 * time.Second
+	firstHeldPause = 20 * time.Millisecond
+	lastHeldPause  = 400 * time.Millisecond
 )
 
+// ofThisAttempt limits what "not run" says about a key.
+const ofThisAttempt = "; this says nothing of an earlier attempt with the key"
+
 // runOnce runs a request that must run at most once: it dispatches only on a
-// claim that a quorum committed.
-func (h *Handler) runOnce(ctx context.Context, c *call) *outcome.Problem {
-	header := c.rule.Contract().OnceHeader()
-	given := c.r.Header.Get(header)
-	if given == "" {
-		return outcome.New(outcome.NotRun, outcome.KeyMissing, "the rule asks for the header "+header)
-	}
+// claim that a quorum committed. A claim that was asked for and is not used is
+// released, in the background, until that is acknowledged.
+func (h *Handler) runOnce(c *call) *outcome.Problem {
+	given := c.r.Header.Get(c.rule.Contract().OnceHeader())
 	req := &wire.ClaimRequest{
 		Key:     &wire.ClaimKey{Service: c.service, Caller: c.caller, IdempotencyKey: given},
-		ClaimId: uuid.NewString(), Holder: h.holder, Fingerprint: fingerprint(c.r),
+		ClaimId: uuid.NewString(), Holder: h.holder, Fingerprint: claimPrint(c),
 	}
-	for {
-		response, err := h.claim(ctx, req)
+	held := false
+	for pause := firstHeldPause; ; pause = min(2*pause, lastHeldPause) {
+		response, err := h.claim(c.clock, req)
 		if err != nil {
-			h.release(req)
-			return outcome.New(outcome.NotRun, outcome.ClaimUnavailable, err.Error())
+			h.parts.Settler.Release(req)
+			return c.unclaimed(held, err.Error())
 		}
 		switch response.GetState() {
 		case wire.ClaimState_CLAIM_GRANTED:
-			return h.dispatchClaimed(ctx, c, req)
+			return h.dispatchClaimed(c, req)
 		case wire.ClaimState_CLAIM_COMPLETED:
-			return replay(c, response.GetAnswer())
+			return h.replay(c, response.GetAnswer())
 		case wire.ClaimState_CLAIM_MISMATCH:
-			return outcome.New(outcome.NotRun, outcome.KeyReused, "the key was used for another request")
+			return outcome.New(outcome.NotRun, outcome.KeyReused, "the key was used for another request"+ofThisAttempt)
 		case wire.ClaimState_CLAIM_HELD:
+			held = true
 		default:
-			return outcome.New(outcome.NotRun, outcome.ClaimUnavailable, "no room for a new claim")
+			return c.unclaimed(held, "the claim was refused: "+response.GetState().String())
 		}
-		if response.GetUnknown() || !wait(ctx, heldPause) {
-			return outcome.New(outcome.Unknown, outcome.ClaimHeld, "an earlier attempt may have run: "+response.GetHolder())
+		if response.GetUnknown() || !wait(c.clock, pause) {
+			h.parts.Settler.Release(req)
+			return outcome.New(outcome.Unknown, outcome.ClaimHeld, heldDetail(response))
 		}
 	}
 }
 
+// unclaimed is the outcome of a request whose claim could not be had. An
+// earlier attempt that holds the key may have run.
+func (c *call) unclaimed(held bool, detail string) *outcome.Problem {
+	if held {
+		return c.problem(outcome.Unknown, outcome.ClaimHeld, "an earlier attempt with the key may have run; "+detail)
+	}
+	return c.problem(outcome.NotRun, outcome.ClaimUnavailable, detail+ofThisAttempt)
+}
+
+func heldDetail(response *wire.ClaimResponse) string {
+	at := time.Unix(0, response.GetClaimedAt()).UTC().Format(time.RFC3339)
+	detail := "an earlier attempt holds the key since " + at + " at " + response.GetHolder()
+	if response.GetUnknown() {
+		return detail + " and its outcome is unknown; an operator can resolve it"
+	}
+	return detail + " and has neither completed nor released it; its host may have stopped"
+}
+
 func (h *Handler) claim(ctx context.Context, req *wire.ClaimRequest) (*wire.ClaimResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimLimit)
 	defer cancel()
 	return h.parts.Claims.Claim(ctx, req)
 }
 
-// dispatchClaimed sends the request and stores the answer.
-func (h *Handler) dispatchClaimed(ctx context.Context, c *call, req *wire.ClaimRequest) *outcome.Problem {
-	seen := &recorder{}
-	problem, _ := h.attempt(ctx, c, 1, nil, seen)
-	if problem == nil {
-		h.complete(req, seen.answer())
-		return nil
+// dispatchClaimed sends the request and settles the claim, whatever happens
+// on the way. From here on the instance finishes also if the caller goes.
+func (h *Handler) dispatchClaimed(c *call, req *wire.ClaimRequest) *outcome.Problem {
+	if c.clock.Err() != nil {
+		h.parts.Settler.Release(req)
+		return c.problem(outcome.NotRun, outcome.CallerGone, "the claim came too late"+ofThisAttempt)
 	}
-	if problem.Kind() == outcome.NotRun {
-		h.release(req)
+	c.clock.detach()
+	seen := &recorder{}
+	settled := false
+	defer func() {
+		if !settled { // an abort or another panic
+			h.parts.Settler.Complete(req, seen.answer())
+		}
+	}()
+	problem := h.tries(c, seen)
+	settled = true
+	if problem != nil && problem.Kind() == outcome.NotRun {
+		h.parts.Settler.Release(req)
+		return problem
 	}
+	h.parts.Settler.Complete(req, seen.answer())
 	return problem
 }
 
-func (h *Handler) complete(req *wire.ClaimRequest, answer *wire.StoredAnswer) {
-	ctx, cancel := context.WithTimeout(context.Background(), completeLimit)
-	defer cancel()
-	// A lost completion leaves the claim held: resends are told unknown.
-	_, _ = h.parts.Claims.Complete(ctx, &wire.CompleteRequest{Key: req.GetKey(), ClaimId: req.GetClaimId(), Answer: answer})
-}
-
-func (h *Handler) release(req *wire.ClaimRequest) {
-	ctx, cancel := context.WithTimeout(context.Background(), completeLimit)
-	defer cancel()
-	_, _ = h.parts.Claims.Release(ctx, &wire.ReleaseRequest{Key: req.GetKey(), ClaimId: req.GetClaimId()})
-}
-
 // replay sends a stored answer.
-func replay(c *call, answer *wire.StoredAnswer) *outcome.Problem {
-	if answer.GetBodyDropped() {
+func (h *Handler) replay(c *call, answer *wire.StoredAnswer) *outcome.Problem {
+	switch {
+	case answer.GetStatus() == 0:
+		return outcome.New(outcome.Unknown, outcome.ClaimHeld, "an earlier attempt may have run; its answer was lost")
+	case answer.GetCut():
+		return outcome.New(outcome.Unknown, outcome.AnswerLost, "an earlier attempt was answered; its answer was cut on the way")
+	case answer.GetBodyDropped():
 		return outcome.New(outcome.Unknown, outcome.AnswerTooLarge, "the request ran; its answer was too large to keep")
 	}
+	header := http.Header{}
 	for _, one := range answer.GetHeaders() {
-		c.w.Header().Add(one.GetName(), one.GetValue())
+		header.Add(one.GetName(), one.GetValue())
 	}
+	copyHeader(c.w.Header(), header)
 	c.w.Header().Set(outcome.Header, string(outcome.Answer))
 	c.w.Header().Set(outcome.DecisionHeader, c.id)
+	c.w.Header().Set(ReplayedHeader, "true")
+	c.allowWrite()
+	c.sent = true
 	c.w.WriteHeader(int(answer.GetStatus()))
-	_, _ = c.w.Write(answer.GetBody())
+	c.deliver(answer.GetBody(), false)
+	c.decision.Status = int(answer.GetStatus())
+	h.write(c, "replayed")
 	return nil
 }
 
-func fingerprint(r *http.Request) []byte {
+// ReplayedHeader marks a stored answer of an earlier attempt.
+const ReplayedHeader = "Snipebeam-Replayed"
+
+// claimPrint is the fingerprint of method, target, length and the kept start
+// of the body.
+func claimPrint(c *call) []byte {
 	digest := xxhash.New()
-	_, _ = digest.WriteString(r.Method + "\x00" + r.URL.RequestURI())
+	_, _ = digest.WriteString(c.r.Method + "\x00" + c.r.URL.RequestURI() + "\x00")
+	_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, uint64(c.body.length)))
+	_, _ = digest.Write(c.body.start)
 	return digest.Sum(nil)
 }
 
+// poisonPrint is the fingerprint under which a request that costs instances is
+// known: its rule, its key or else its target, and its body. A body that is
+// not kept whole counts by its length, and only for its own caller.
+func (h *Handler) poisonPrint(c *call) poison.Fingerprint {
+	terms := c.rule.Contract()
+	parts := []string{c.service, c.rule.String(), c.r.Method}
+	if terms.Once() {
+		parts = append(parts, c.caller, c.r.Header.Get(terms.OnceHeader()))
+	} else {
+		parts = append(parts, c.r.URL.RequestURI())
+	}
+	if !c.body.whole {
+		parts = append(parts, c.caller)
+	}
+	return poison.Of(c.body.length, c.body.start, parts...)
+}
+
 func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(d):
+	case <-timer.C:
 		return true
 	}
 }
--- a/entry/caller/recorder.go
+++ b/entry/caller/recorder.go
@@ -7,7 +7,7 @@
 )
 
 // maxStoredBodyBytes bounds the body that is stored with a claim.
-const maxStoredBodyBytes = 64 << 10
+const maxStoredBodyBytes = 48 << 10
 
 // recorder keeps a copy of an answer up to a bounded size. A nil recorder
 // keeps nothing.
@@ -16,6 +16,7 @@
 	header   http.Header
 	body     []byte
 	overflow bool
+	lost     bool
 }
 
 func (r *recorder) head(response *http.Response) {
@@ -26,21 +27,32 @@
 	r.header = response.Header.Clone()
 }
 
-// Write keeps a copy of a part of the body.
-func (r *recorder) Write(p []byte) (int, error) {
+// keep takes a part of the body.
+func (r *recorder) keep(p []byte) {
 	if r == nil || r.overflow {
-		return len(p), nil
+		return
 	}
 	if len(r.body)+len(p) > maxStoredBodyBytes {
 		r.overflow, r.body = true, nil
-		return len(p), nil
+		return
 	}
 	r.body = append(r.body, p...)
-	return len(p), nil
 }
 
+// cut records that the answer did not come whole.
+func (r *recorder) cut() {
+	if r == nil {
+		return
+	}
+	r.lost, r.overflow, r.body = true, true, nil
+}
+
+// answer returns the answer as it is stored, nil if there was none.
 func (r *recorder) answer() *wire.StoredAnswer {
-	answer := &wire.StoredAnswer{Status: uint32(r.status), Body: r.body, BodyDropped: r.overflow}
+	if r.status == 0 {
+		return nil
+	}
+	answer := &wire.StoredAnswer{Status: uint32(r.status), Body: r.body, BodyDropped: r.overflow, Cut: r.lost}
 	for name, values := range r.header {
 		for _, value := range values {
 			answer.Headers = append(answer.Headers, &wire.Header{Name: name, Value: value})
--- /dev/null
+++ b/entry/caller/retry_test.go
@@ -0,0 +1,108 @@
+package caller_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/world/outcome"
+)
+
+type noBudget struct{}
+
+func (noBudget) AllowRetry(string) bool { return false }
+
+// dying closes each link once it has a request, and counts them.
+func dying(t *testing.T, n *atomic.Int32) string {
+	return rawInstance(t, func(_ net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		n.Add(1)
+	})
+}
+
+func TestRetriesFollowTheContract(t *testing.T) {
+	tests := map[string]struct {
+		method, path, body string
+		attempts           int32
+		opts               []parts
+	}{
+		"allowed twice":             {http.MethodGet, "/x", "", 3, nil},
+		"small body sent again":     {http.MethodPut, "/x", "body", 3, nil},
+		"large body not sent twice": {http.MethodPut, "/x", strings.Repeat("a", 200_000), 1, nil},
+		"not allowed":               {http.MethodPost, "/x", "body", 1, nil},
+		"budget spent":              {http.MethodGet, "/x", "", 1, []parts{func(p *caller.Parts) { p.Budget = noBudget{} }}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var n atomic.Int32
+			views := viewsOf(dying(t, &n), dying(t, &n), dying(t, &n), dying(t, &n))
+			got := call(t, test.method, serveEntry(t, newEntry(t, views, newClaims(), test.opts...)), test.path, test.body)
+			must.Eq(t, outcome.Unknown, got.outcome())
+			must.Eq(t, test.attempts, n.Load())
+		})
+	}
+}
+
+func TestRetryReachesAnotherInstance(t *testing.T) {
+	var n atomic.Int32
+	good := httpInstance(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	entry := serveEntry(t, newEntry(t, viewsOf(dying(t, &n), good), newClaims()))
+	for range 10 {
+		must.Eq(t, "again", call(t, http.MethodPut, entry, "/x", "again").body)
+	}
+}
+
+func TestNoRetryOnceAnAnswerBegan(t *testing.T) {
+	var n atomic.Int32
+	cutting := rawInstance(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		n.Add(1)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+	})
+	_, err := do(newRequest(t, http.MethodPut, serveEntry(t, newEntry(t, viewsOf(cutting, cutting), newClaims())), "/x", "b"))
+	must.Error(t, err)
+	must.Eq(t, 1, n.Load())
+}
+
+// Six layers of entry hosts, each of which may retry twice, above instances
+// that lose every request: without the attempt header it would be 3^6 tries.
+func TestLayersDoNotMultiplyRetries(t *testing.T) {
+	const layers = 6
+	var n atomic.Int32
+	below := []string{dying(t, &n), dying(t, &n), dying(t, &n)}
+	for range layers {
+		entry := newEntry(t, viewsOf(below...), newClaims())
+		below = []string{serveEntry(t, entry), serveEntry(t, entry), serveEntry(t, entry)}
+	}
+	got := call(t, http.MethodGet, below[0], "/x", "")
+	must.Eq(t, outcome.Unknown, got.outcome())
+	must.Eq(t, 3, n.Load())
+}
+
+func TestDeadlineAndAttemptArePassedOn(t *testing.T) {
+	address := httpInstance(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "%s %s", r.Header.Get(caller.DeadlineHeader), r.Header.Get(caller.AttemptHeader))
+	})
+	entry := serveEntry(t, newEntry(t, viewsOf(address), newClaims()))
+	left, attempt, _ := strings.Cut(call(t, http.MethodGet, entry, "/x", "", caller.DeadlineHeader, "4000", caller.AttemptHeader, "3").body, " ")
+	ms, err := strconv.Atoi(left)
+	must.NoError(t, err)
+	must.Between(t, 1, ms, 4000)
+	must.Eq(t, "3", attempt)
+	left, _, _ = strings.Cut(call(t, http.MethodGet, entry, "/x", "", caller.DeadlineHeader, "999999").body, " ")
+	ms, err = strconv.Atoi(left)
+	must.NoError(t, err)
+	must.Between(t, 1, ms, 5000)
+}
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -96,10 +96,10 @@
 // a link that the instance closed for writing, but not a cut body or silence.
 func (e *Exchange) upload() {
 	err := e.write()
+	e.sent <- err
 	if cause := causeOf(err); err != nil && (cause == Body || cause == Silent) {
 		e.link.close()
 	}
-	e.sent <- err
 }
 
 // answerOr reads an answer that came although the request could not be sent
@@ -155,18 +155,19 @@
 }
 
 func (e *Exchange) fail(ctx context.Context, address string, err error, wrote bool) *Failure {
-	cause := causeOf(err)
-	if cause == Closed && e.link.reused && !e.link.heard {
-		cause = Stale
-	}
-	if ctx.Err() != nil {
-		cause = Cancelled
+	sent := e.abort()
+	if sent != nil && (causeOf(sent) == Body || causeOf(sent) == Silent) {
+		err = sent
 	}
-	if e.link.silent.Load() {
+	cause := causeOf(err)
+	switch {
+	case e.link.silent.Load():
 		cause = Silent
-	}
-	if sent := e.abort(); cause == Closed && sent != nil && causeOf(sent) != Closed {
-		cause, err = causeOf(sent), sent
+	case cause == Body:
+	case ctx.Err() != nil:
+		cause = Cancelled
+	case cause == Closed && e.link.reused && !e.link.heard:
+		cause = Stale
 	}
 	if cause == Silent {
 		e.links.retire(e.link.openedAt.Add(retirementMargin))
