host: compose links, suspects and settlement; drain in a file of its own

A second SIGTERM no longer cuts what the first one waits for, progress is logged, unsettled claims are waited for, and callers' links are bounded.

--- /dev/null
+++ b/entry/host/callers.go
@@ -0,0 +1,95 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/entry/backlog"
+	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/control"
+	"github.com/snipebeam/snipebeam/entry/decision"
+	"github.com/snipebeam/snipebeam/entry/peer"
+	"github.com/snipebeam/snipebeam/entry/poison"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/entry/settings"
+	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/link"
+	"go.uber.org/fx"
+)
+
+func newPool(cfg *settings.Settings) *upstream.Pool {
+	return upstream.NewPool(
+		upstream.WithMaxLinks(cfg.Links.PerInstance), upstream.WithIdleLimit(seconds(cfg.Links.IdleSeconds)),
+		upstream.WithProgress(seconds(cfg.Links.ProgressSeconds)), upstream.WithSilentLimit(seconds(cfg.Links.SilentSeconds)))
+}
+
+func newSettler(client *control.Client) *control.Settler { return control.NewSettler(client) }
+
+func newSuspects(cfg *settings.Settings, sender *peer.Sender) *poison.Book {
+	return poison.NewBook(
+		poison.WithLosses(cfg.Poison.Losses), poison.WithRefusal(seconds(cfg.Poison.RefusalSeconds)),
+		poison.WithShare(sender.Suspects))
+}
+
+// callerParts are what the handler of callers is composed from.
+type callerParts struct {
+	fx.In
+
+	Config    *settings.Settings
+	Logger    hclog.Logger
+	State     *State
+	Table     *rules.Table
+	Router    *route.Router
+	Links     *upstream.Pool
+	Claims    *control.Client
+	Settler   *control.Settler
+	Suspects  *poison.Book
+	Book      *backlog.Book
+	Decisions *decision.Log
+}
+
+func (p *callerParts) handler() *caller.Handler {
+	limits := p.Config.Limits
+	return caller.New(caller.Parts{
+		Host: p.Config.Host.Name, Zone: p.Config.Host.Zone, Table: p.Table, Router: p.Router, Links: p.Links,
+		Claims: p.Claims, Settler: p.Settler, Suspects: p.Suspects, Book: p.Book, Decisions: p.Decisions,
+		Stopping: &p.State.draining, Logger: p.Logger.Named("caller"),
+		Limits: caller.Limits{
+			BodyBytes: limits.BodyBytes, BufferBytes: limits.BufferBytes, Progress: seconds(limits.ProgressSeconds),
+			ProgressBytes: limits.ProgressBytes, InFlight: limits.InFlight,
+		},
+	})
+}
+
+func runCallers(lc fx.Lifecycle, parts callerParts) {
+	cfg, logger, state := parts.Config, parts.Logger, parts.State
+	server := &http.Server{
+		Handler: parts.handler(), MaxHeaderBytes: cfg.Limits.HeaderBytes,
+		ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(startCtx context.Context) error {
+			listener, err := link.Listen(startCtx, cfg.Listen.Callers, link.Body)
+			if err != nil {
+				return errors.Wrap(err, "listen for callers")
+			}
+			serve(server, caller.Bound(listener, cfg.Limits.Links, cfg.Limits.LinksPerCaller), "callers", logger)
+			go parts.Links.Run(ctx)
+			state.bound.Store(true)
+			logger.Info("entry host started", "host", cfg.Host.Name, "callers", cfg.Listen.Callers)
+			return nil
+		},
+		OnStop: func(stopCtx context.Context) error {
+			defer cancel()
+			drain(stopCtx, state, parts.Settler, logger)
+			return server.Shutdown(stopCtx)
+		},
+	})
+}
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -16,7 +16,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/backlog"
-	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/dns"
@@ -24,14 +23,15 @@
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/placement"
 	"github.com/snipebeam/snipebeam/entry/platform"
+	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/prometheus"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
-	"github.com/snipebeam/snipebeam/entry/upstream"
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -40,11 +40,6 @@
 const (
 	expiryInterval = 200 * time.Millisecond
 	callTimeout    = 10 * time.Second
-	stopTimeout    = 24 * time.Hour // a planned stop waits for what is in flight
-	drainPoll      = 20 * time.Millisecond
-	// newsLimit bounds how long other hosts go on naming this one in address
-	// answers after it began to drain: two rounds of the control hosts' watch.
-	newsLimit = 3 * time.Second
 )
 
 // New returns the application of one entry host.
@@ -58,7 +53,7 @@
 			func() *route.Views { return &route.Views{} },
 			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
 			rules.NewTable, backlog.NewBook, decision.NewLog,
-			func() *upstream.Pool { return upstream.NewPool() },
+			newPool, newSettler, newSuspects,
 			newClient, newState, newWatch, newSender, newRouter, newDoors, newExporter,
 		),
 		fx.Invoke(runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
@@ -110,7 +105,7 @@
 }
 
 func newClient(cfg *settings.Settings, ring *key.Ring) (*control.Client, *http.Client) {
-	client := ring.Client(&http.Client{Timeout: callTimeout})
+	client := ring.Client(&http.Client{Timeout: callTimeout, Transport: link.Transport()})
 	return control.NewClient(cfg.Control.Hosts, client), client
 }
 
@@ -176,55 +171,6 @@
 	}
 }
 
-func runCallers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, router *route.Router, links *upstream.Pool, client *control.Client, book *backlog.Book, decisions *decision.Log) {
-	handler := caller.New(caller.Parts{
-		Host: cfg.Host.Name, Zone: cfg.Host.Zone, Table: table, Router: router, Links: links,
-		Claims: client, Book: book, Decisions: decisions, Stopping: &state.draining,
-	})
-	server := &http.Server{
-		Handler: handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
-		ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
-	}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			if err := listen(server, cfg.Listen.Callers, "callers", logger); err != nil {
-				return err
-			}
-			state.bound.Store(true)
-			logger.Info("entry host started", "host", cfg.Host.Name, "callers", cfg.Listen.Callers)
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			drain(ctx, state, logger)
-			return server.Shutdown(ctx)
-		},
-	})
-}
-
-// drain leaves the address answers, keeps accepting until the lifetime of the
-// last answer that any host gave has passed, and then waits for what is in flight.
-func drain(ctx context.Context, state *State, logger hclog.Logger) {
-	state.draining.Store(true)
-	inFlight, oldest := state.book.InFlight(time.Now())
-	logger.Info("draining", "inFlight", inFlight, "oldestMs", oldest.Milliseconds())
-	sleep(ctx, newsLimit+platform.AnswerLifetime)
-	for {
-		inFlight, _ = state.book.InFlight(time.Now())
-		if inFlight == 0 || !sleep(ctx, drainPoll) {
-			return
-		}
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
 	handler := platform.New(platform.Parts{
 		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
@@ -240,14 +186,14 @@
 	})
 }
 
-func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring, doors *doors) {
+func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring, doors *doors, suspects *poison.Book) {
 	service := operator.New(operator.Parts{
 		Host: cfg.Host.Name, Table: table, Views: views, Book: book, Decisions: decisions,
 		Report: state.Report, Drain: state.draining.Store, Logger: logger,
 	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.EntryPathPrefix, doors.operators.Guard(wire.NewEntryServer(service)))
-	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(peer.NewServer(reg))))
+	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(peer.NewServer(reg, suspects))))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Peers, "peers", logger) },
@@ -267,16 +213,18 @@
 }
 
 func listen(server *http.Server, address, name string, logger hclog.Logger) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := link.Listen(context.Background(), address, link.Message)
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", name)
 	}
+	serve(server, listener, name, logger)
+	return nil
+}
+
+func serve(server *http.Server, listener net.Listener, name string, logger hclog.Logger) {
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("listener failed", "listener", name, "error", err)
 		}
 	}()
-	return nil
 }
-
-func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- /dev/null
+++ b/entry/host/stop.go
@@ -0,0 +1,74 @@
+package host
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/snipebeam/snipebeam/entry/control"
+	"github.com/snipebeam/snipebeam/entry/platform"
+)
+
+const (
+	stopTimeout = 100 * 365 * 24 * time.Hour // a planned stop waits for what is in flight
+	drainPoll   = 20 * time.Millisecond
+	// newsLimit bounds how long other hosts go on naming this one in address
+	// answers after it began to drain: two rounds of the control hosts' watch.
+	newsLimit        = 3 * time.Second
+	progressInterval = 5 * time.Second
+	settleLimit      = 30 * time.Second
+)
+
+// drain leaves the address answers, keeps accepting until the lifetime of the
+// last answer that any host gave has passed, and then waits for what is in
+// flight and for the claims that are not settled yet. Only the context's end,
+// which a setting may bring about, cuts it short.
+func drain(ctx context.Context, state *State, settler *control.Settler, logger hclog.Logger) {
+	signal.Ignore(syscall.SIGTERM) // a second one must not cut what the first one waits for
+	state.draining.Store(true)
+	logger.Info("draining", progress(state)...)
+	stopLog := logProgress(ctx, state, logger)
+	defer stopLog()
+	sleep(ctx, newsLimit+platform.AnswerLifetime)
+	for {
+		inFlight, _ := state.book.InFlight(time.Now())
+		if inFlight == 0 || !sleep(ctx, drainPoll) {
+			break
+		}
+	}
+	settling, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	if left := settler.Wait(settling); left > 0 {
+		logger.Warn("claims left unsettled: their resends will be told unknown", "claims", left)
+	}
+	logger.Info("drained", progress(state)...)
+}
+
+func progress(state *State) []any {
+	inFlight, oldest := state.book.InFlight(time.Now())
+	return []any{"inFlight", inFlight, "oldestMs", oldest.Milliseconds()}
+}
+
+// logProgress tells from time to time how much is left, until it is stopped.
+func logProgress(ctx context.Context, state *State, logger hclog.Logger) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for sleep(ctx, progressInterval) {
+			logger.Info("draining", progress(state)...)
+		}
+	}()
+	return cancel
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/entry/peer/peer.go
+++ b/entry/peer/peer.go
@@ -11,8 +11,10 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
@@ -20,10 +22,13 @@
 // Server implements the Twirp service Peer.
 type Server struct {
 	registry *registry.Registry
+	suspects *poison.Book
 }
 
 // NewServer returns the service of one entry host.
-func NewServer(reg *registry.Registry) *Server { return &Server{registry: reg} }
+func NewServer(reg *registry.Registry, suspects *poison.Book) *Server {
+	return &Server{registry: reg, suspects: suspects}
+}
 
 // Announce merges announcements that another entry host heard.
 func (s *Server) Announce(_ context.Context, req *wire.AnnounceRequest) (*wire.AnnounceResponse, error) {
@@ -31,9 +36,11 @@
 	return &wire.AnnounceResponse{}, nil
 }
 
-// Suspects takes fingerprints of requests that were in flight at lost instances.
-func (s *Server) Suspects(context.Context, *wire.SuspectsRequest) (*wire.SuspectsResponse, error) {
-	return &wire.SuspectsResponse{}, nil
+// Suspects takes fingerprints of requests that were in flight at lost
+// instances, and returns those that this host knows.
+func (s *Server) Suspects(_ context.Context, req *wire.SuspectsRequest) (*wire.SuspectsResponse, error) {
+	s.suspects.Merge(req.GetSuspects(), time.Now())
+	return &wire.SuspectsResponse{Suspects: s.suspects.Suspects()}, nil
 }
 
 // Sender passes announcements on.
@@ -51,12 +58,27 @@
 
 // Announce sends one announcement to every other entry host and waits.
 func (s *Sender) Announce(ctx context.Context, message *wire.Instance) {
+	s.each(func(entry *wire.HostReport) { s.send(ctx, entry, message) })
+}
+
+// Suspects sends suspects to every other entry host and waits.
+func (s *Sender) Suspects(ctx context.Context, suspects []*wire.Suspect) {
+	s.each(func(entry *wire.HostReport) {
+		remote := wire.NewPeerProtobufClient("http://"+entry.GetPeersAddress(), s.client)
+		if _, err := remote.Suspects(ctx, &wire.SuspectsRequest{From: s.host, Suspects: suspects}); err != nil {
+			s.logger.Warn("suspects not passed on", "to", entry.GetName(), "error", err)
+		}
+	})
+}
+
+// each calls a function for every other entry host at once and waits.
+func (s *Sender) each(call func(entry *wire.HostReport)) {
 	var group sync.WaitGroup
 	for _, entry := range s.entries() {
 		if entry.GetName() == s.host || entry.GetRole() != "entry" {
 			continue
 		}
-		group.Go(func() { s.send(ctx, entry, message) })
+		group.Go(func() { call(entry) })
 	}
 	group.Wait()
 }
--- a/entry/settings/limits.go
+++ b/entry/settings/limits.go
@@ -8,10 +8,19 @@
 	BodyBytes            int64   `toml:"bodyBytes" comment:"largest request body, bytes"`
 	HeaderTimeoutSeconds float64 `toml:"headerTimeoutSeconds" comment:"time to receive a request's headers"`
 	IdleTimeoutSeconds   float64 `toml:"idleTimeoutSeconds" comment:"time that a caller's idle link is kept"`
+	BufferBytes          int64   `toml:"bufferBytes" comment:"part of a request body that is kept for retries and fingerprints"`
+	ProgressSeconds      float64 `toml:"progressSeconds" comment:"time that a caller may take to send or take progressBytes"`
+	ProgressBytes        int     `toml:"progressBytes" comment:"bytes that count as progress of a request body"`
+	InFlight             int     `toml:"inFlight" comment:"requests that this host handles at a time"`
+	Links                int     `toml:"links" comment:"links of callers that this host holds"`
+	LinksPerCaller       int     `toml:"linksPerCaller" comment:"links that one caller's address may hold, 0 for no bound"`
 }
 
 func defaultLimits() Limits {
-	return Limits{HeaderBytes: 32 << 10, BodyBytes: 4 << 30, HeaderTimeoutSeconds: 10, IdleTimeoutSeconds: 60}
+	return Limits{
+		HeaderBytes: 32 << 10, BodyBytes: 4 << 30, HeaderTimeoutSeconds: 10, IdleTimeoutSeconds: 60,
+		BufferBytes: 64 << 10, ProgressSeconds: 30, ProgressBytes: 1 << 10, InFlight: 4096, Links: 8192,
+	}
 }
 
 func (l Limits) check(c *setting.Checker) {
@@ -19,4 +28,12 @@
 	c.Positive("limits.bodyBytes", float64(l.BodyBytes))
 	c.Positive("limits.headerTimeoutSeconds", l.HeaderTimeoutSeconds)
 	c.Positive("limits.idleTimeoutSeconds", l.IdleTimeoutSeconds)
+	c.Positive("limits.bufferBytes", float64(l.BufferBytes))
+	c.Positive("limits.progressSeconds", l.ProgressSeconds)
+	c.Positive("limits.progressBytes", float64(l.ProgressBytes))
+	c.Positive("limits.inFlight", float64(l.InFlight))
+	c.Positive("limits.links", float64(l.Links))
+	if l.LinksPerCaller < 0 {
+		c.Fail("limits.linksPerCaller", "is negative", "0 sets no bound")
+	}
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -18,13 +18,15 @@
 	Control Control `toml:"control" comment:"the control hosts"`
 	Route   Route   `toml:"route" comment:"how instances are chosen"`
 	Limits  Limits  `toml:"limits" comment:"bounds of what callers may send"`
+	Links   Links   `toml:"links" comment:"links to instances"`
+	Poison  Poison  `toml:"poison" comment:"requests that cost instances"`
 	Keys    Keys    `toml:"keys" comment:"key files, each with one or two keys; set all of them or none"`
 	Log     Log     `toml:"log" comment:"what is logged"`
 }
 
 // Default returns the settings that a file need not name.
 func Default() *Settings {
-	return &Settings{Listen: defaultListen(), Route: defaultRoute(), Limits: defaultLimits(), Log: defaultLog()}
+	return &Settings{Listen: defaultListen(), Route: defaultRoute(), Limits: defaultLimits(), Links: defaultLinks(), Poison: defaultPoison(), Log: defaultLog()}
 }
 
 // Load reads and checks a file, before which the overrides go. All findings
@@ -41,6 +43,8 @@
 	s.Control.check(c)
 	s.Route.check(c)
 	s.Limits.check(c)
+	s.Links.check(c)
+	s.Poison.check(c)
 	s.Keys.check(c)
 	s.Log.check(c)
 	s.Listen.check(c, s.Keys)
