--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -167,6 +167,7 @@
 	note.Attempt = attempt
 	note.Reason = d.ticket.Reason()
 	note.Waited = d.ticket.Waited()
+	note.Candidates = d.ticket.Explain()
 	note.Latency = d.report.Latency
 }
 
--- a/entry/caller/harness_test.go
+++ b/entry/caller/harness_test.go
@@ -59,6 +59,7 @@
 	table := rules.NewTable()
 	_, err := table.Advance(&wire.Version{Number: 1}, ruleText)
 	must.NoError(t, err)
+	table.Confirm(1, time.Now())
 	e := &entryHost{book: backlog.NewBook(), links: upstream.NewPool(), settler: control.NewSettler(claims), suspects: poison.NewBook()}
 	p := caller.Parts{
 		Host: "entry-1", Table: table, Router: route.NewRouter(views, route.NewLeastCount()), Links: e.links, Claims: claims,
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -11,7 +10,6 @@
 	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/decision"
-	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
@@ -29,10 +27,8 @@
 
 func newSettler(client *control.Client) *control.Settler { return control.NewSettler(client) }
 
-func newSuspects(cfg *settings.Settings, sender *peer.Sender) *poison.Book {
-	return poison.NewBook(
-		poison.WithLosses(cfg.Poison.Losses), poison.WithRefusal(seconds(cfg.Poison.RefusalSeconds)),
-		poison.WithShare(sender.Suspects))
+func newSuspects(cfg *settings.Settings) *poison.Book {
+	return poison.NewBook(poison.WithLosses(cfg.Poison.Losses), poison.WithRefusal(seconds(cfg.Poison.RefusalSeconds)))
 }
 
 // callerParts are what the handler of callers is composed from.
@@ -91,5 +87,3 @@
 		},
 	})
 }
-
-func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -23,7 +23,6 @@
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/placement"
 	"github.com/snipebeam/snipebeam/entry/platform"
-	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/prometheus"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/route"
@@ -37,10 +36,7 @@
 	"go.uber.org/fx/fxevent"
 )
 
-const (
-	expiryInterval = 200 * time.Millisecond
-	callTimeout    = 10 * time.Second
-)
+const callTimeout = 10 * time.Second
 
 // New returns the application of one entry host.
 func New(cfg *settings.Settings, logger hclog.Logger) *fx.App {
@@ -51,12 +47,12 @@
 			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
 			newPolicy,
 			func() *route.Views { return &route.Views{} },
-			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
+			registry.New,
 			rules.NewTable, backlog.NewBook, decision.NewLog,
 			newPool, newSettler, newSuspects,
-			newClient, newState, newWatch, newSender, newRouter, newDoors, newExporter,
+			newClient, newState, newWatch, newNode, newRouter, newDoors, newExporter,
 		),
-		fx.Invoke(runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
+		fx.Invoke(runNode, runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
 		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
@@ -77,7 +73,7 @@
 
 // Ready reports whether this host takes callers.
 func (s *State) Ready() bool {
-	return s.bound.Load() && !s.draining.Load() && s.table.Current().Number() > 0
+	return s.bound.Load() && !s.draining.Load() && s.table.Learned()
 }
 
 // Name returns "starting", "ready" or "draining".
@@ -100,7 +96,7 @@
 		Name: s.cfg.Host.Name, Zone: s.cfg.Host.Zone, Role: "entry", State: s.Name(),
 		CallersAddress: s.cfg.Listen.Callers, PeersAddress: s.cfg.Listen.Peers, PlatformAddress: s.cfg.Listen.Platform,
 		Version: s.table.Current().Number(), ReportedAt: now.UnixNano(), Backlog: s.book.Services(now),
-		VersionConfirmedAt: s.table.ConfirmedAt().UnixNano(), InFlight: uint32(inFlight),
+		VersionConfirmedAt: s.table.ConfirmedNano(), InFlight: uint32(inFlight),
 	}
 }
 
@@ -109,19 +105,11 @@
 	return control.NewClient(cfg.Control.Hosts, client), client
 }
 
-func newWatch(client *control.Client, table *rules.Table, state *State, logger hclog.Logger) *control.Watch {
-	return control.NewWatch(client, table, state.Report, logger)
-}
-
-func newSender(cfg *settings.Settings, client *http.Client, watch *control.Watch, logger hclog.Logger) *peer.Sender {
-	return peer.NewSender(cfg.Host.Name, client, watch.Entries, logger)
-}
-
 func newPolicy(cfg *settings.Settings) route.Policy { return policyNamed(cfg.Route, cfg.Route.Policy) }
 
 // policyNamed returns a policy with this host's settings, or nil.
 func policyNamed(cfg settings.Route, name string) route.Policy {
-	if name == route.AdaptiveName {
+	if name == contract.PolicyAdaptive {
 		return route.NewAdaptive(
 			route.WithHeadroom(cfg.Headroom), route.WithLatencyWeight(cfg.LatencyWeight),
 			route.WithZoneCost(time.Duration(cfg.ZoneCostMicros)*time.Microsecond))
@@ -142,13 +130,12 @@
 }
 
 // runBackground runs the loops that end with the program.
-func runBackground(lc fx.Lifecycle, watch *control.Watch, reg *registry.Registry, decisions *decision.Log) {
+func runBackground(lc fx.Lifecycle, watch *control.Watch, decisions *decision.Log) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go watch.Run(ctx)
 			go decisions.Run(ctx)
-			go expire(ctx, reg)
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -158,22 +145,9 @@
 	})
 }
 
-func expire(ctx context.Context, reg *registry.Registry) {
-	ticker := time.NewTicker(expiryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			reg.Expire(now)
-		}
-	}
-}
-
-func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, node *peer.Node, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
 	handler := platform.New(platform.Parts{
-		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
+		Host: cfg.Host.Name, Table: table, Members: node, Entries: node.Entries,
 		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: doors.upstreams, HostRate: cfg.Route.HostRate,
 	})
 	server := &http.Server{
@@ -186,14 +160,14 @@
 	})
 }
 
-func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring, doors *doors, suspects *poison.Book) {
+func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, node *peer.Node, ring *key.Ring, doors *doors) {
 	service := operator.New(operator.Parts{
 		Host: cfg.Host.Name, Table: table, Views: views, Book: book, Decisions: decisions,
 		Report: state.Report, Drain: state.draining.Store, Logger: logger,
 	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.EntryPathPrefix, doors.operators.Guard(wire.NewEntryServer(service)))
-	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(peer.NewServer(reg, suspects))))
+	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(node.Service())))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Peers, "peers", logger) },
@@ -201,8 +175,8 @@
 	})
 }
 
-func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, watch *control.Watch) {
-	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, table: table, entries: watch.Entries})
+func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, node *peer.Node) {
+	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, table: table, entries: node.Entries})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			_, err := server.Start(cfg.Listen.DNS)
@@ -228,3 +202,5 @@
 		}
 	}()
 }
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- a/entry/host/stop.go
+++ b/entry/host/stop.go
@@ -15,8 +15,8 @@
 	stopTimeout = 100 * 365 * 24 * time.Hour // a planned stop waits for what is in flight
 	drainPoll   = 20 * time.Millisecond
 	// newsLimit bounds how long other hosts go on naming this one in address
-	// answers after it began to drain: two rounds of the control hosts' watch.
-	newsLimit        = 3 * time.Second
+	// answers after it began to drain: the bound of the membership protocol.
+	newsLimit        = 2 * time.Second
 	progressInterval = 5 * time.Second
 	settleLimit      = 30 * time.Second
 )
--- a/entry/poison/book.go
+++ b/entry/poison/book.go
@@ -115,6 +115,10 @@
 	return b
 }
 
+// ShareWith sets how the other entry hosts learn of suspects; it is called
+// before the first request.
+func (b *Book) ShareWith(share Share) { b.share = share }
+
 // Refused reports whether a request is refused, and until when.
 func (b *Book) Refused(fp Fingerprint, now time.Time) (time.Time, bool) {
 	if !b.any.Load() {
