--- a/entry/peer/fetch.go
+++ b/entry/peer/fetch.go
@@ -79,8 +79,3 @@
 	hosts, instances, next := s.node.core.Page(req.GetAfter())
 	return &wire.AnnounceResponse{Hosts: hosts, Instances: instances, Next: next}, nil
 }
-
-// Suspects takes fingerprints of requests that were in flight at lost instances.
-func (s *service) Suspects(context.Context, *wire.SuspectsRequest) (*wire.SuspectsResponse, error) {
-	return &wire.SuspectsResponse{}, nil
-}
