--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/placement"
 	"github.com/snipebeam/snipebeam/entry/platform"
+	"github.com/snipebeam/snipebeam/entry/prometheus"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
@@ -41,6 +42,9 @@
 	callTimeout    = 10 * time.Second
 	stopTimeout    = 24 * time.Hour // a planned stop waits for what is in flight
 	drainPoll      = 20 * time.Millisecond
+	// newsLimit bounds how long other hosts go on naming this one in address
+	// answers after it began to drain: two rounds of the control hosts' watch.
+	newsLimit = 3 * time.Second
 )
 
 // New returns the application of one entry host.
@@ -54,7 +58,7 @@
 			func() *route.Views { return &route.Views{} },
 			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
 			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool,
-			newClient, newState, newWatch, newSender, newRouter, newDoors,
+			newClient, newState, newWatch, newSender, newRouter, newDoors, newExporter,
 		),
 		fx.Invoke(runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
 		fx.StopTimeout(stopLimit(cfg)),
@@ -196,13 +200,13 @@
 	})
 }
 
-// drain leaves the address answers, keeps accepting until the last answer's
-// lifetime has passed, and then waits for what is in flight.
+// drain leaves the address answers, keeps accepting until the lifetime of the
+// last answer that any host gave has passed, and then waits for what is in flight.
 func drain(ctx context.Context, state *State, logger hclog.Logger) {
 	state.draining.Store(true)
 	inFlight, oldest := state.book.InFlight(time.Now())
 	logger.Info("draining", "inFlight", inFlight, "oldestMs", oldest.Milliseconds())
-	sleep(ctx, platform.AnswerLifetime)
+	sleep(ctx, newsLimit+platform.AnswerLifetime)
 	for {
 		inFlight, _ = state.book.InFlight(time.Now())
 		if inFlight == 0 || !sleep(ctx, drainPoll) {
@@ -220,12 +224,15 @@
 	}
 }
 
-func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors) {
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
 	handler := platform.New(platform.Parts{
 		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
-		Ready: state.Ready, Decisions: decisions, Keys: doors.upstreams, HostRate: cfg.Route.HostRate,
+		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: doors.upstreams, HostRate: cfg.Route.HostRate,
 	})
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
+		ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
+	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Platform, "platform", logger) },
 		OnStop:  server.Shutdown,
@@ -248,11 +255,7 @@
 }
 
 func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, watch *control.Watch) {
-	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, func(service string) (placement.Answer, bool) {
-		set := table.Current().Set()
-		plan := placement.Plan{Spread: set.Terms(service).Spread(), HostRate: cfg.Route.HostRate}
-		return placement.Choose(watch.Entries(), service, cfg.Host.Zone, plan), set.Knows(service)
-	})
+	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, table: table, entries: watch.Entries})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			_, err := server.Start(cfg.Listen.DNS)
