entry: limits of services and callers, retry budget, ledger of probes

limit: GCRA rates, a share of retries that holds over all hosts because each host earns from its own requests only, a bounded table of callers. route: service and caller limits, priorities and the retry budget are applied before a request may wait. probe: each host has an equal part of an instance's budget over a sliding window and waits a whole window after its start, so that the ceiling holds in partitions and under any membership without a message. A host that asked the control hosts for its part was ruled out: its part must outlive the answer, and a cut off host would go on. Removing the wait after a restart, or the check against the part, makes the property test fail.

--- /dev/null
+++ b/entry/probe/ledger.go
@@ -0,0 +1,117 @@
+// Package probe asks instances for their load when nothing fresh is known of
+// them, under a ceiling that holds for all entry hosts together.
+//
+// Every entry host that may exist has an equal part of an instance's budget,
+// and uses it only after it has run for a whole window. So the sum stays under
+// the budget whichever hosts are cut off, join, leave or restart, without a
+// message between them, as long as no more hosts run than the settings say.
+//
+// Usage:
+//
+//	ledger := probe.NewLedger(probe.Share(0.01, 3, 29, window), window, limit, startedAt)
+//	if r := ledger.Reserve(now); r != nil { ask; r.Settle(took) }
+package probe
+
+import (
+	"sync"
+	"time"
+)
+
+// Ledger holds one host's part of one instance's budget over a sliding window.
+type Ledger struct {
+	share  time.Duration // slot time that this host may use in a window
+	window time.Duration
+	most   time.Duration // time that one probe may take
+	from   int64         // first probe, Unix nanoseconds
+
+	mu      sync.Mutex
+	entries []*Reservation
+	spent   time.Duration
+	used    time.Duration // since the start
+}
+
+// Reservation is the slot time set aside for one probe.
+type Reservation struct {
+	ledger *Ledger
+	cost   time.Duration
+	endsAt int64
+}
+
+// Plan says what all hosts together may spend on one instance.
+type Plan struct {
+	Budget float64       // share of the slot time
+	Slots  int           // of the instance
+	Hosts  int           // entry hosts that may exist at one time
+	Window time.Duration // over which the budget holds
+	Most   time.Duration // time that one probe may take
+}
+
+// NewLedger returns the part of one host that started at a time. The window
+// grows until one probe fits into the host's part.
+func NewLedger(p Plan, startedAt int64) *Ledger {
+	window := p.Window
+	perNanosecond := p.Budget * float64(p.Slots) / float64(max(p.Hosts, 1))
+	if perNanosecond > 0 {
+		window = max(window, time.Duration(float64(p.Most)/perNanosecond)+1)
+	}
+	return &Ledger{
+		share: time.Duration(perNanosecond * float64(window)), window: window,
+		most: p.Most, from: startedAt + int64(window),
+	}
+}
+
+// Window returns the window over which the budget holds.
+func (l *Ledger) Window() time.Duration { return l.window }
+
+// Reserve sets aside the time that a probe may take, or returns nil. The probe
+// ends within that time.
+func (l *Ledger) Reserve(now int64) *Reservation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	if now < l.from || l.most == 0 || l.spent+l.most > l.share {
+		return nil
+	}
+	r := &Reservation{ledger: l, cost: l.most, endsAt: now + int64(l.most)}
+	l.spent += r.cost
+	l.used += r.cost
+	l.entries = append(l.entries, r)
+	return r
+}
+
+// Settle gives back what a probe did not take.
+func (r *Reservation) Settle(took time.Duration) {
+	r.ledger.mu.Lock()
+	defer r.ledger.mu.Unlock()
+	unused := max(r.cost-max(took, 0), 0)
+	r.cost -= unused
+	r.ledger.spent -= unused
+	r.ledger.used -= unused
+}
+
+// expire drops the probes that ended more than a window ago.
+func (l *Ledger) expire(now int64) {
+	n := 0
+	for n < len(l.entries) && l.entries[n].endsAt+int64(l.window) <= now {
+		l.spent -= l.entries[n].cost
+		n++
+	}
+	l.entries = append(l.entries[:0], l.entries[n:]...)
+}
+
+// Used returns the slot time spent since the start.
+func (l *Ledger) Used() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used
+}
+
+// lastEnd returns when the last probe ends at the latest.
+func (l *Ledger) lastEnd() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.entries) == 0 {
+		return l.from - int64(l.window)
+	}
+	return l.entries[len(l.entries)-1].endsAt
+}
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -57,6 +57,9 @@
 // Latency returns the mean service time in nanoseconds, 0 if unknown.
 func (n *Norm) Latency() float64 { return n.latency.get() }
 
+// LastAnswer returns when an instance last answered well, 0 if never.
+func (n *Norm) LastAnswer() int64 { return n.last.Load() }
+
 func (n *Norm) observe(service float64) {
 	n.latency.average(service, normWeight)
 	n.spread.average(math.Abs(service-n.latency.get()), normWeight)
@@ -90,6 +93,9 @@
 // Latency returns the normalised service time, 0 if unknown.
 func (l *Load) Latency() time.Duration { return time.Duration(l.service.get()) }
 
+// LatencyAt returns when the service time was last learnt, 0 if never.
+func (l *Load) LatencyAt() int64 { return l.serviceAt.Load() }
+
 // Reported returns the load that the instance last reported and when; the
 // time is 0 if it never did.
 func (l *Load) Reported() (load int, at int64) {
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -33,8 +33,9 @@
 type Router struct {
 	views    *Views
 	policy   Policy
-	policies func(name string) Policy
+	policies *policyTable
 	terms    func(service string) *contract.Service
+	share    func(service string) float64
 	clock    func() int64
 	random   Random
 	trace    bool
@@ -71,9 +72,12 @@
 	return func(r *Router) { r.terms = terms }
 }
 
+// WithShare sets this host's part of limits that hold for all hosts together.
+func WithShare(share func(service string) float64) Option { return func(r *Router) { r.share = share } }
+
 // WithPolicies sets how a policy that a service's terms name is found.
 func WithPolicies(policies func(name string) Policy) Option {
-	return func(r *Router) { r.policies = policies }
+	return func(r *Router) { r.policies = newPolicyTable(policies) }
 }
 
 // WithLimits sets the bounds of the queue and of ejection.
@@ -85,7 +89,7 @@
 // NewRouter returns a router over the views.
 func NewRouter(views *Views, policy Policy, opts ...Option) *Router {
 	r := &Router{
-		views: views, policy: policy, policies: ByName, terms: contractOf, trace: true, limits: DefaultLimits(),
+		views: views, policy: policy, policies: newPolicyTable(ByName), terms: contractOf, share: whole, trace: true, limits: DefaultLimits(),
 		clock:  func() int64 { return time.Now().UnixNano() },
 		random: NewRandom(rand.Uint64),
 	}
@@ -97,7 +101,11 @@
 	return r
 }
 
-func contractOf(service string) *contract.Service { return contract.NewService(service) }
+func whole(string) float64 { return 1 }
+
+var defaultTerms = contract.NewService("")
+
+func contractOf(string) *contract.Service { return defaultTerms }
 
 // Acquire chooses an instance and counts the attempt as in flight there. If
 // every instance is at its limit it waits until one is free, the context ends
@@ -195,12 +203,12 @@
 }
 
 // policyOf returns the policy that a service's terms name, or the default.
-func (r *Router) policyOf(service string) Policy {
-	name := r.terms(service).Policy()
+func (r *Router) policyOf(terms *contract.Service) Policy {
+	name := terms.Policy()
 	if name == "" || name == r.policy.Name() {
 		return r.policy
 	}
-	if p := r.policies(name); p != nil {
+	if p := r.policies.get(name); p != nil {
 		return p
 	}
 	return r.policy
--- /dev/null
+++ b/entry/route/shed.go
@@ -0,0 +1,53 @@
+package route
+
+import (
+	"github.com/snipebeam/snipebeam/world/contract"
+	"github.com/snipebeam/snipebeam/world/outcome"
+)
+
+// Times of shedding, in mean service times of the service.
+const shedMargin = 2.0
+
+// refuse returns a problem if the request cannot be answered in time or the
+// queue is full.
+func (d *Dispatcher) refuse(q *Query, view *View, now int64) error {
+	waiting := d.queue.len()
+	if waiting >= d.room(q) {
+		return outcome.New(outcome.NotRun, outcome.Overload, "too many requests of "+d.service+" wait at this host")
+	}
+	if q.deadline == 0 {
+		return nil
+	}
+	wait := float64(waiting) * view.norm.gap.get()
+	if float64(now)+wait+d.margin(view) > float64(q.deadline) {
+		return outcome.New(outcome.NotRun, outcome.Overload, "the queue of "+d.service+" is longer than the request's deadline")
+	}
+	return nil
+}
+
+// Shares of the queue that lower priorities may fill.
+const (
+	lowShare    = 0.5
+	normalShare = 0.9
+)
+
+// room returns the queue's length from which a request is refused.
+func (d *Dispatcher) room(q *Query) int {
+	room := float64(d.router.limits.Waiting)
+	if q.contract == nil {
+		return int(room)
+	}
+	switch q.contract.Priority() {
+	case contract.PriorityLow:
+		room *= lowShare
+	case contract.PriorityNormal:
+		room *= normalShare
+	default:
+	}
+	return max(int(room), 1)
+}
+
+// margin is the time that an answer takes once the request was sent.
+func (d *Dispatcher) margin(view *View) float64 {
+	return view.norm.latency.get() + shedMargin*view.norm.spread.get()
+}
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -23,10 +23,9 @@
 	dispatcher *Dispatcher
 	policy     string
 	why        string
-	caller     string
 	level      float64 // requests at the instance when this one was sent, itself included
 	waited     time.Duration
-	queued     int
+	held       pass
 	trace      *Trace
 }
 
--- a/entry/route/waitlist.go
+++ b/entry/route/waitlist.go
@@ -12,6 +12,7 @@
 type Waiter struct {
 	dispatcher *Dispatcher
 	query      Query
+	held       pass
 	arrivedAt  int64
 	granted    func(*Ticket, error)
 
