entry/route: an instance with nothing of ours in flight always has room

The property test found a request that waited for ever: failures counted against the limit, so that an instance was full with nothing in flight there and no answer could end the wait. Failures now weigh in the score only, and a limit is never below one request of this host. Limits are checked before the retry budget, so that a refused retry spends nothing.

--- a/bench/route/virtual/scenario.go
+++ b/bench/route/virtual/scenario.go
@@ -30,6 +30,8 @@
 	Deadline    time.Duration
 	Burst       float64 // the rate swings by this share around its mean
 	BurstPeriod time.Duration
+	ProbeBudget float64 // share of slot time, 0 for no probes
+	ProbeCost   time.Duration
 	Faults      []Fault
 	Policy      func() route.Policy
 	Options     []route.Option
@@ -53,6 +55,8 @@
 	Drain
 	Lie
 	LoseHost
+	ColdStart // the instance starts again and is slower by the factor for a while
+	CutZone   // nothing passes between the zone and the other zones
 )
 
 // Fill returns the scenario with defaults in place of zero fields.
@@ -74,6 +78,7 @@
 	set(&s.Active, s.Hosts)
 	set(&s.Spread, s.Active)
 	set(&s.Callers, 300)
+	set(&s.ProbeCost, 6*time.Millisecond)
 	set(&s.BurstPeriod, 400*time.Millisecond)
 	return s
 }
--- a/entry/probe/ledger.go
+++ b/entry/probe/ledger.go
@@ -26,6 +26,7 @@
 
 	mu      sync.Mutex
 	entries []*Reservation
+	next    int64 // first time of the next probe, so that probes are spread over the window
 	spent   time.Duration
 	used    time.Duration // since the start
 }
@@ -69,12 +70,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
-	if now < l.from || l.most == 0 || l.spent+l.most > l.share {
+	if now < max(l.from, l.next) || l.most == 0 || l.spent+l.most > l.share {
 		return nil
 	}
 	r := &Reservation{ledger: l, cost: l.most, endsAt: now + int64(l.most)}
 	l.spent += r.cost
 	l.used += r.cost
+	l.next = now + l.pause(r.cost)
 	l.entries = append(l.entries, r)
 	return r
 }
@@ -87,6 +89,12 @@
 	r.cost -= unused
 	r.ledger.spent -= unused
 	r.ledger.used -= unused
+	r.ledger.next -= r.ledger.pause(unused)
+}
+
+// pause is the time in which a cost is earned.
+func (l *Ledger) pause(cost time.Duration) int64 {
+	return int64(float64(cost) / float64(l.share) * float64(l.window))
 }
 
 // expire drops the probes that ended more than a window ago.
--- a/entry/route/adaptive.go
+++ b/entry/route/adaptive.go
@@ -71,10 +71,12 @@
 		norm = unknownLatency
 	}
 	service := m.load.serviceTime(norm, now)
-	level := m.load.level(now)
+	own := float64(m.load.inFlight.Load())
+	known := own
 	if e.reports > 0 {
-		level += e.reports * m.load.othersNow(now)
+		known += e.reports * m.load.othersNow(now)
 	}
+	level := known + m.load.penaltyNow(now)
 	slots := float64(m.instance.Slots())
 	// The speed of an instance changes while a request runs: its estimate is damped.
 	damped := norm
@@ -85,5 +87,7 @@
 	if q.zone != "" && m.instance.Zone() != q.zone {
 		score += e.zoneCost
 	}
-	return score, level < m.load.allowed(slots+float64(e.headroom), service/norm, state)
+	// With nothing of its own in flight there, no answer would end a wait.
+	room := own == 0 || known < m.load.allowed(slots+float64(e.headroom), service/norm, state)
+	return score, room
 }
--- a/entry/route/admission.go
+++ b/entry/route/admission.go
@@ -49,26 +49,32 @@
 // of limits that hold for all hosts together.
 func (a *admission) admit(q *Query, terms *contract.Service, share float64, now int64) (pass, error) {
 	var p pass
-	if !a.mayTry(q, terms) {
-		return p, outcome.New(outcome.NotRun, outcome.Overload, "the retry budget of "+q.service+" is spent")
-	}
 	if r := terms.Rate() * share; r > 0 && !a.rate.Allow(now, r, r*burstSeconds) {
 		return p, outcome.New(outcome.NotRun, outcome.Overload, "the rate of "+q.service+" is above its limit")
 	}
 	if problem := a.enter(&p.callers[0], callerKey{caller: q.caller}, terms.CallerInFlight(), terms.CallerRate(), share, now); problem != nil {
 		return p, problem
 	}
-	if q.contract == nil {
-		return p, nil
-	}
-	key := callerKey{contract: q.contract, caller: q.caller}
-	if problem := a.enter(&p.callers[1], key, q.contract.CallerInFlight(), q.contract.CallerRate(), share, now); problem != nil {
+	if problem := a.enterRule(&p, q, share, now); problem != nil {
 		p.leave()
 		return p, problem
 	}
+	if !a.mayTry(q, terms) {
+		p.leave()
+		return p, outcome.New(outcome.NotRun, outcome.Overload, "the retry budget of "+q.service+" is spent")
+	}
 	return p, nil
 }
 
+// enterRule applies the limits of the rule that matched.
+func (a *admission) enterRule(p *pass, q *Query, share float64, now int64) error {
+	if q.contract == nil {
+		return nil
+	}
+	key := callerKey{contract: q.contract, caller: q.caller}
+	return a.enter(&p.callers[1], key, q.contract.CallerInFlight(), q.contract.CallerRate(), share, now)
+}
+
 // mayTry earns from first attempts what retries spend.
 func (a *admission) mayTry(q *Query, terms *contract.Service) bool {
 	if q.Retry() {
--- a/entry/route/learn.go
+++ b/entry/route/learn.go
@@ -21,7 +21,7 @@
 		return
 	}
 	load.health.succeed(now)
-	load.grow(most)
+	load.grow(most, t.member.instance.Cold())
 	service := load.observe(float64(report.Latency), t.level, slots, now)
 	if view != nil {
 		view.norm.observe(service)
--- a/entry/route/limit.go
+++ b/entry/route/limit.go
@@ -16,6 +16,8 @@
 	allowed := most
 	if limit := l.limit.get(); limit > 0 {
 		allowed = min(allowed, limit)
+	} else if state == Cold {
+		allowed = firstLimit
 	}
 	if slowness > toleratedRatio {
 		allowed = min(allowed, most*toleratedRatio/slowness)
@@ -23,12 +25,14 @@
 	return max(allowed, firstLimit)
 }
 
-// grow raises the limit after a good answer, up to the largest useful value.
-func (l *Load) grow(most float64) {
+// grow raises the limit after a good answer, up to the largest useful value. A
+// cold instance starts with one request.
+func (l *Load) grow(most float64, cold bool) {
 	l.limit.update(func(old float64) float64 {
-		if old == 0 {
+		if old == 0 && !cold {
 			return most
 		}
+		old = max(old, firstLimit)
 		return min(old+1, most)
 	})
 }
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -122,21 +122,24 @@
 	}
 }
 
+// Lies reports whether the instance's reports are ignored.
+func (l *Load) Lies() bool { return l.health.lies.Load() >= liesUntilIgnored }
+
+// Probed records a load that a probe was told.
+func (l *Load) Probed(reported int, at int64) {
+	l.others.average(float64(reported)-float64(l.inFlight.Load()), othersWeight)
+	l.SetReported(reported, at)
+}
+
 // othersNow returns the requests of other hosts, less the older the report is.
 func (l *Load) othersNow(now int64) float64 {
 	at := l.reportedAt.Load()
-	if at == 0 || l.health.lies.Load() >= liesUntilIgnored {
+	if at == 0 || l.Lies() {
 		return 0
 	}
 	return max(l.others.get(), 0) * discount(now-at, reportHalving)
 }
 
-// level returns the requests at the instance, as far as this host knows;
-// failures count as requests for a while.
-func (l *Load) level(now int64) float64 {
-	return float64(l.inFlight.Load()) + l.penaltyNow(now)
-}
-
 // discount is the weight of what was known some time ago.
 func discount(age int64, halving time.Duration) float64 {
 	if age <= 0 {
