--- a/bench/route/virtual/result.go
+++ b/bench/route/virtual/result.go
@@ -87,6 +87,27 @@
 	return float64(r.InTime) / capacity
 }
 
+// NoticeMs returns how long after a fault the instance got more than half of
+// the requests that it got before, in milliseconds.
+func (r *Result) NoticeMs(target int, at time.Duration) float64 {
+	first := int64(at) / window
+	before := 0
+	for w := first - noticeWindows; w < first; w++ {
+		before += r.Sent[target][w]
+	}
+	usual := float64(before) / noticeWindows
+	noticed := first
+	for w := first; w < first+noticeWindows; w++ {
+		if float64(r.Sent[target][w]) > usual/2 {
+			noticed = w + 1
+		}
+	}
+	return float64((noticed-first)*window) / float64(time.Millisecond)
+}
+
+// noticeWindows is how many windows around a fault are looked at.
+const noticeWindows = 100
+
 // ProbeShare returns the share of the instances' slot time that probes took.
 func (r *Result) ProbeShare() float64 {
 	s := r.scenario
