--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -34,7 +34,7 @@
 	return []slopeCase{
 		{"rulesParseNsPerLine", "ns/line", []int{20, 200, 1000, 3000}, parseNs},
 		{"rulesBytesPerLine", "bytes/line", []int{20, 200, 1000, 3000}, parsedBytes},
-		{"chooseNsPerInstance", "ns/instance", []int{10, 100, 300, 1000}, chooseNs},
+		{"chooseNsPerInstance", "ns/instance", []int{10, 100, 300, 1000}, chooseCost},
 		{"publishNsPerServiceInstance", "ns/instance", []int{10, 30, 100, 300}, publishNs},
 		{"registryBytesPerInstance", "bytes/instance", []int{100, 1000, 2000, 3900}, registryBytes},
 		{"claimBytesPerClaim", "bytes/claim", []int{10_000, 50_000, 100_000, 200_000}, claimBytes},
@@ -129,7 +129,7 @@
 	}), nil
 }
 
-func chooseNs(instances int) (float64, error) {
+func chooseCost(instances int) (float64, error) {
 	view := viewsOf(fleetSize{services: 1, instances: instances}).Load(serviceName(0))
 	policy := route.NewAdaptive()
 	random := route.NewRandom(rand.NewPCG(1, 2).Uint64)
