--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -57,6 +57,9 @@
 // Latency returns the mean service time in nanoseconds, 0 if unknown.
 func (n *Norm) Latency() float64 { return n.latency.get() }
 
+// LastAnswer returns when an instance last answered well, 0 if never.
+func (n *Norm) LastAnswer() int64 { return n.last.Load() }
+
 func (n *Norm) observe(service float64) {
 	n.latency.average(service, normWeight)
 	n.spread.average(math.Abs(service-n.latency.get()), normWeight)
@@ -90,6 +93,9 @@
 // Latency returns the normalised service time, 0 if unknown.
 func (l *Load) Latency() time.Duration { return time.Duration(l.service.get()) }
 
+// LatencyAt returns when the service time was last learnt, 0 if never.
+func (l *Load) LatencyAt() int64 { return l.serviceAt.Load() }
+
 // Reported returns the load that the instance last reported and when; the
 // time is 0 if it never did.
 func (l *Load) Reported() (load int, at int64) {
@@ -116,21 +122,24 @@
 	}
 }
 
+// Lies reports whether the instance's reports are ignored.
+func (l *Load) Lies() bool { return l.health.lies.Load() >= liesUntilIgnored }
+
+// Probed records a load that a probe was told.
+func (l *Load) Probed(reported int, at int64) {
+	l.others.average(float64(reported)-float64(l.inFlight.Load()), othersWeight)
+	l.SetReported(reported, at)
+}
+
 // othersNow returns the requests of other hosts, less the older the report is.
 func (l *Load) othersNow(now int64) float64 {
 	at := l.reportedAt.Load()
-	if at == 0 || l.health.lies.Load() >= liesUntilIgnored {
+	if at == 0 || l.Lies() {
 		return 0
 	}
 	return max(l.others.get(), 0) * discount(now-at, reportHalving)
 }
 
-// level returns the requests at the instance, as far as this host knows;
-// failures count as requests for a while.
-func (l *Load) level(now int64) float64 {
-	return float64(l.inFlight.Load()) + l.penaltyNow(now)
-}
-
 // discount is the weight of what was known some time ago.
 func discount(age int64, halving time.Duration) float64 {
 	if age <= 0 {
