--- a/bench/local/door_test.go
+++ b/bench/local/door_test.go
@@ -145,6 +145,8 @@
 		{"unknown service", "GET / HTTP/1.1\r\nHost: b\r\n\r\n", http.StatusNotFound},
 		{"dots", "GET /../x HTTP/1.1\r\nHost: a\r\n\r\n", http.StatusNotFound},
 		{"large headers", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("y", 20<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"large body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("y", 2000), http.StatusRequestEntityTooLarge},
+		{"upgrade", "GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n", http.StatusNotImplemented},
 		{"no HTTP", "hello\r\n\r\n", http.StatusBadRequest},
 		{"length and chunks", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", http.StatusBadRequest},
 		{"bare LF", "GET / HTTP/1.1\r\nHost: a\n\r\n", http.StatusBadRequest},
