--- a/control/host/doors.go
+++ b/control/host/doors.go
@@ -31,16 +31,8 @@
 	mux.Handle(wire.ClaimsPathPrefix+"Resolve", operators.Guard(server))
 }
 
-// handleGroup lets operators change the control group, and control hosts pass
-// their requests on to the leader.
-func handleGroup(mux *http.ServeMux, peers *key.Ring, operators operatorRing, server http.Handler) {
-	passedOn := peers.Guard(server)
-	asked := operators.Guard(server)
-	mux.HandleFunc(wire.GroupPathPrefix, func(w http.ResponseWriter, r *http.Request) {
-		if !peers.Empty() && peers.Accepts(r) {
-			passedOn.ServeHTTP(w, r)
-			return
-		}
-		asked.ServeHTTP(w, r)
-	})
+// handleGroup lets operators alone change the control group. A control host
+// that passes a request on sends the operators' key.
+func handleGroup(mux *http.ServeMux, operators operatorRing, server http.Handler) {
+	mux.Handle(wire.GroupPathPrefix, operators.Guard(server))
 }
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -65,7 +65,7 @@
 	handleRules(mux, ring, operators, wire.NewRulesServer(rules))
 	handleClaims(mux, ring, operators, wire.NewClaimsServer(claims))
 	mux.Handle(wire.QuorumPathPrefix, ring.Guard(wire.NewQuorumServer(node.Service())))
-	handleGroup(mux, ring, operators, wire.NewGroupServer(node.Group()))
+	handleGroup(mux, operators, wire.NewGroupServer(node.Group()))
 	handleHealth(mux, node, exporter)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderLimit}
 	lc.Append(fx.Hook{
--- a/control/host/quorum.go
+++ b/control/host/quorum.go
@@ -34,13 +34,14 @@
 	return &replica{store: store, saved: saved}, nil
 }
 
-func newNode(cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, r *replica, machine *state.Machine) (*peer.Node, error) {
+func newNode(cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, r *replica, machine *state.Machine) (*peer.Node, error) {
 	return peer.New(peer.Config{
 		Name: cfg.Host.Name, Initial: initialHosts(cfg),
 		Tick:          time.Duration(cfg.Quorum.TickMs) * time.Millisecond,
 		ElectionTicks: cfg.Quorum.ElectionTicks, HeartbeatTicks: cfg.Quorum.HeartbeatTicks,
-		Client: func(t http.RoundTripper) *http.Client { return ring.Client(&http.Client{Transport: t}) },
-		Logger: logger,
+		Client:         func(t http.RoundTripper) *http.Client { return ring.Client(&http.Client{Transport: t}) },
+		OperatorClient: func(t http.RoundTripper) *http.Client { return operators.Client(&http.Client{Transport: t}) },
+		Logger:         logger,
 	}, r.store, r.saved, machine)
 }
 
--- a/control/peer/change.go
+++ b/control/peer/change.go
@@ -34,7 +34,7 @@
 	v := g.node.view.Load()
 	switch {
 	case !v.isLeader && v.leaderAddress != "":
-		return g.node.clients.group(v.leaderAddress).Change(ctx, req)
+		return g.node.operators.group(v.leaderAddress).Change(ctx, req)
 	case !v.isLeader:
 		return nil, twirp.NewError(twirp.Unavailable, agreement.ErrNoQuorum.Error())
 	}
@@ -115,7 +115,7 @@
 	n := g.node
 	v := n.view.Load()
 	if !v.isLeader && v.leaderAddress != "" {
-		return n.clients.group(v.leaderAddress).Transfer(ctx, req)
+		return n.operators.group(v.leaderAddress).Transfer(ctx, req)
 	}
 	if err := n.call(ctx, func() error { return n.transferTo(req.GetTo()) }); err != nil {
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -45,6 +45,9 @@
 	ElectionTicks  int
 	HeartbeatTicks int
 	Client         func(http.RoundTripper) *http.Client // adds keys
+	// OperatorClient makes the clients for operators' requests that are passed
+	// on to the leader; Client is used if it is nil.
+	OperatorClient func(http.RoundTripper) *http.Client
 	Logger         hclog.Logger
 }
 
@@ -92,6 +95,8 @@
 	clockSince time.Time
 
 	clients clientPool
+	// operators holds the clients for operators' requests that are passed on.
+	operators clientPool
 }
 
 // New returns a node on a store that was opened or created.
@@ -99,11 +104,14 @@
 	if cfg.Client == nil {
 		cfg.Client = func(t http.RoundTripper) *http.Client { return &http.Client{Transport: t} }
 	}
+	if cfg.OperatorClient == nil {
+		cfg.OperatorClient = cfg.Client
+	}
 	n := &Node{
 		cfg: cfg, store: store, machine: machine, logger: cfg.Logger.Named("quorum"),
 		work: make(chan func(), workQueue), stopped: make(chan struct{}),
 		pending: map[uint64]*proposal{}, reads: map[uint64]chan quorum.ReadResult{}, links: map[string]*link{}, strangers: map[string]string{},
-		clients: clientPool{wrap: cfg.Client},
+		clients: clientPool{wrap: cfg.Client}, operators: clientPool{wrap: cfg.OperatorClient},
 	}
 	if saved.Snapshot != nil && len(saved.Snapshot.GetState()) > 0 {
 		if err := machine.Restore(saved.Snapshot.GetState()); err != nil {
