quorum: a change of membership that would leave no quorum is refused

Removing a voter that works while another one is down would have left a group that could never change again: the new membership needs a quorum that answers now.

--- a/control/quorum/members.go
+++ b/control/quorum/members.go
@@ -14,13 +14,14 @@
 
 // Errors of a change of membership.
 var (
-	ErrChangePending = errors.New("another change of membership is not committed yet")
-	ErrNotReady      = errors.New("the leader has not committed an entry of its term yet")
-	ErrMember        = errors.New("the identity is a member already")
-	ErrNotMember     = errors.New("the identity is not a member")
-	ErrNotLearner    = errors.New("the member is not a learner")
-	ErrNotCaughtUp   = errors.New("the learner has not caught up yet")
-	ErrRemovesLeader = errors.New("the leader cannot remove itself, transfer the leadership first")
+	ErrChangePending  = errors.New("another change of membership is not committed yet")
+	ErrNotReady       = errors.New("the leader has not committed an entry of its term yet")
+	ErrMember         = errors.New("the identity is a member already")
+	ErrNotMember      = errors.New("the identity is not a member")
+	ErrNotLearner     = errors.New("the member is not a learner")
+	ErrNotCaughtUp    = errors.New("the learner has not caught up yet")
+	ErrNoActiveQuorum = errors.New("too few voters of the new membership answer, it would have no quorum")
+	ErrRemovesLeader  = errors.New("the leader cannot remove itself, transfer the leadership first")
 )
 
 // membership is the newest membership of the log and those it replaced.
@@ -201,7 +202,15 @@
 		return 0, 0, ErrNotReady
 	case r.members.newest().index > r.log.commit:
 		return 0, 0, ErrChangePending
+	case !r.wouldHaveQuorum(members):
+		return 0, 0, ErrNoActiveQuorum
 	}
 	e := r.appendEntry(&wire.LogEntry{Kind: wire.EntryKind_ENTRY_MEMBERS, Members: &wire.Members{Members: members}})
 	return e.GetIndex(), e.GetTerm(), nil
 }
+
+// wouldHaveQuorum reports whether a quorum of a membership answers now.
+func (r *Replica) wouldHaveQuorum(members []*wire.Member) bool {
+	next := membership{history: []membersAt{{members: members}}}
+	return next.isQuorum(func(id string) bool { return id == r.id || r.isActive(r.peers[id]) })
+}
--- a/control/quorum/quorum_test.go
+++ b/control/quorum/quorum_test.go
@@ -200,6 +200,26 @@
 	must.True(t, g.replicas["d"].IsVoter())
 }
 
+// Removing a voter that works while another is down would leave no quorum.
+func TestRemovalThatLeavesNoQuorumIsRefused(t *testing.T) {
+	g := newGroup("a", "b", "c")
+	leader := g.elect()
+	g.tick(heartbeatTicks)
+	others := []string{"a", "b", "c"}
+	for n, name := range others {
+		if name == leader.ID() {
+			others = append(others[:n:n], others[n+1:]...)
+			break
+		}
+	}
+	g.cut[others[0]] = true
+	g.tick(electionTicks)
+	_, _, err := leader.Remove(others[1])
+	must.ErrorIs(t, err, quorum.ErrNoActiveQuorum)
+	_, _, err = leader.Remove(others[0])
+	must.NoError(t, err)
+}
+
 func TestNewLeaderChangesNothingBeforeItsFirstCommit(t *testing.T) {
 	g := newGroup("a", "b", "c")
 	first := g.elect()
