peer: a follower tells which members answer

Only the leader knows how far the others are. A follower showed them as unreachable; it now passes on what the leader said with the last confirmed read, and a status says whether a quorum really answered.

--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -126,12 +126,13 @@
 }
 
 // Status describes the control group and the hosts that report to it.
-func (s *Rules) Status(context.Context, *wire.StatusRequest) (*wire.StatusResponse, error) {
+func (s *Rules) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusResponse, error) {
+	current := s.confirm(ctx) == nil
 	status := s.log.Status()
 	version, _ := s.machine.InForce()
 	held, unknown := s.machine.CountClaims()
 	return &wire.StatusResponse{
-		ServedBy: s.name, AsOf: s.asOf(!status.Quorum()), Quorum: status.Quorum(), Leader: status.Leader(),
+		ServedBy: s.name, AsOf: s.asOf(!current), Quorum: current, Leader: status.Leader(),
 		Term: status.Term(), Members: status.Members(), Hosts: s.fleet.Hosts(time.Now()), Version: version,
 		ClaimsOutstanding: uint64(held), ClaimsUnknown: uint64(unknown), CommitIndex: status.CommitIndex(),
 	}, nil
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -73,6 +73,7 @@
 	stopped chan struct{}
 	joinMu  sync.Mutex
 	view    atomic.Pointer[view]
+	told    atomic.Pointer[toldMembers]
 	fault   atomic.Pointer[error]
 
 	// The rest belongs to the goroutine of Run.
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -71,6 +71,23 @@
 	must.True(t, g.submit(g.hosts[2], 20).GetAccepted())
 }
 
+// A follower can tell who answers, although only the leader knows.
+func TestFollowerTellsWhoAnswers(t *testing.T) {
+	g := newGroup(t, 3)
+	g.submit(g.hosts[0], 0)
+	leader := g.leader()
+	asked, silent := g.others(leader)[0], g.others(leader)[1]
+	silent.stop()
+	g.eventually("one silent member", func() bool {
+		confirmed := asked.node.Confirm(context.Background()) == nil
+		reachable := map[string]bool{}
+		for _, m := range asked.node.Status().Members() {
+			reachable[m.GetName()] = m.GetReachable()
+		}
+		return confirmed && reachable[asked.name] && !reachable[silent.name]
+	})
+}
+
 func TestStoppingLeaderHandsOver(t *testing.T) {
 	g := newGroup(t, 3)
 	g.submit(g.hosts[0], 0)
--- a/control/peer/read.go
+++ b/control/peer/read.go
@@ -69,6 +69,9 @@
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.electionTime())
 	defer cancel()
 	response, err := n.clients.quorum(address).ReadIndex(ctx, &wire.ReadIndexRequest{})
+	if err == nil && response.GetConfirmed() {
+		n.told.Store(&toldMembers{members: response.GetMembers(), at: time.Now()})
+	}
 	return response.GetIndex(), err == nil && response.GetConfirmed()
 }
 
--- a/control/peer/service.go
+++ b/control/peer/service.go
@@ -88,5 +88,5 @@
 		return &wire.ReadIndexResponse{}, nil
 	}
 	index, ok := s.node.readHere(ctx)
-	return &wire.ReadIndexResponse{Index: index, Confirmed: ok}, nil
+	return &wire.ReadIndexResponse{Index: index, Confirmed: ok, Members: s.node.view.Load().members}, nil
 }
--- a/control/peer/view.go
+++ b/control/peer/view.go
@@ -25,7 +25,21 @@
 // Status describes the control group as this host sees it.
 func (n *Node) Status() agreement.Status {
 	v := n.view.Load()
-	return agreement.NewStatus(v.leaderName, v.leaderAddress, v.term, v.commitIndex, v.quorum, v.members).WithAsOf(v.heardAt)
+	members := v.members
+	if told := n.told.Load(); told != nil && !v.isLeader && time.Since(told.at) < toldLimit {
+		members = told.members
+	}
+	return agreement.NewStatus(v.leaderName, v.leaderAddress, v.term, v.commitIndex, v.quorum, members).WithAsOf(v.heardAt)
+}
+
+// toldLimit is how long a follower passes on what the leader said.
+const toldLimit = 3 * time.Second
+
+// toldMembers are the members as the leader saw them: only it knows how far
+// they are and whether they answer.
+type toldMembers struct {
+	members []*wire.Member
+	at      time.Time
 }
 
 // noteLeader publishes the view at once when the leader or the term changed.
