--- a/control/disk/record.go
+++ b/control/disk/record.go
@@ -32,15 +32,21 @@
 
 func appendRecord(buf []byte, r record) []byte {
 	start := len(buf)
-	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(r.payload)))
-	buf = binary.LittleEndian.AppendUint32(buf, 0)
-	buf = binary.LittleEndian.AppendUint64(buf, r.sequence)
-	buf = append(buf, byte(r.kind))
+	buf = append(buf, make([]byte, headerBytes)...)
 	buf = append(buf, r.payload...)
-	binary.LittleEndian.PutUint32(buf[start+4:], checksum(buf[start:]))
+	sealRecord(buf[start:], r.sequence, r.kind)
 	return buf
 }
 
+// sealRecord fills in the header before a payload.
+func sealRecord(raw []byte, sequence uint64, k kind) []byte {
+	binary.LittleEndian.PutUint32(raw, uint32(len(raw)-headerBytes))
+	binary.LittleEndian.PutUint64(raw[8:], sequence)
+	raw[16] = byte(k)
+	binary.LittleEndian.PutUint32(raw[4:], checksum(raw))
+	return raw
+}
+
 // checksum covers the length and everything after the checksum itself.
 func checksum(raw []byte) uint32 {
 	sum := crc32.Update(0, castagnoli, raw[:4])
--- a/control/disk/snapshot.go
+++ b/control/disk/snapshot.go
@@ -13,11 +13,12 @@
 
 // EncodeSnapshot returns the content of a snapshot file.
 func EncodeSnapshot(snapshot *wire.LogSnapshot) ([]byte, error) {
-	payload, err := proto.Marshal(snapshot)
+	buf := make([]byte, headerBytes, headerBytes+proto.Size(snapshot))
+	buf, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buf, snapshot)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode snapshot")
 	}
-	return appendRecord(make([]byte, 0, headerBytes+len(payload)), record{sequence: snapshot.GetIndex(), payload: payload}), nil
+	return sealRecord(buf, snapshot.GetIndex(), 0), nil
 }
 
 // DecodeSnapshot reads the content of a snapshot file.
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -56,7 +56,7 @@
 	maxDrain     = 2048
 	keptBytes    = 2 << 20 // of entries kept in memory behind a snapshot
 	minSnapshot  = 4 << 20
-	maxSnapshot  = 32 << 20
+	maxSnapshot  = 16 << 20
 	leaderWait   = 3 // election times that a proposal waits for a leader
 	retryPause   = 10 * time.Millisecond
 	proposeLimit = 5 * time.Second
--- a/control/state/claims.go
+++ b/control/state/claims.go
@@ -11,8 +11,8 @@
 	defaultRetention  = 24 * time.Hour
 	maxRetention      = 7 * 24 * time.Hour
 	maxStoredBody     = 64 << 10 // bytes of one answer
-	maxStoredAnswers  = 48 << 20 // bytes of all answers
-	maxClaimBytes     = 96 << 20 // bytes of all claims and releases without answers
+	maxStoredAnswers  = 32 << 20 // bytes of all answers
+	maxClaimBytes     = 72 << 20 // bytes of all claims and releases without answers
 	claimOverhead     = 320      // bytes beside the strings
 	releasedRetention = 10 * time.Minute
 )
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/world/wire"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -42,16 +43,42 @@
 		}
 		return compareAll(a.claimID, b.claimID)
 	})
+	options := proto.MarshalOptions{Deterministic: true}
+	data, err := options.Marshal(f.head)
+	// The claims follow one by one: as one message they would take twice the
+	// memory for as long as they are encoded.
 	for n := range f.claims {
-		f.head.Claims = append(f.head.Claims, f.claims[n].snapshot())
+		if data, err = appendMessage(data, snapshotClaims, f.claims[n].snapshot(), err); err != nil {
+			break
+		}
 	}
 	for _, r := range f.releases {
-		f.head.Releases = append(f.head.Releases, &wire.SnapshotRelease{Key: r.key.message(), ClaimId: r.claimID, ExpiresAt: r.expiresAt})
+		one := &wire.SnapshotRelease{Key: r.key.message(), ClaimId: r.claimID, ExpiresAt: r.expiresAt}
+		if data, err = appendMessage(data, snapshotReleases, one, err); err != nil {
+			break
+		}
 	}
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(f.head)
 	return data, errors.Wrap(err, "encode state")
 }
 
+// Numbers of the repeated fields of a StateSnapshot.
+const (
+	snapshotClaims   = 3
+	snapshotReleases = 6
+)
+
+// appendMessage appends one element of a repeated field, unless an earlier one
+// failed.
+func appendMessage(data []byte, field protowire.Number, m proto.Message, failed error) ([]byte, error) {
+	if failed != nil {
+		return nil, failed
+	}
+	options := proto.MarshalOptions{Deterministic: true}
+	data = protowire.AppendTag(data, field, protowire.BytesType)
+	data = protowire.AppendVarint(data, uint64(options.Size(m)))
+	return options.MarshalAppend(data, m)
+}
+
 func (c *claim) snapshot() *wire.SnapshotClaim {
 	return &wire.SnapshotClaim{
 		Request: &wire.ClaimRequest{
