--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -59,7 +59,7 @@
 	maxDrain     = 2048
 	keptBytes    = 2 << 20 // of entries kept in memory behind a snapshot
 	minSnapshot  = 4 << 20
-	maxSnapshot  = 32 << 20
+	maxSnapshot  = 16 << 20
 	leaderWait   = 3 // election times that a proposal waits for a leader
 	retryPause   = 10 * time.Millisecond
 	proposeLimit = 5 * time.Second
@@ -76,6 +76,7 @@
 	stopped chan struct{}
 	joinMu  sync.Mutex
 	view    atomic.Pointer[view]
+	told    atomic.Pointer[toldMembers]
 	fault   atomic.Pointer[error]
 
 	// The rest belongs to the goroutine of Run.
