--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -48,7 +48,8 @@
 const (
 	fanout           = 3 // hosts that news is sent to in one tick
 	indirectProbes   = 3
-	spreadFactor     = 3 // sends of one change for each doubling of the hosts
+	urgentFactor     = 2 // sends of urgent news, as a multiple
+	spreadExtra      = 3 // sends of one change, and one more for each doubling of the hosts
 	suspicionBase    = 2 * time.Second
 	suspicionPerStep = 500 * time.Millisecond // for each doubling of the hosts
 )
--- a/entry/gossip/host.go
+++ b/entry/gossip/host.go
@@ -102,7 +102,11 @@
 	}
 	known := c.hosts[r.GetName()]
 	if known != nil && !newerHost(r, known.record) {
-		return newerHost(known.record, r)
+		stale = newerHost(known.record, r)
+		if !stale {
+			c.news.heard(hostKey(r.GetName()), c.spreadLimit())
+		}
+		return stale
 	}
 	c.putHost(known, r)
 	return false
--- a/entry/gossip/instance.go
+++ b/entry/gossip/instance.go
@@ -205,7 +205,11 @@
 	}
 	known := c.instances[m.GetId()]
 	if known != nil && !newerInstance(m, known.message) {
-		return newerInstance(known.message, m)
+		stale = newerInstance(known.message, m)
+		if !stale {
+			c.news.heard(instanceKey(m.GetId()), c.spreadLimit())
+		}
+		return stale
 	}
 	if known != nil && known.heard && known.live() && c.now < known.leaseUntil && silenced(m, known.message) {
 		c.revive(known, m)
--- a/entry/gossip/news.go
+++ b/entry/gossip/news.go
@@ -112,7 +112,28 @@
 	c.news.settle(keys, c.spreadLimit())
 }
 
-func (c *Core) spreadLimit() int { return spreadFactor * c.doublings() }
+func (c *Core) spreadLimit() int { return spreadExtra + c.doublings() }
+
+// limitOf is how often a change is sent. Urgent news must reach the last host
+// in time though datagrams are lost.
+func (i *newsItem) limitOf(spread int) int {
+	if i.urgent {
+		return urgentFactor * spread
+	}
+	return spread
+}
+
+// heard counts a record that came again as one that need not be sent: the
+// others pass it on already.
+func (q *newsQueue) heard(key string, limit int) {
+	item := q.items[key]
+	if item == nil || item.urgent {
+		return
+	}
+	if item.sends++; item.sends >= limit {
+		delete(q.items, key)
+	}
+}
 
 // fill takes changes from the queue until the datagram is full.
 func (c *Core) fill(d *wire.GossipDatagram) []string {
@@ -153,7 +174,7 @@
 func (q *newsQueue) settle(keys []string, limit int) {
 	for _, key := range keys {
 		item := q.items[key]
-		if item.sends >= limit {
+		if item.sends >= item.limitOf(limit) {
 			delete(q.items, key)
 			continue
 		}
