--- /dev/null
+++ b/bench/distributionslopes.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/snipebeam/snipebeam/bench/figure"
+	"github.com/snipebeam/snipebeam/bench/fleet"
+	"github.com/snipebeam/snipebeam/bench/slope"
+)
+
+const slopeSpan = 10 * time.Second
+
+// sizes that the slopes are measured at.
+var (
+	slopeHosts     = []int{8, 16}
+	slopeChanges   = []float64{0, 86_400, 432_000}
+	slopeInstances = []int{250, 1000}
+)
+
+// cost is what one size spends.
+type cost struct {
+	size float64
+	rate fleet.Rate
+}
+
+// slopes measures how the cost of a host grows with changes, with instances
+// and with hosts.
+func (d *distribution) slopes() error {
+	byChanges, err := d.costsByChanges()
+	if err != nil {
+		return err
+	}
+	byInstances, err := d.costsByInstances()
+	if err != nil {
+		return err
+	}
+	byHosts, err := d.costsByHosts()
+	if err != nil {
+		return err
+	}
+	for name, costs := range map[string][]cost{"Changes": byChanges, "Instances": byInstances, "Hosts": byHosts} {
+		if err := d.emitSlopes(name, costs); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *distribution) costsByChanges() ([]cost, error) {
+	var costs []cost
+	for _, changes := range slopeChanges {
+		rate, err := d.spend(changes, slopeSpan)
+		if err != nil {
+			return nil, err
+		}
+		costs = append(costs, cost{size: changes, rate: rate})
+	}
+	return costs, nil
+}
+
+func (d *distribution) costsByInstances() ([]cost, error) {
+	var costs []cost
+	for _, n := range append([]int{todayInstances}, slopeInstances...) {
+		if err := d.fleet.Announce(n); err != nil {
+			return nil, err
+		}
+		time.Sleep(settleSpan)
+		rate, err := d.spend(0, slopeSpan)
+		if err != nil {
+			return nil, err
+		}
+		costs = append(costs, cost{size: float64(n), rate: rate})
+	}
+	return costs, nil
+}
+
+// costsByHosts starts smaller fleets of their own, with today's instances.
+func (d *distribution) costsByHosts() ([]cost, error) {
+	d.fleet.Close()
+	var costs []cost
+	for _, n := range append(slopeHosts, entryHosts) {
+		one, err := costOfHosts(n, d.emit)
+		if err != nil {
+			return nil, err
+		}
+		costs = append(costs, one)
+	}
+	return costs, nil
+}
+
+func costOfHosts(n int, emit func(figure.Figure)) (cost, error) {
+	f, err := fleet.Start(n, controlHosts)
+	if err != nil {
+		return cost{}, err
+	}
+	defer f.Close()
+	if err := f.Announce(todayInstances); err != nil {
+		return cost{}, err
+	}
+	time.Sleep(settleSpan)
+	d := &distribution{fleet: f, emit: emit}
+	rate, err := d.spend(dayChanges, slopeSpan)
+	return cost{size: float64(n), rate: rate}, err
+}
+
+// unitOf is the size step that a slope is given for.
+var unitOf = map[string]float64{"Changes": 100_000, "Instances": 1000, "Hosts": 10}
+
+func (d *distribution) emitSlopes(name string, costs []cost) error {
+	values := map[string]func(fleet.Rate) float64{
+		"bytesPerSecond": func(r fleet.Rate) float64 { return r.MeanBytesPerSecond },
+		"corePercent":    func(r fleet.Rate) float64 { return r.MeanCorePercent },
+		"residentMB":     func(r fleet.Rate) float64 { return r.ResidentMB },
+	}
+	for _, value := range []string{"bytesPerSecond", "corePercent", "residentMB"} {
+		var points []slope.Point
+		note := ""
+		for _, one := range costs {
+			y := values[value](one.rate)
+			points = append(points, slope.Point{X: one.size, Y: y})
+			note += fmt.Sprintf(" %.0f: %.2f;", one.size, y)
+		}
+		line, err := slope.Fit(points)
+		if err != nil {
+			return err
+		}
+		unit := unitOf[name]
+		d.emit(figure.Plain("control", value+"By"+name, line.Slope*unit, fmt.Sprintf("per %.0f more", unit)).With(
+			fmt.Sprintf("a host's mean; at 0 %.2f, error of the slope %.3g;%s", line.Intercept, line.SlopeError*unit, note)))
+	}
+	return nil
+}
