--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -11,7 +11,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -97,16 +96,6 @@
 	return &Cluster{programs: absolute, dir: dir}, errors.Wrap(os.MkdirAll(dir, 0o755), "make folder")
 }
 
-// FreeAddress returns a loopback address that was free a moment ago.
-func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	address := listener.Addr().String()
-	return address, errors.Wrap(listener.Close(), "free the port")
-}
-
 // Start runs a program with arguments; its log goes to a file.
 func (c *Cluster) Start(name, program string, args ...string) (*Process, error) {
 	logPath := filepath.Join(c.dir, name+".log")
