--- a/bench/route/virtual/result.go
+++ b/bench/route/virtual/result.go
@@ -14,19 +14,19 @@
 	scenario Scenario
 	latency  []float64 // nanoseconds, of good answers
 	sorted   bool
+	runs     int // merged, 0 for one
 	Failed   int // answered with an error, or lost with a host
 	Shed     int // refused by an entry host before it was sent
 	Late     int // answered after the deadline
 	InTime   int
 	Offered  int
-	ProbeNs  float64            // slot time that probes took
-	Sent     []map[int64]int    // by instance: requests sent in each 10 ms
-	Waited   float64            // nanoseconds, sum over all requests
-	Extra    map[string]float64 // further figures
+	ProbeNs  float64         // slot time that probes took
+	Sent     []map[int64]int // by instance: requests sent in each 10 ms
+	Waited   float64         // nanoseconds, sum over all requests
 }
 
 func newResult(s Scenario) *Result {
-	return &Result{scenario: s, Sent: make([]map[int64]int, s.Instances), Extra: map[string]float64{}}
+	return &Result{scenario: s, Sent: make([]map[int64]int, s.Instances)}
 }
 
 func (r *Result) counts(arrivedAt int64) bool { return arrivedAt >= int64(r.scenario.Warmup) }
@@ -83,14 +83,42 @@
 // Goodput returns answers in time a second over the instances' capacity.
 func (r *Result) Goodput() float64 {
 	s := r.scenario
-	capacity := float64(s.Instances*s.Slots) / float64(s.Mean) * float64(s.Duration-s.Warmup)
+	capacity := float64(s.Instances*s.Slots) / float64(s.Mean) * float64(s.Duration-s.Warmup) * float64(max(r.runs, 1))
 	return float64(r.InTime) / capacity
 }
 
+// NoticeMs returns how long after a fault the instance got more than half of
+// the requests that it got before, in milliseconds.
+func (r *Result) NoticeMs(target int, at time.Duration) float64 {
+	first := int64(at) / window
+	before := 0
+	for w := first - noticeWindows; w < first; w++ {
+		before += r.Sent[target][w]
+	}
+	usual := float64(before) / noticeWindows
+	noticed := first
+	for w := first; w < first+noticeWindows; w++ {
+		if float64(r.Sent[target][w]) > usual/2 {
+			noticed = w + 1
+		}
+	}
+	return float64((noticed-first)*window) / float64(time.Millisecond)
+}
+
+// noticeWindows is how many windows around a fault are looked at.
+const noticeWindows = 100
+
+// ProbeShare returns the share of the instances' slot time that probes took.
+func (r *Result) ProbeShare() float64 {
+	s := r.scenario
+	return r.ProbeNs / (float64(s.Instances*s.Slots) * float64(s.Duration-s.Warmup) * float64(max(r.runs, 1)))
+}
+
 // Merge adds another run's requests.
 func (r *Result) Merge(other *Result) {
 	r.latency = append(r.latency, other.latency...)
 	r.sorted = false
+	r.runs = max(r.runs, 1) + max(other.runs, 1)
 	r.Failed += other.Failed
 	r.Shed += other.Shed
 	r.Late += other.Late
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/peer"
+	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
@@ -15,14 +16,19 @@
 	"go.uber.org/fx"
 )
 
-func newNode(cfg *settings.Settings, ring *key.Ring, client *http.Client, reg *registry.Registry, state *State, logger hclog.Logger) (*peer.Node, error) {
-	return peer.New(peer.Config{
+func newNode(cfg *settings.Settings, ring *key.Ring, client *http.Client, reg *registry.Registry, state *State, suspects *poison.Book, logger hclog.Logger) (*peer.Node, error) {
+	node, err := peer.New(peer.Config{
 		Self: &wire.GossipHost{
 			Name: cfg.Host.Name, Zone: cfg.Host.Zone, State: state.Name(), CallersAddress: cfg.Listen.Callers,
 			PeersAddress: cfg.Listen.Peers, PlatformAddress: cfg.Listen.Platform,
 		},
-		Registry: reg, State: state.Name, Ring: ring, Client: client, BytesPerSecond: cfg.Peers.BytesPerSecond, Logger: logger,
+		Registry: reg, State: state.Name, Suspects: suspects, Ring: ring, Client: client, BytesPerSecond: cfg.Peers.BytesPerSecond, Logger: logger,
 	})
+	if err != nil {
+		return nil, err
+	}
+	suspects.ShareWith(node.ShareSuspects)
+	return node, nil
 }
 
 // runNode is the first to start and the last to stop, so that the others learn
--- a/entry/peer/node.go
+++ b/entry/peer/node.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/gossip"
+	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -34,6 +35,7 @@
 	Registry       *registry.Registry
 	State          func() string // what this host says of its own state
 	Ring           *key.Ring
+	Suspects       *poison.Book // nil: none are kept
 	Client         *http.Client // for the other hosts' Twirp services
 	BytesPerSecond int
 	Logger         hclog.Logger
