--- a/bench/distribution.go
+++ b/bench/distribution.go
@@ -177,5 +177,3 @@
 	d.emit(figure.AtMost("control", name, took[(len(took)*99-1)/100], "ms", inForceBoundMs).With(note))
 	return nil
 }
-
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/entry/gossip/gossip_test.go
+++ b/entry/gossip/gossip_test.go
@@ -242,3 +242,25 @@
 	w.heal()
 	must.LessEq(t, 60*time.Second, w.spread(2*time.Minute, func(n *node) bool { return len(n.core.Instances()) == 60 }))
 }
+
+func TestLeavingIsFinalThoughTheOtherHalfTookTheInstanceOver(t *testing.T) {
+	w := newNetwork(4, 15)
+	b := w.announce("i", "e01")
+	b.reaches = func(entry string) bool { return entry == "e01" }
+	w.run(settleTime)
+	w.partition(2)
+	w.run(20 * time.Second)
+	must.NotEq(t, "e01", w.nodes[3].core.Instance("i").GetHeardBy())
+	delete(w.beats, "i")
+	out, err := w.nodes[1].core.Gone(w.clock(w.nodes[1]), "i", 1)
+	must.NoError(t, err)
+	w.carry(w.nodes[1], out)
+	w.run(time.Second)
+	w.heal()
+	for range 150 {
+		w.run(100 * time.Millisecond)
+		must.False(t, w.nodes[0].core.Usable("i"))
+		must.False(t, w.nodes[1].core.Usable("i"))
+	}
+	must.False(t, w.nodes[3].core.Usable("i"))
+}
