--- a/bench/local/door_test.go
+++ b/bench/local/door_test.go
@@ -76,8 +76,7 @@
 			_, err := wire.NewClaimsProtobufClient("http://"+control, c).Resolve(ctx, &wire.ResolveClaimRequest{})
 			return err
 		}},
-		// Control hosts pass group changes on to their leader.
-		"group": {"op", func(ctx context.Context, c *http.Client) error {
+		"group": {"o", func(ctx context.Context, c *http.Client) error {
 			_, err := wire.NewGroupProtobufClient("http://"+control, c).Transfer(ctx, &wire.TransferRequest{To: "nobody"})
 			return err
 		}},
