entry/route: more requests on their way to another zone, no cost of a zone

Attica's zones are 3 ms apart there and back: requests on their way keep no slot busy, and slots + 3 in flight starved the instances. The limit now grows by the slots times that way over the service time.

--- a/bench/route/virtual/result.go
+++ b/bench/route/virtual/result.go
@@ -87,8 +87,9 @@
 	return float64(r.InTime) / capacity
 }
 
-// NoticeMs returns how long after a fault the instance got more than half of
-// the requests that it got before, in milliseconds.
+// NoticeMs returns how long after a fault it takes until the instance gets half
+// of the requests that it got before or fewer, and no more than that again for
+// a second: the end of the first such window, in milliseconds.
 func (r *Result) NoticeMs(target int, at time.Duration) float64 {
 	first := int64(at) / window
 	before := 0
@@ -102,7 +103,7 @@
 			noticed = w + 1
 		}
 	}
-	return float64((noticed-first)*window) / float64(time.Millisecond)
+	return float64((noticed+1-first)*window) / float64(time.Millisecond)
 }
 
 // noticeWindows is how many windows around a fault are looked at.
--- a/bench/route_deployment.go
+++ b/bench/route_deployment.go
@@ -16,7 +16,7 @@
 	same      time.Duration // one way between hosts of a zone
 	other     time.Duration // one way between zones
 	instances []int         // sizes of services
-	zoneCost  time.Duration
+	zoneCost  time.Duration // to another zone and back
 }
 
 var deployments = []deployment{
--- a/bench/route_fault.go
+++ b/bench/route_fault.go
@@ -13,6 +13,7 @@
 	faultAt       = 3 * time.Second
 	faultDuration = 10 * time.Second
 	faultSeeds    = 8
+	faultWarmup   = faultAt - 50*time.Millisecond // what is in flight at the fault counts
 	faultTarget   = 2
 	faultLoad     = 0.7
 	slowFactor    = 10
@@ -39,7 +40,7 @@
 }
 
 func (c faultCase) scenario(policy string) virtual.Scenario {
-	s := withPolicy(virtual.Scenario{Load: faultLoad, Duration: faultDuration, Warmup: faultAt, Deadline: faultDeadline}, policy)
+	s := withPolicy(virtual.Scenario{Load: faultLoad, Duration: faultDuration, Warmup: faultWarmup, Deadline: faultDeadline}, policy)
 	c.fault.At = faultAt
 	switch c.fault.Kind {
 	case virtual.LoseHost:
@@ -56,7 +57,7 @@
 func measureFaults(emit func(figure.Figure)) error {
 	policies := []string{contract.PolicyAdaptive, contract.PolicyPowerOfTwo, contract.PolicyLeast, contract.PolicyPeakEWMA}
 	var t tasks
-	calm := t.add(withPolicy(virtual.Scenario{Load: faultLoad, Duration: faultDuration, Warmup: faultAt, Deadline: faultDeadline}, contract.PolicyAdaptive), faultSeeds, virtual.Run)
+	calm := t.add(withPolicy(virtual.Scenario{Load: faultLoad, Duration: faultDuration, Warmup: faultWarmup, Deadline: faultDeadline}, contract.PolicyAdaptive), faultSeeds, virtual.Run)
 	runs := map[string]map[string]*task{}
 	for _, c := range faultCases {
 		runs[c.name] = map[string]*task{}
--- a/entry/route/adaptive.go
+++ b/entry/route/adaptive.go
@@ -18,7 +18,7 @@
 type expected struct {
 	headroom int     // requests beyond the slots that may be in flight
 	weight   float64 // exponent of the instance's own speed; 0 ignores it
-	zoneCost float64 // nanoseconds added for another zone
+	zoneCost float64 // nanoseconds to another zone and back
 	reports  float64 // weight of what instances report of other hosts' requests
 	idle     float64 // cost of each busy slot, as a share of the service time
 }
@@ -41,7 +41,7 @@
 // WithLatencyWeight sets how much an instance's own speed weighs, from 0 to 1.
 func WithLatencyWeight(w float64) AdaptiveOption { return func(e *expected) { e.weight = w } }
 
-// WithZoneCost sets the time added for an instance in another zone.
+// WithZoneCost sets the time to another zone and back.
 func WithZoneCost(d time.Duration) AdaptiveOption {
 	return func(e *expected) { e.zoneCost = float64(d) }
 }
@@ -70,24 +70,27 @@
 	if norm == 0 {
 		norm = unknownLatency
 	}
+	slots := float64(m.instance.Slots())
 	service := m.load.serviceTime(norm, now)
+	way := 0.0
+	if q.zone != "" && m.instance.Zone() != q.zone {
+		way = e.zoneCost
+	}
 	own := float64(m.load.inFlight.Load())
 	known := own
 	if e.reports > 0 {
 		known += e.reports * m.load.othersNow(now)
 	}
 	level := known + m.load.penaltyNow(now)
-	slots := float64(m.instance.Slots())
 	// The speed of an instance changes while a request runs: its estimate is damped.
 	damped := norm
 	if e.weight > 0 {
 		damped = norm * math.Pow(service/norm, e.weight)
 	}
 	score := damped * (max(1, (level+1)/slots) + e.idle*level/slots)
-	if q.zone != "" && m.instance.Zone() != q.zone {
-		score += e.zoneCost
-	}
+	// Requests on their way to another zone and back keep no slot busy.
+	most := slots*(1+way/norm) + float64(e.headroom)
 	// With nothing of its own in flight there, no answer would end a wait.
-	room := own == 0 || known < m.load.allowed(slots+float64(e.headroom), service/norm, state)
+	room := own == 0 || known < m.load.allowed(most, service/norm, state)
 	return score, room
 }
--- a/entry/settings/route.go
+++ b/entry/settings/route.go
@@ -13,7 +13,7 @@
 	Policy         string  `toml:"policy" comment:"policy for services whose rules name none: adaptive, least, powerOfTwo, peakEWMA, roundRobin, random"`
 	Headroom       int     `toml:"headroom" comment:"requests beyond its slots that an instance may have from this host"`
 	LatencyWeight  float64 `toml:"latencyWeight" comment:"how much an instance's own speed weighs, from 0 to 1"`
-	ZoneCostMicros int     `toml:"zoneCostMicros" comment:"time added for an instance in another zone, microseconds"`
+	ZoneCostMicros int     `toml:"zoneCostMicros" comment:"time to another zone and back, microseconds; more requests may be on their way there"`
 	QueueLength    int     `toml:"queueLength" comment:"requests of one service that may wait at this host"`
 	QueueSeconds   float64 `toml:"queueSeconds" comment:"longest wait for an instance"`
 	Bypass         int     `toml:"bypass" comment:"times that the oldest waiting request may be passed over"`
