--- a/control/host/host.go
+++ b/control/host/host.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -18,6 +19,7 @@
 	"github.com/snipebeam/snipebeam/control/fleet"
 	"github.com/snipebeam/snipebeam/control/operator"
 	"github.com/snipebeam/snipebeam/control/peer"
+	"github.com/snipebeam/snipebeam/control/prometheus"
 	"github.com/snipebeam/snipebeam/control/settings"
 	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/world/key"
@@ -26,6 +28,9 @@
 	"go.uber.org/fx/fxevent"
 )
 
+// readHeaderLimit bounds how long a client may take to send its headers.
+const readHeaderLimit = 5 * time.Second
+
 // New returns the application of one control host.
 func New(cfg *settings.Settings, logger hclog.Logger) *fx.App {
 	return fx.New(
@@ -41,6 +46,7 @@
 			entry.NewClaims,
 			newRing,
 			newOperatorRing,
+			prometheus.New,
 			newServer,
 		),
 		fx.Invoke(runNode),
@@ -54,14 +60,14 @@
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
 
-func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, node *peer.Node, rules *operator.Rules, claims *entry.Claims) *http.Server {
+func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, node *peer.Node, rules *operator.Rules, claims *entry.Claims, exporter *prometheus.Exporter) *http.Server {
 	mux := http.NewServeMux()
 	handleRules(mux, ring, operators, wire.NewRulesServer(rules))
 	handleClaims(mux, ring, operators, wire.NewClaimsServer(claims))
 	mux.Handle(wire.QuorumPathPrefix, ring.Guard(wire.NewQuorumServer(node.Service())))
-	mux.Handle(wire.GroupPathPrefix, operators.Guard(wire.NewGroupServer(node.Group())))
-	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	server := &http.Server{Handler: mux}
+	handleGroup(mux, ring, operators, wire.NewGroupServer(node.Group()))
+	handleHealth(mux, node, exporter)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderLimit}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			listener, err := net.Listen("tcp", cfg.Listen.Peers)
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -16,10 +16,10 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/backlog"
-	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/dns"
+	"github.com/snipebeam/snipebeam/entry/framing"
 	"github.com/snipebeam/snipebeam/entry/operator"
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/placement"
@@ -29,23 +29,15 @@
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
-	"github.com/snipebeam/snipebeam/entry/upstream"
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 )
 
-const (
-	expiryInterval = 200 * time.Millisecond
-	callTimeout    = 10 * time.Second
-	stopTimeout    = 24 * time.Hour // a planned stop waits for what is in flight
-	drainPoll      = 20 * time.Millisecond
-	// newsLimit bounds how long other hosts go on naming this one in address
-	// answers after it began to drain: two rounds of the control hosts' watch.
-	newsLimit = 3 * time.Second
-)
+const callTimeout = 10 * time.Second
 
 // New returns the application of one entry host.
 func New(cfg *settings.Settings, logger hclog.Logger) *fx.App {
@@ -56,11 +48,12 @@
 			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
 			newPolicy,
 			func() *route.Views { return &route.Views{} },
-			func(views *route.Views) *registry.Registry { return registry.New(cfg.Host.Name, views) },
-			rules.NewTable, backlog.NewBook, decision.NewLog, upstream.NewPool,
-			newClient, newState, newWatch, newSender, newRouter, newDoors, newExporter,
+			registry.New,
+			rules.NewTable, backlog.NewBook, decision.NewLog,
+			newPool, newSettler, newSuspects,
+			newClient, newState, newWatch, newNode, newRouter, newDoors, newExporter,
 		),
-		fx.Invoke(runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
+		fx.Invoke(runNode, runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
 		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
@@ -81,7 +74,7 @@
 
 // Ready reports whether this host takes callers.
 func (s *State) Ready() bool {
-	return s.bound.Load() && !s.draining.Load() && s.table.Current().Number() > 0
+	return s.bound.Load() && !s.draining.Load() && s.table.Learned()
 }
 
 // Name returns "starting", "ready" or "draining".
@@ -104,23 +97,15 @@
 		Name: s.cfg.Host.Name, Zone: s.cfg.Host.Zone, Role: "entry", State: s.Name(),
 		CallersAddress: s.cfg.Listen.Callers, PeersAddress: s.cfg.Listen.Peers, PlatformAddress: s.cfg.Listen.Platform,
 		Version: s.table.Current().Number(), ReportedAt: now.UnixNano(), Backlog: s.book.Services(now),
-		VersionConfirmedAt: s.table.ConfirmedAt().UnixNano(), InFlight: uint32(inFlight),
+		VersionConfirmedAt: s.table.ConfirmedNano(), InFlight: uint32(inFlight),
 	}
 }
 
 func newClient(cfg *settings.Settings, ring *key.Ring) (*control.Client, *http.Client) {
-	client := ring.Client(&http.Client{Timeout: callTimeout})
+	client := ring.Client(&http.Client{Timeout: callTimeout, Transport: link.Transport()})
 	return control.NewClient(cfg.Control.Hosts, client), client
 }
 
-func newWatch(client *control.Client, table *rules.Table, state *State, logger hclog.Logger) *control.Watch {
-	return control.NewWatch(client, table, state.Report, logger)
-}
-
-func newSender(cfg *settings.Settings, client *http.Client, watch *control.Watch, logger hclog.Logger) *peer.Sender {
-	return peer.NewSender(cfg.Host.Name, client, watch.Entries, logger)
-}
-
 func newPolicy(cfg *settings.Settings) route.Policy { return policyNamed(cfg.Route, cfg.Route.Policy) }
 
 // policyNamed returns a policy with this host's settings, or nil.
@@ -146,13 +131,12 @@
 }
 
 // runBackground runs the loops that end with the program.
-func runBackground(lc fx.Lifecycle, watch *control.Watch, reg *registry.Registry, decisions *decision.Log) {
+func runBackground(lc fx.Lifecycle, watch *control.Watch, decisions *decision.Log) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go watch.Run(ctx)
 			go decisions.Run(ctx)
-			go expire(ctx, reg)
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -162,71 +146,9 @@
 	})
 }
 
-func expire(ctx context.Context, reg *registry.Registry) {
-	ticker := time.NewTicker(expiryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			reg.Expire(now)
-		}
-	}
-}
-
-func runCallers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, router *route.Router, links *upstream.Pool, client *control.Client, book *backlog.Book, decisions *decision.Log) {
-	handler := caller.New(caller.Parts{
-		Host: cfg.Host.Name, Zone: cfg.Host.Zone, Table: table, Router: router, Links: links,
-		Claims: client, Book: book, Decisions: decisions, Stopping: &state.draining,
-	})
-	server := &http.Server{
-		Handler: handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
-		ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
-	}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			if err := listen(server, cfg.Listen.Callers, "callers", logger); err != nil {
-				return err
-			}
-			state.bound.Store(true)
-			logger.Info("entry host started", "host", cfg.Host.Name, "callers", cfg.Listen.Callers)
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			drain(ctx, state, logger)
-			return server.Shutdown(ctx)
-		},
-	})
-}
-
-// drain leaves the address answers, keeps accepting until the lifetime of the
-// last answer that any host gave has passed, and then waits for what is in flight.
-func drain(ctx context.Context, state *State, logger hclog.Logger) {
-	state.draining.Store(true)
-	inFlight, oldest := state.book.InFlight(time.Now())
-	logger.Info("draining", "inFlight", inFlight, "oldestMs", oldest.Milliseconds())
-	sleep(ctx, newsLimit+platform.AnswerLifetime)
-	for {
-		inFlight, _ = state.book.InFlight(time.Now())
-		if inFlight == 0 || !sleep(ctx, drainPoll) {
-			return
-		}
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
-func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, reg *registry.Registry, watch *control.Watch, sender *peer.Sender, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, node *peer.Node, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
 	handler := platform.New(platform.Parts{
-		Host: cfg.Host.Name, Table: table, Registry: reg, Entries: watch.Entries, PassOn: sender.Announce,
+		Host: cfg.Host.Name, Table: table, Members: node, Entries: node.Entries,
 		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: doors.upstreams, HostRate: cfg.Route.HostRate,
 	})
 	server := &http.Server{
@@ -239,14 +161,14 @@
 	})
 }
 
-func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, reg *registry.Registry, ring *key.Ring, doors *doors) {
+func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, book *backlog.Book, decisions *decision.Log, node *peer.Node, ring *key.Ring, doors *doors) {
 	service := operator.New(operator.Parts{
 		Host: cfg.Host.Name, Table: table, Views: views, Book: book, Decisions: decisions,
 		Report: state.Report, Drain: state.draining.Store, Logger: logger,
 	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.EntryPathPrefix, doors.operators.Guard(wire.NewEntryServer(service)))
-	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(peer.NewServer(reg))))
+	mux.Handle(wire.PeerPathPrefix, ring.Guard(wire.NewPeerServer(node.Service())))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Peers, "peers", logger) },
@@ -254,8 +176,8 @@
 	})
 }
 
-func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, watch *control.Watch) {
-	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, table: table, entries: watch.Entries})
+func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, node *peer.Node) {
+	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, table: table, entries: node.Entries})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			_, err := server.Start(cfg.Listen.DNS)
@@ -266,16 +188,21 @@
 }
 
 func listen(server *http.Server, address, name string, logger hclog.Logger) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := link.Listen(context.Background(), address, link.Message)
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", name)
 	}
+	serve(server, listener, name, logger)
+	return nil
+}
+
+func serve(server *http.Server, listener net.Listener, name string, logger hclog.Logger) {
+	listener = framing.Protect(server, listener)
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("listener failed", "listener", name, "error", err)
 		}
 	}()
-	return nil
 }
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- a/entry/route/adaptive.go
+++ b/entry/route/adaptive.go
@@ -27,7 +27,7 @@
 const (
 	DefaultHeadroom = 3
 	DefaultWeight   = 0.5
-	DefaultZoneCost = 500 * time.Microsecond
+	DefaultZoneCost = time.Millisecond
 	DefaultReports  = 0.5
 	defaultIdle     = 0.5
 )
--- a/entry/settings/route.go
+++ b/entry/settings/route.go
@@ -23,7 +23,7 @@
 
 func defaultRoute() Route {
 	return Route{
-		Policy: contract.PolicyAdaptive, Headroom: 3, LatencyWeight: 0.5, ZoneCostMicros: 500,
+		Policy: contract.PolicyAdaptive, Headroom: 3, LatencyWeight: 0.5, ZoneCostMicros: 1000,
 		QueueLength: 1024, QueueSeconds: 10, Bypass: 16, MaxEjected: 0.4, HostRate: 8000,
 	}
 }
