bench/route: tests of the fakes

Runs with one seed agree, every request ends once under each fault, a draining instance gets nothing once it is heard of, and probes keep to the budget.

--- /dev/null
+++ b/bench/route/virtual/run_test.go
@@ -0,0 +1,60 @@
+package virtual_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/bench/route/virtual"
+	"github.com/snipebeam/snipebeam/entry/route"
+)
+
+func adaptive() route.Policy { return route.NewAdaptive() }
+
+func TestRunsWithOneSeedAgree(t *testing.T) {
+	s := virtual.Scenario{Seed: 3, Load: 0.8, Active: 2, Duration: 3 * time.Second, Policy: adaptive}
+	one, two := virtual.Run(s), virtual.Run(s)
+	must.Eq(t, one.P(0.999), two.P(0.999))
+	must.Eq(t, one.Offered, two.Offered)
+}
+
+// TestEveryRequestEndsOnce compares what was offered with the central queue's
+// count of the same arrivals.
+func TestEveryRequestEndsOnce(t *testing.T) {
+	for _, kind := range []virtual.FaultKind{virtual.Slow, virtual.FailFast, virtual.Drain, virtual.Lie, virtual.LoseHost, virtual.ColdStart, virtual.CutZone} {
+		s := virtual.Scenario{
+			Load: 0.7, Active: 1, Spread: 3, Duration: 3 * time.Second, Policy: adaptive, Deadline: 300 * time.Millisecond,
+			Faults: []virtual.Fault{{At: 2 * time.Second, Kind: kind, Target: 1, Factor: 5}},
+		}
+		r := virtual.Run(s)
+		must.Eq(t, virtual.Central(s).Offered, r.Offered)
+		must.Eq(t, r.Offered, r.InTime+r.Late+r.Failed+r.Shed)
+	}
+}
+
+// TestNoWorkForADrainingInstance holds from the time at which every entry host
+// has heard of it.
+func TestNoWorkForADrainingInstance(t *testing.T) {
+	const target, heard = 2, 3 * time.Second // it drains at 2 s and is heard of 1 s later
+	r := virtual.Run(virtual.Scenario{
+		Load: 0.9, Active: 3, Duration: 5 * time.Second, Policy: adaptive,
+		Faults: []virtual.Fault{{At: 2 * time.Second, Kind: virtual.Drain, Target: target}},
+	})
+	before, after := 0, 0
+	for at, n := range r.Sent[target] {
+		if at < int64(heard/(10*time.Millisecond)) {
+			before += n
+		} else {
+			after += n
+		}
+	}
+	must.Positive(t, before)
+	must.Eq(t, 0, after)
+}
+
+func TestProbesKeepToTheBudgetInARun(t *testing.T) {
+	s := virtual.Scenario{Load: 0.05, Instances: 6, Duration: 61 * time.Second, Policy: route.NewLeastCount, ProbeBudget: 0.01}
+	r := virtual.Run(s)
+	must.Positive(t, r.ProbeShare())
+	must.LessEq(t, 0.01, r.ProbeShare())
+}
