--- a/control/state/claims.go
+++ b/control/state/claims.go
@@ -180,6 +180,12 @@
 	if !ok || c.claimID != req.GetClaimId() {
 		return &wire.CompleteResponse{}
 	}
+	if req.GetAnswer().GetStatus() == 0 {
+		if c.state == held { // the holder knows that it will never know
+			s.setState(c, unknown)
+		}
+		return &wire.CompleteResponse{Stored: true}
+	}
 	if c.state != completed {
 		s.setState(c, completed)
 		c.answer = s.bounded(req.GetAnswer())
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -74,6 +74,16 @@
 	must.Eq(t, wire.ClaimState_CLAIM_COMPLETED, claimAt(m, 0, "k", "two"))
 }
 
+func TestClaimWhoseOutcomeItsHolderLostIsUnknown(t *testing.T) {
+	m := state.New()
+	claimAt(m, 0, "k", "one")
+	must.True(t, complete(m, "k", "one", &wire.StoredAnswer{BodyDropped: true}))
+	req := &wire.ClaimRequest{Key: keyNamed("k"), ClaimId: "two"}
+	response := m.Apply(&wire.Command{Body: &wire.Command_Claim{Claim: req}}).GetClaim()
+	must.Eq(t, wire.ClaimState_CLAIM_HELD, response.GetState())
+	must.True(t, response.GetUnknown())
+}
+
 func TestStoredAnswersAreBounded(t *testing.T) {
 	m := state.New()
 	body := bytes.Repeat([]byte("x"), 60<<10)
