--- /dev/null
+++ b/bench/call/trial.go
@@ -0,0 +1,316 @@
+// Package call runs generated sequences of requests and faults against the
+// handlers of several entry hosts, instances and the control group's state
+// machine, connected in memory, and judges what callers were told against what
+// instances ran.
+//
+// Usage:
+//
+//	trial := call.NewTrial(call.Times{...})
+//	verdict := trial.Run(script)
+package call
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/entry/backlog"
+	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/control"
+	"github.com/snipebeam/snipebeam/entry/decision"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/entry/upstream"
+	known "github.com/snipebeam/snipebeam/world/instance"
+	"github.com/snipebeam/snipebeam/world/outcome"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+const (
+	keyHeader = "Idempotency-Key"
+	idHeader  = "Request-Id"
+	// Hosts and Instances are the numbers of each in a trial.
+	Hosts     = 2
+	Instances = 2
+)
+
+// Times are the durations of a trial.
+type Times struct {
+	Deadline time.Duration // of every rule
+	Settle   time.Duration // after the last step, for what is still under way
+}
+
+// StepKind is what a step of a script does.
+type StepKind int
+
+// Kinds of steps.
+const (
+	Send StepKind = iota
+	Break
+	Lose
+	Crash
+	Pause
+)
+
+// Step is one step of a script.
+type Step struct {
+	Kind   StepKind
+	Host   int // entry host that is meant
+	Target int // instance that is meant
+	Key    int // 0: a request that may be repeated
+	Body   int
+	Fault  Fault
+	Loss   Loss
+}
+
+// Verdict counts what a trial showed.
+type Verdict struct {
+	Sent          int
+	ExecutedTwice int
+	NotRunButRan  int
+	WrongAnswers  int
+	Outcomes      map[string]int
+	Detail        []string
+}
+
+// sent is one request with what its caller was told.
+type sent struct {
+	step    Step
+	id      string
+	outcome string
+	status  int
+	body    string
+	whole   bool
+}
+
+// Trial is one set of hosts and instances.
+type Trial struct {
+	times     Times
+	net       *network
+	group     *group
+	instances []*instance
+	hosts     []*host
+	client    *http.Client
+	transport *http.Transport
+
+	mu       sync.Mutex
+	requests []*sent
+	work     sync.WaitGroup
+}
+
+type host struct {
+	listener *listener
+	server   *http.Server
+	claims   *claims
+	pool     *upstream.Pool
+	settler  *control.Settler
+}
+
+// NewTrial starts the hosts and instances.
+func NewTrial(times Times) *Trial {
+	t := &Trial{times: times, net: newNetwork(), group: &group{machine: state.New()}}
+	t.transport = &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return t.net.dial(ctx, address) }}
+	t.client = &http.Client{Transport: t.transport}
+	for n := range Instances {
+		i := newInstance(2 * times.Deadline)
+		t.instances = append(t.instances, i)
+		t.open(n)
+	}
+	for n := range Hosts {
+		t.hosts = append(t.hosts, t.start(n))
+	}
+	return t
+}
+
+func (t *Trial) open(n int) {
+	i := t.instances[n]
+	i.listener = t.net.listen(fmt.Sprintf("i%d:1", n))
+	go func(l *listener) { _ = (&http.Server{Handler: i, ReadHeaderTimeout: time.Minute}).Serve(l) }(i.listener)
+}
+
+func (t *Trial) start(n int) *host {
+	views := &route.Views{}
+	var members []route.Member
+	for k := range Instances {
+		address := fmt.Sprintf("i%d:1", k)
+		members = append(members, route.NewMember(known.New(known.ID(address), "shop", address), &route.Load{}))
+	}
+	views.Store(map[string]*route.View{"shop": route.NewView("shop", members)})
+	table := rules.NewTable()
+	deadline := t.times.Deadline.String()
+	_, err := table.Advance(&wire.Version{Number: 1}, "route shop POST /pay/**: deadline "+deadline+", once Idempotency-Key # L: once\nroute shop: deadline "+deadline+", retries 2 # M: repeated\n")
+	if err != nil {
+		panic("call: the rules of a trial are wrong: " + err.Error())
+	}
+	table.Confirm(1, time.Now())
+	h := &host{claims: &claims{group: t.group}, pool: upstream.NewPool(upstream.WithDial(t.net.dial)), listener: t.net.listen(fmt.Sprintf("e%d:1", n))}
+	h.settler = control.NewSettler(h.claims)
+	h.server = &http.Server{ReadHeaderTimeout: time.Minute, Handler: caller.New(caller.Parts{
+		Host: fmt.Sprint("entry-", n), Table: table, Router: route.NewRouter(views, route.NewLeastCount()), Links: h.pool,
+		Claims: h.claims, Settler: h.settler, Book: backlog.NewBook(), Decisions: decision.NewLog(hclog.NewNullLogger()), Stopping: &atomic.Bool{},
+	})}
+	go func() { _ = h.server.Serve(h.listener) }()
+	return h
+}
+
+// crash ends a host without a word, and starts another in its place.
+func (t *Trial) crash(n int) {
+	h := t.hosts[n]
+	h.claims.crash()
+	h.listener.kill()
+	_ = h.server.Close()
+	h.pool.Close()
+	t.hosts[n] = t.start(n)
+}
+
+// Run runs a script and returns what it showed.
+func (t *Trial) Run(script []Step) Verdict {
+	for _, step := range script {
+		t.step(step)
+	}
+	t.heal()
+	t.work.Wait()
+	time.Sleep(t.times.Settle)
+	verdict := t.judge()
+	t.close()
+	return verdict
+}
+
+func (t *Trial) step(step Step) {
+	switch step.Kind {
+	case Send:
+		t.send(step)
+	case Break:
+		t.breakInstance(step)
+	case Lose:
+		t.hosts[step.Host].claims.set(step.Loss)
+	case Crash:
+		t.crash(step.Host)
+	case Pause:
+		time.Sleep(t.times.Deadline / 4)
+	}
+}
+
+func (t *Trial) breakInstance(step Step) {
+	i := t.instances[step.Target]
+	was := i.current()
+	i.set(step.Fault)
+	switch {
+	case step.Fault == Gone && was != Gone:
+		i.listener.kill()
+	case step.Fault != Gone && was == Gone:
+		t.open(step.Target)
+	}
+}
+
+func (t *Trial) heal() {
+	for n := range t.instances {
+		t.breakInstance(Step{Target: n})
+	}
+	for _, h := range t.hosts {
+		h.claims.set(LoseNothing)
+	}
+}
+
+func (t *Trial) send(step Step) {
+	t.mu.Lock()
+	one := &sent{step: step, id: fmt.Sprint("r", len(t.requests))}
+	t.requests = append(t.requests, one)
+	t.mu.Unlock()
+	t.work.Go(func() { t.exchange(one) })
+}
+
+func pathOf(step Step) string {
+	if step.Key == 0 {
+		return "/list"
+	}
+	return "/pay/1"
+}
+
+func keyOf(step Step) string {
+	if step.Key == 0 {
+		return ""
+	}
+	return fmt.Sprint("k", step.Key)
+}
+
+func (t *Trial) exchange(one *sent) {
+	step := one.step
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://e%d:1%s", step.Host, pathOf(step)), strings.NewReader(fmt.Sprint("b", step.Body)))
+	if err != nil {
+		panic("call: a request of a trial is wrong: " + err.Error())
+	}
+	req.GetBody = nil // the client must not send it again by itself
+	req.Header.Set(caller.ServiceHeader, "shop")
+	req.Header.Set(caller.CallerHeader, "studio")
+	req.Header.Set(idHeader, one.id)
+	if key := keyOf(step); key != "" {
+		req.Header.Set(keyHeader, key)
+	}
+	response, err := t.client.Do(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	one.outcome, one.status, one.body, one.whole = response.Header.Get(outcome.Header), response.StatusCode, string(data), err == nil
+}
+
+func (t *Trial) judge() Verdict {
+	v := Verdict{Sent: len(t.requests), Outcomes: map[string]int{}}
+	ran := map[string]int{}
+	for _, one := range t.requests {
+		ofKey, ofID := 0, 0
+		for _, i := range t.instances {
+			key, id := i.runs(keyOf(one.step), one.id)
+			ofKey, ofID = ofKey+key, ofID+id
+		}
+		if one.step.Key > 0 {
+			ran[keyOf(one.step)] = ofKey
+		}
+		v.judge(one, ofID)
+	}
+	for key, times := range ran {
+		if times > 1 {
+			v.ExecutedTwice++
+			v.Detail = append(v.Detail, fmt.Sprint(key, " ran ", times, " times"))
+		}
+	}
+	return v
+}
+
+func (v *Verdict) judge(one *sent, ran int) {
+	told := one.outcome
+	if told == "" {
+		told = "none"
+	}
+	v.Outcomes[told]++
+	switch {
+	case told == string(outcome.NotRun) && ran > 0:
+		v.NotRunButRan++
+		v.Detail = append(v.Detail, one.id+" was told not-run and ran")
+	case told == string(outcome.Answer) && one.whole && one.body != answerTo(pathOf(one.step), keyOf(one.step), one.id, fmt.Sprint("b", one.step.Body)):
+		v.WrongAnswers++
+		v.Detail = append(v.Detail, fmt.Sprintf("%s got %d %q", one.id, one.status, one.body))
+	}
+}
+
+func (t *Trial) close() {
+	t.transport.CloseIdleConnections()
+	for _, h := range t.hosts {
+		_ = h.server.Close()
+		h.listener.kill()
+		h.pool.Close()
+	}
+	for _, i := range t.instances {
+		i.listener.kill()
+	}
+}
