--- /dev/null
+++ b/bench/call.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/bench/call"
+	"github.com/snipebeam/snipebeam/bench/figure"
+)
+
+func init() {
+	register("call", measureTrials)
+	register("call", measurePoison)
+	register("call", measureSilentLinks)
+}
+
+// Size and bounds of the generated trials.
+const (
+	callTrials          = 640
+	callTrialsAtOnce    = 64
+	callSteps           = 40
+	callSeed            = 20261204
+	callCasesBound      = 10_000
+	callDeadline        = 200 * time.Millisecond
+	callSettle          = 800 * time.Millisecond
+	poisonHosts         = 29
+	poisonInstances     = 10
+	poisonResends       = 100
+	poisonLostBound     = 2
+	silentNoticeBoundMs = 2500 // 2 s without a sign of life, and the time to look
+)
+
+// measureTrials runs generated sequences of requests and faults.
+func measureTrials(emit func(figure.Figure)) error {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	total := call.Verdict{Outcomes: map[string]int{}}
+	atOnce := make(chan struct{}, callTrialsAtOnce)
+	for n := range callTrials {
+		atOnce <- struct{}{}
+		group.Go(func() {
+			defer func() { <-atOnce }()
+			trial := call.NewTrial(call.Times{Deadline: callDeadline, Settle: callSettle})
+			verdict := trial.Run(script(rand.New(rand.NewPCG(callSeed, uint64(n)))))
+			mu.Lock()
+			defer mu.Unlock()
+			total.Add(verdict)
+		})
+	}
+	group.Wait()
+	for _, line := range total.Detail {
+		fmt.Fprintln(os.Stderr, "call: "+line)
+	}
+	note := fmt.Sprintf("%d requests, told %v", total.Sent, total.Outcomes)
+	emit(figure.AtLeast("call", "generatedCases", float64(total.Sent), "requests", callCasesBound))
+	emit(figure.AtMost("call", "executedTwice", float64(total.ExecutedTwice), "keys", 0).With(note))
+	emit(figure.AtMost("call", "notRunButRan", float64(total.NotRunButRan), "requests", 0).With(note))
+	emit(figure.AtMost("call", "wrongAnswers", float64(total.WrongAnswers), "requests", 0).With(note))
+	return nil
+}
+
+func script(random *rand.Rand) []call.Step {
+	kinds := []call.StepKind{call.Send, call.Send, call.Send, call.Send, call.Break, call.Lose, call.Pause, call.Crash}
+	steps := make([]call.Step, callSteps)
+	for n := range steps {
+		steps[n] = call.Step{
+			Kind: kinds[random.IntN(len(kinds))], Host: random.IntN(call.Hosts), Target: random.IntN(call.Instances),
+			Key: random.IntN(4), Body: random.IntN(8) / 7, Fault: call.Fault(random.IntN(int(call.Gone) + 1)),
+			Loss: call.Loss(random.IntN(int(call.LoseAnswers) + 1)),
+		}
+	}
+	return steps
+}
+
+func measurePoison(emit func(figure.Figure)) error {
+	result, err := call.Poison(poisonHosts, poisonInstances, poisonResends)
+	if err != nil {
+		return err
+	}
+	note := fmt.Sprintf("resent %d times over %d hosts; %d of %d innocent requests had no answer", poisonResends, poisonHosts, result.Innocent, result.Others)
+	emit(figure.AtMost("call", "poisonInstancesLost", float64(result.Lost), "instances", poisonLostBound).With(note))
+	return nil
+}
+
+func measureSilentLinks(emit func(figure.Figure)) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var group sync.WaitGroup
+	var waiting, uploading time.Duration
+	var waitErr, uploadErr error
+	group.Go(func() { waiting, waitErr = call.SilentLink(ctx, false) })
+	group.Go(func() { uploading, uploadErr = call.SilentLink(ctx, true) })
+	group.Wait()
+	if waitErr != nil || uploadErr != nil {
+		return errors.Errorf("silent links: %v, %v", waitErr, uploadErr)
+	}
+	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	emit(figure.AtMost("call", "silentLinkNoticeMs", ms(waiting), "ms", silentNoticeBoundMs).With("while an answer is awaited"))
+	emit(figure.AtMost("call", "silentLinkNoticeUploadMs", ms(uploading), "ms", silentNoticeBoundMs).With("during an upload"))
+	return nil
+}
--- a/bench/call/claims.go
+++ b/bench/call/claims.go
@@ -17,6 +17,8 @@
 	machine *state.Machine
 }
 
+func newGroup() *group { return &group{machine: state.New()} }
+
 func (g *group) apply(cmd *wire.Command) *wire.Result {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/bench/call/instance.go
+++ b/bench/call/instance.go
@@ -20,7 +20,7 @@
 	Shed            // refuses before it starts
 	Cut             // answers half
 	Gone            // does not accept
-	faultCount
+
 )
 
 // instance counts executions.
--- /dev/null
+++ b/bench/call/poison.go
@@ -0,0 +1,109 @@
+package call
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/poison"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+const poisonBody = "poison"
+
+// fragile is an instance that one body kills for good.
+type fragile struct {
+	mu       sync.Mutex
+	listener *listener
+	lost     bool
+}
+
+// ServeHTTP answers, or dies with all its links.
+func (f *fragile) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err == nil && string(data) == poisonBody {
+		f.mu.Lock()
+		f.lost = true
+		f.mu.Unlock()
+		f.listener.kill()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data)
+}
+
+// PoisonResult is what resending a poison request cost.
+type PoisonResult struct {
+	Lost     int // instances
+	Innocent int // requests of others that had no answer, of Others
+	Others   int
+}
+
+// Poison sends a request that kills each instance that runs it through entry
+// hosts in turn, with innocent requests beside it.
+func Poison(hosts, instances, resends int) (PoisonResult, error) {
+	t := &Trial{times: Times{Deadline: time.Second}, net: newNetwork(), group: newGroup(), instanceCount: instances}
+	t.transport = &http.Transport{DialContext: t.dial}
+	t.client = &http.Client{Transport: t.transport}
+	var all []*fragile
+	for n := range instances {
+		f := &fragile{listener: t.net.listen(fmt.Sprintf("i%d:1", n))}
+		all = append(all, f)
+		go func() { _ = (&http.Server{Handler: f, ReadHeaderTimeout: time.Minute}).Serve(f.listener) }()
+	}
+	books := make([]*poison.Book, hosts)
+	for n := range hosts {
+		books[n] = poison.NewBook(poison.WithShare(func(_ context.Context, suspects []*wire.Suspect) {
+			for other := range books {
+				if other != n {
+					books[other].Merge(suspects, time.Now())
+				}
+			}
+		}))
+	}
+	for n := range hosts {
+		t.hosts = append(t.hosts, t.start(n, books[n]))
+	}
+	defer t.close()
+	var result PoisonResult
+	for n := range resends {
+		if _, err := t.post(n%hosts, poisonBody); err != nil {
+			return result, err
+		}
+		status, err := t.post((n+1)%hosts, fmt.Sprint("innocent ", n%7))
+		if err != nil {
+			return result, err
+		}
+		result.Others++
+		if status != http.StatusOK {
+			result.Innocent++
+		}
+	}
+	for _, f := range all {
+		f.mu.Lock()
+		if f.lost {
+			result.Lost++
+		}
+		f.mu.Unlock()
+	}
+	return result, nil
+}
+
+func (t *Trial) post(host int, body string) (int, error) {
+	req, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://e%d:1/list", host), strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set(caller.ServiceHeader, "shop")
+	response, err := t.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
--- a/bench/call/trial.go
+++ b/bench/call/trial.go
@@ -21,11 +21,11 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/entry/backlog"
 	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/decision"
+	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/upstream"
@@ -93,13 +93,14 @@
 
 // Trial is one set of hosts and instances.
 type Trial struct {
-	times     Times
-	net       *network
-	group     *group
-	instances []*instance
-	hosts     []*host
-	client    *http.Client
-	transport *http.Transport
+	times         Times
+	instanceCount int
+	net           *network
+	group         *group
+	instances     []*instance
+	hosts         []*host
+	client        *http.Client
+	transport     *http.Transport
 
 	mu       sync.Mutex
 	requests []*sent
@@ -116,8 +117,8 @@
 
 // NewTrial starts the hosts and instances.
 func NewTrial(times Times) *Trial {
-	t := &Trial{times: times, net: newNetwork(), group: &group{machine: state.New()}}
-	t.transport = &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return t.net.dial(ctx, address) }}
+	t := &Trial{times: times, net: newNetwork(), group: newGroup(), instanceCount: Instances}
+	t.transport = &http.Transport{DialContext: t.dial}
 	t.client = &http.Client{Transport: t.transport}
 	for n := range Instances {
 		i := newInstance(2 * times.Deadline)
@@ -125,21 +126,25 @@
 		t.open(n)
 	}
 	for n := range Hosts {
-		t.hosts = append(t.hosts, t.start(n))
+		t.hosts = append(t.hosts, t.start(n, poison.NewBook()))
 	}
 	return t
 }
 
+func (t *Trial) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return t.net.dial(ctx, address)
+}
+
 func (t *Trial) open(n int) {
 	i := t.instances[n]
 	i.listener = t.net.listen(fmt.Sprintf("i%d:1", n))
 	go func(l *listener) { _ = (&http.Server{Handler: i, ReadHeaderTimeout: time.Minute}).Serve(l) }(i.listener)
 }
 
-func (t *Trial) start(n int) *host {
+func (t *Trial) start(n int, suspects *poison.Book) *host {
 	views := &route.Views{}
 	var members []route.Member
-	for k := range Instances {
+	for k := range t.instanceCount {
 		address := fmt.Sprintf("i%d:1", k)
 		members = append(members, route.NewMember(known.New(known.ID(address), "shop", address), &route.Load{}))
 	}
@@ -155,7 +160,7 @@
 	h.settler = control.NewSettler(h.claims)
 	h.server = &http.Server{ReadHeaderTimeout: time.Minute, Handler: caller.New(caller.Parts{
 		Host: fmt.Sprint("entry-", n), Table: table, Router: route.NewRouter(views, route.NewLeastCount()), Links: h.pool,
-		Claims: h.claims, Settler: h.settler, Book: backlog.NewBook(), Decisions: decision.NewLog(hclog.NewNullLogger()), Stopping: &atomic.Bool{},
+		Claims: h.claims, Settler: h.settler, Suspects: suspects, Book: backlog.NewBook(), Decisions: decision.NewLog(hclog.NewNullLogger()), Stopping: &atomic.Bool{},
 	})}
 	go func() { _ = h.server.Serve(h.listener) }()
 	return h
@@ -168,7 +173,7 @@
 	h.listener.kill()
 	_ = h.server.Close()
 	h.pool.Close()
-	t.hosts[n] = t.start(n)
+	t.hosts[n] = t.start(n, poison.NewBook())
 }
 
 // Run runs a script and returns what it showed.
@@ -314,3 +319,15 @@
 		i.listener.kill()
 	}
 }
+
+// Add adds what another trial showed.
+func (v *Verdict) Add(other Verdict) {
+	v.Sent += other.Sent
+	v.ExecutedTwice += other.ExecutedTwice
+	v.NotRunButRan += other.NotRunButRan
+	v.WrongAnswers += other.WrongAnswers
+	v.Detail = append(v.Detail, other.Detail...)
+	for told, n := range other.Outcomes {
+		v.Outcomes[told] += n
+	}
+}
--- a/entry/caller/retry_test.go
+++ b/entry/caller/retry_test.go
@@ -106,3 +106,19 @@
 	must.NoError(t, err)
 	must.Between(t, 1, ms, 5000)
 }
+
+func TestNotRunOfTheLastAttemptDoesNotHideAnEarlierOne(t *testing.T) {
+	var n atomic.Int32
+	lossy, gone := dying(t, &n), deadAddress(t)
+	hidden := false
+	for range 20 { // either instance may be tried first
+		entry := serveEntry(t, newEntry(t, viewsOf(lossy, gone), newClaims()))
+		before := n.Load()
+		got := call(t, http.MethodGet, entry, "/x", "")
+		if n.Load() > before {
+			hidden = true
+			must.Eq(t, outcome.Unknown, got.outcome())
+		}
+	}
+	must.True(t, hidden)
+}
