--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -19,6 +19,7 @@
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/dns"
+	"github.com/snipebeam/snipebeam/entry/framing"
 	"github.com/snipebeam/snipebeam/entry/operator"
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/placement"
@@ -196,6 +197,7 @@
 }
 
 func serve(server *http.Server, listener net.Listener, name string, logger hclog.Logger) {
+	listener = framing.Protect(server, listener)
 	go func() {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("listener failed", "listener", name, "error", err)
