--- a/bench/call/trial.go
+++ b/bench/call/trial.go
@@ -37,7 +37,10 @@
 const (
 	keyHeader = "Idempotency-Key"
 	idHeader  = "Request-Id"
-	// Hosts and Instances are the numbers of each in a trial.
+)
+
+// Numbers of a trial.
+const (
 	Hosts     = 2
 	Instances = 2
 )
--- a/entry/upstream/pool_test.go
+++ b/entry/upstream/pool_test.go
@@ -146,6 +146,28 @@
 	must.Eq(t, 1, open)
 }
 
+func TestAnswerThatComesLateIsNotThatOfTheNextRequest(t *testing.T) {
+	next := make(chan struct{})
+	i := serve(t, func(n int, conn *net.TCPConn, r *bufio.Reader) {
+		take(r)
+		say(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+		if n == 1 {
+			<-next
+		}
+		say(conn, "right")
+	})
+	pool := upstream.NewPool()
+	exchange, err := pool.Send(t.Context(), i.address(), get(t, "/left"))
+	must.NoError(t, err)
+	exchange.Close()
+	_, idle := pool.Links(i.address())
+	must.Eq(t, 0, idle)
+	close(next)
+	got, err := fetch(t, pool, i.address(), "/next")
+	must.NoError(t, err)
+	must.Eq(t, "right", got)
+}
+
 func TestFailureSaysWhetherAByteWasWritten(t *testing.T) {
 	reset := serve(t, func(_ int, conn *net.TCPConn, r *bufio.Reader) {
 		take(r)
