--- a/entry/control/settle.go
+++ b/entry/control/settle.go
@@ -17,7 +17,6 @@
 	lastPause      = 2 * time.Second
 	settleGiveUp   = 10 * time.Minute
 	waitStep       = 20 * time.Millisecond
-	unsettledName  = "snipebeam_claims_unsettled"
 	abandonedName  = "snipebeam_claims_abandoned_total"
 	settledName    = "snipebeam_claims_settled_total"
 	releaseRefused = "snipebeam_claim_releases_refused_total"
