--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -12,6 +12,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -46,8 +47,13 @@
 	return c
 }
 
-// try calls the hosts in turn, the one that answered last first.
-func try[T any](ctx context.Context, c *Client, call func(peer) (T, error)) (T, error) {
+// hostLimit bounds the wait for one control host, so that a silent one leaves
+// time for the others.
+const hostLimit = 600 * time.Millisecond
+
+// try calls the hosts in turn, the one that answered last first. A call may
+// reach several hosts; claims carry an id that makes them one.
+func try[T any](ctx context.Context, c *Client, call func(ctx context.Context, p peer) (T, error)) (T, error) {
 	var zero T
 	if len(c.hosts) == 0 {
 		return zero, errors.New("no control host is set")
@@ -56,7 +62,7 @@
 	var last error
 	for n := range uint32(len(c.hosts)) {
 		at := (start + n) % uint32(len(c.hosts))
-		response, err := call(c.hosts[at])
+		response, err := tryOne(ctx, c.hosts[at], call)
 		if err == nil {
 			c.next.Store(at)
 			return response, nil
@@ -69,17 +75,23 @@
 	return zero, errors.Wrap(last, "call control hosts")
 }
 
+func tryOne[T any](ctx context.Context, p peer, call func(ctx context.Context, p peer) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, hostLimit)
+	defer cancel()
+	return call(ctx, p)
+}
+
 // Claim claims a key.
 func (c *Client) Claim(ctx context.Context, req *wire.ClaimRequest) (*wire.ClaimResponse, error) {
-	return try(ctx, c, func(p peer) (*wire.ClaimResponse, error) { return p.claims.Claim(ctx, req) })
+	return try(ctx, c, func(ctx context.Context, p peer) (*wire.ClaimResponse, error) { return p.claims.Claim(ctx, req) })
 }
 
 // Complete stores the answer of a claimed request.
 func (c *Client) Complete(ctx context.Context, req *wire.CompleteRequest) (*wire.CompleteResponse, error) {
-	return try(ctx, c, func(p peer) (*wire.CompleteResponse, error) { return p.claims.Complete(ctx, req) })
+	return try(ctx, c, func(ctx context.Context, p peer) (*wire.CompleteResponse, error) { return p.claims.Complete(ctx, req) })
 }
 
 // Release gives up a claim that was never dispatched.
 func (c *Client) Release(ctx context.Context, req *wire.ReleaseRequest) (*wire.ReleaseResponse, error) {
-	return try(ctx, c, func(p peer) (*wire.ReleaseResponse, error) { return p.claims.Release(ctx, req) })
+	return try(ctx, c, func(ctx context.Context, p peer) (*wire.ReleaseResponse, error) { return p.claims.Release(ctx, req) })
 }
