--- /dev/null
+++ b/bench/callstop.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/bench/cluster"
+	"github.com/snipebeam/snipebeam/bench/figure"
+	"github.com/snipebeam/snipebeam/standin/caller"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+func init() { register("call", measureStops) }
+
+const callRules = `route photos POST: deadline 10s, finish, maxBody 300MB # bench: long uploads
+route lookup: deadline 2s, retries 1 # bench: short requests
+route pay POST /once/**: deadline 5s, once Idempotency-Key # bench: at most once
+route pay POST: deadline 5s # bench: the same without a claim
+`
+
+// Size of the stops that are measured.
+const (
+	stopHosts       = 6
+	stopAtOnce      = 2
+	uploadBytes     = 200 << 20
+	uploadParts     = 100
+	uploadPause     = 80 * time.Millisecond
+	stopLimit       = time.Minute
+	stopRate        = 200
+	stopLoad        = 45 * time.Second
+	stopTail        = time.Second
+	submitTries     = 50
+	submitPause     = 200 * time.Millisecond
+	announceTime    = 2 * time.Second
+	smallInstances  = 4
+	programsOfBench = "entry control standin"
+)
+
+// measureStops stops hosts while an upload and a load are under way.
+func measureStops(emit func(figure.Figure)) error {
+	c, done, err := callCluster(stopHosts)
+	if err != nil {
+		return err
+	}
+	defer done()
+	if _, _, err := c.StartInstance("photos-1", "photos", "a", "--work", "1ms"); err != nil {
+		return err
+	}
+	for n := range smallInstances {
+		if _, _, err := c.StartInstance(fmt.Sprint("lookup-", n), "lookup", "a", "--work", "2ms"); err != nil {
+			return err
+		}
+	}
+	time.Sleep(announceTime)
+	var group sync.WaitGroup
+	var summary caller.Summary
+	group.Go(func() {
+		summary = caller.Run(context.Background(), caller.Config{
+			Platforms: c.Platforms(), Service: "lookup", Zone: "a", Method: http.MethodPost, Path: "/x", BodyBytes: 64, Rate: stopRate, Duration: stopLoad,
+		})
+	})
+	uploadErr := uploadThroughStop(c)
+	rollErr := rollingRestart(c)
+	group.Wait()
+	if rollErr != nil {
+		return rollErr
+	}
+	cut := summary.Sent - summary.Outcomes["answer"]
+	note := fmt.Sprintf("one 200 MB upload stopped halfway, %d requests during a restart of %d hosts, %d at a time: %v", summary.Sent, stopHosts, stopAtOnce, summary.Outcomes)
+	if uploadErr != nil {
+		cut++
+		note += "; upload: " + uploadErr.Error()
+	}
+	emit(figure.AtMost("call", "cutByPlannedStop", float64(cut), "requests", 0).With(note))
+	return nil
+}
+
+// callCluster runs real hosts under the rules of this area.
+func callCluster(entries int) (*cluster.Cluster, func(), error) {
+	dir, err := os.MkdirTemp("", "snipebeam-call-")
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "make folder")
+	}
+	remove := func() { _ = os.RemoveAll(dir) }
+	for _, program := range bytes.Fields([]byte(programsOfBench)) {
+		target := filepath.Join(dir, "snipebeam-"+string(program))
+		if out, err := exec.Command("go", "build", "-o", target, "./"+string(program)).CombinedOutput(); err != nil {
+			remove()
+			return nil, nil, errors.Wrapf(err, "build %s: %s", program, out)
+		}
+	}
+	c, err := cluster.New(dir, dir)
+	if err != nil {
+		remove()
+		return nil, nil, err
+	}
+	done := func() {
+		c.Close()
+		remove()
+	}
+	if err := startCallCluster(c, entries); err != nil {
+		done()
+		return nil, nil, err
+	}
+	return c, done, nil
+}
+
+func startCallCluster(c *cluster.Cluster, entries int) error {
+	if err := c.StartControl(3); err != nil {
+		return err
+	}
+	if err := c.StartEntries(entries, "a"); err != nil {
+		return err
+	}
+	if err := submitRules(c); err != nil {
+		return err
+	}
+	return c.WaitReady()
+}
+
+func submitRules(c *cluster.Cluster) error {
+	req := &wire.SubmitRequest{SubmissionId: "bench", Text: callRules, Author: "bench", Reason: "measure"}
+	var last error
+	for n := range submitTries {
+		address := c.Controls[n%len(c.Controls)].Peers
+		response, err := wire.NewRulesProtobufClient("http://"+address, http.DefaultClient).Submit(context.Background(), req)
+		if err == nil && response.GetAccepted() {
+			return nil
+		}
+		last = errors.Errorf("rules not accepted: %v %s", err, response.GetRefusal())
+		time.Sleep(submitPause)
+	}
+	return last
+}
+
+// slowUpload gives a body in parts, and stops a host halfway.
+type slowUpload struct {
+	left   int
+	digest *xxhash.Digest
+	half   func()
+	part   []byte
+}
+
+// Read gives the next part after a pause.
+func (u *slowUpload) Read(p []byte) (int, error) {
+	if u.left == 0 {
+		return 0, io.EOF
+	}
+	const partBytes = uploadBytes / uploadParts
+	if u.left%partBytes == 0 {
+		time.Sleep(uploadPause)
+	}
+	if u.left == uploadBytes/2 {
+		u.half()
+	}
+	n := min(len(p), u.left, (u.left-1)%partBytes+1)
+	for k := range n {
+		p[k] = byte(u.left + k)
+	}
+	u.left -= n
+	_, _ = u.digest.Write(p[:n])
+	return n, nil
+}
+
+func uploadThroughStop(c *cluster.Cluster) error {
+	entry := c.Entries[0]
+	upload := &slowUpload{left: uploadBytes, digest: xxhash.New(), half: func() { _ = entry.Signal(syscall.SIGTERM) }}
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry.Callers+"/photos/1", upload)
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	req.Host, req.ContentLength = "photos", uploadBytes
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "upload")
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		BodyBytes  int    `json:"bodyBytes"`
+		BodyDigest string `json:"bodyDigest"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return errors.Wrapf(err, "read answer %s", response.Status)
+	}
+	if answer.BodyBytes != uploadBytes || answer.BodyDigest != fmt.Sprintf("%016x", upload.digest.Sum64()) {
+		return errors.Errorf("%d bytes arrived with another digest", answer.BodyBytes)
+	}
+	if err := entry.Wait(stopLimit); err != nil {
+		return errors.Wrap(err, "the stopped host")
+	}
+	if err := c.Restart(entry, entry.Name(), "snipebeam-entry"); err != nil {
+		return err
+	}
+	return c.WaitReady() // a program that just started knows no signals yet
+}
+
+// rollingRestart restarts every host gracefully, a few at a time.
+func rollingRestart(c *cluster.Cluster) error {
+	for from := 0; from < len(c.Entries); from += stopAtOnce {
+		failed := make(chan error, stopAtOnce)
+		for _, entry := range c.Entries[from : from+stopAtOnce] {
+			go func() {
+				err := entry.Terminate(stopLimit)
+				if err == nil {
+					err = c.Restart(entry, entry.Name(), "snipebeam-entry")
+				}
+				failed <- err
+			}()
+		}
+		for range stopAtOnce {
+			if err := <-failed; err != nil {
+				return err
+			}
+		}
+		if err := c.WaitReady(); err != nil {
+			return err
+		}
+		time.Sleep(stopTail)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/host/stop_test.go
@@ -0,0 +1,51 @@
+package host
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/backlog"
+	"github.com/snipebeam/snipebeam/entry/control"
+	"github.com/snipebeam/snipebeam/entry/platform"
+	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/entry/settings"
+)
+
+func drained(ctx context.Context, t *testing.T, longest time.Duration) time.Duration {
+	state := newState(settings.Default(), rules.NewTable(), backlog.NewBook())
+	stay := state.book.Arrive("aftercare", time.Now())
+	time.AfterFunc(longest, func() { stay.End(false, time.Now()) })
+	started := time.Now()
+	drain(ctx, state, control.NewSettler(nil), hclog.NewNullLogger())
+	must.Eq(t, "draining", state.Name())
+	return time.Since(started)
+}
+
+func TestDrainWaitsForTheLastAddressAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		took := drained(t.Context(), t, time.Millisecond)
+		must.GreaterEq(t, newsLimit+platform.AnswerLifetime, took)
+	})
+}
+
+func TestDrainWaitsForTheLongestRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		took := drained(t.Context(), t, 3*time.Hour)
+		must.GreaterEq(t, 3*time.Hour, took)
+		must.Less(t, 3*time.Hour+time.Second, took)
+	})
+}
+
+func TestOnlyASettingCutsADrainShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		must.Eq(t, time.Minute, drained(ctx, t, time.Hour))
+		time.Sleep(time.Hour)
+	})
+	must.Eq(t, stopTimeout, stopLimit(settings.Default()))
+}
