--- a/control/state/claims.go
+++ b/control/state/claims.go
@@ -11,8 +11,8 @@
 	defaultRetention  = 24 * time.Hour
 	maxRetention      = 7 * 24 * time.Hour
 	maxStoredBody     = 64 << 10 // bytes of one answer
-	maxStoredAnswers  = 48 << 20 // bytes of all answers
-	maxClaimBytes     = 96 << 20 // bytes of all claims and releases without answers
+	maxStoredAnswers  = 32 << 20 // bytes of all answers
+	maxClaimBytes     = 72 << 20 // bytes of all claims and releases without answers
 	claimOverhead     = 320      // bytes beside the strings
 	releasedRetention = 10 * time.Minute
 )
@@ -180,6 +180,12 @@
 	if !ok || c.claimID != req.GetClaimId() {
 		return &wire.CompleteResponse{}
 	}
+	if req.GetAnswer().GetStatus() == 0 {
+		if c.state == held { // the holder knows that it will never know
+			s.setState(c, unknown)
+		}
+		return &wire.CompleteResponse{Stored: true}
+	}
 	if c.state != completed {
 		s.setState(c, completed)
 		c.answer = s.bounded(req.GetAnswer())
--- a/snipebeam/control/client.go
+++ b/snipebeam/control/client.go
@@ -108,6 +108,22 @@
 	return errors.As(err, &t) && t.Code() == twirp.InvalidArgument
 }
 
+// Refused reports whether a control host answered that a call cannot be done
+// as things stand.
+func Refused(err error) bool {
+	var failure *Failure
+	if !errors.As(err, &failure) {
+		return false
+	}
+	for _, one := range failure.errs {
+		var t twirp.Error
+		if errors.As(one, &t) && t.Code() == twirp.FailedPrecondition {
+			return true
+		}
+	}
+	return false
+}
+
 // Failure is the error of a call that no control host answered.
 type Failure struct {
 	hosts []string
@@ -139,12 +155,14 @@
 	switch t.Code() {
 	case twirp.Unauthenticated, twirp.PermissionDenied:
 		return " (give the operators' key with --key-file)"
-	case twirp.InvalidArgument, twirp.NotFound:
+	case twirp.InvalidArgument, twirp.NotFound, twirp.FailedPrecondition:
 		return ""
 	case twirp.BadRoute, twirp.Unimplemented:
-		return " (this control host does not know the call; is it a control host, of this release?)"
+		return " (is that the peers listener of a control host, of this release?)"
+	case twirp.Unavailable:
+		return " (see which control hosts can be reached with \"snipebeam status\")"
 	default:
-		return " (no control host could do it; look at \"snipebeam status\", or name other hosts with --control)"
+		return " (does a control host run there? name others with --control)"
 	}
 }
 
