--- a/entry/gossip/gossip_test.go
+++ b/entry/gossip/gossip_test.go
@@ -303,3 +303,24 @@
 	must.True(t, w.nodes[0].core.Instance("i").GetDraining())
 	must.True(t, w.nodes[1].core.Instance("i").GetDraining())
 }
+
+func TestInstanceThatIsHeardIsNeverTakenForSilent(t *testing.T) {
+	w := newNetwork(2, 19)
+	b := w.announce("i", "e00")
+	w.run(settleTime)
+	w.partition(1)
+	for _, draining := range []bool{true, false, true, false} {
+		b.message.Draining = draining
+		w.run(time.Second)
+	}
+	b.entry = "e01"
+	b.reaches = func(entry string) bool { return entry == "e01" }
+	w.run(5 * time.Second)
+	must.False(t, w.nodes[0].core.Usable("i"))
+	w.heal()
+	for range 1000 {
+		w.run(10 * time.Millisecond)
+		must.True(t, w.nodes[1].core.Usable("i"))
+	}
+	must.True(t, w.nodes[0].core.Usable("i"))
+}
