--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -45,6 +45,9 @@
 	ElectionTicks  int
 	HeartbeatTicks int
 	Client         func(http.RoundTripper) *http.Client // adds keys
+	// OperatorClient makes the clients for operators' requests that are passed
+	// on to the leader; Client is used if it is nil.
+	OperatorClient func(http.RoundTripper) *http.Client
 	Logger         hclog.Logger
 }
 
@@ -56,7 +59,7 @@
 	maxDrain     = 2048
 	keptBytes    = 2 << 20 // of entries kept in memory behind a snapshot
 	minSnapshot  = 4 << 20
-	maxSnapshot  = 32 << 20
+	maxSnapshot  = 16 << 20
 	leaderWait   = 3 // election times that a proposal waits for a leader
 	retryPause   = 10 * time.Millisecond
 	proposeLimit = 5 * time.Second
@@ -73,6 +76,7 @@
 	stopped chan struct{}
 	joinMu  sync.Mutex
 	view    atomic.Pointer[view]
+	told    atomic.Pointer[toldMembers]
 	fault   atomic.Pointer[error]
 
 	// The rest belongs to the goroutine of Run.
@@ -92,6 +96,8 @@
 	clockSince time.Time
 
 	clients clientPool
+	// operators holds the clients for operators' requests that are passed on.
+	operators clientPool
 }
 
 // New returns a node on a store that was opened or created.
@@ -99,11 +105,14 @@
 	if cfg.Client == nil {
 		cfg.Client = func(t http.RoundTripper) *http.Client { return &http.Client{Transport: t} }
 	}
+	if cfg.OperatorClient == nil {
+		cfg.OperatorClient = cfg.Client
+	}
 	n := &Node{
 		cfg: cfg, store: store, machine: machine, logger: cfg.Logger.Named("quorum"),
 		work: make(chan func(), workQueue), stopped: make(chan struct{}),
 		pending: map[uint64]*proposal{}, reads: map[uint64]chan quorum.ReadResult{}, links: map[string]*link{}, strangers: map[string]string{},
-		clients: clientPool{wrap: cfg.Client},
+		clients: clientPool{wrap: cfg.Client}, operators: clientPool{wrap: cfg.OperatorClient},
 	}
 	if saved.Snapshot != nil && len(saved.Snapshot.GetState()) > 0 {
 		if err := machine.Restore(saved.Snapshot.GetState()); err != nil {
