caller: a request on a link that the instance closed may have run

The replacement by a new link hid it: if that could not be opened, the caller was told "not run" of a GET that the instance may have run.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -155,6 +155,7 @@
 	exchange, err := d.h.parts.Links.Send(d.c.clock, d.target.Address(), d.c.outgoing(attempt), opts...)
 	var failure *upstream.Failure
 	if errors.As(err, &failure) && failure.Cause() == upstream.Stale && d.c.repeatable() && d.c.body.replayable() {
+		d.c.dispatched = true // the instance may have run it before it closed the link
 		opts = append(opts, upstream.WithMaxIdle(0))
 		return d.h.parts.Links.Send(d.c.clock, d.target.Address(), d.c.outgoing(attempt), opts...)
 	}
--- a/entry/caller/retry_test.go
+++ b/entry/caller/retry_test.go
@@ -122,3 +122,25 @@
 	}
 	must.True(t, hidden)
 }
+
+// The instance runs the request that comes over a kept link and is gone: the
+// new link that replaces a closed one cannot make it "not run".
+func TestRequestOnAClosedKeptLinkMayHaveRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(conn)
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		_, _ = http.ReadRequest(r)
+		_ = listener.Close()
+		_ = conn.Close()
+	}()
+	entry := serveEntry(t, newEntry(t, viewsOf(listener.Addr().String()), newClaims()))
+	must.Eq(t, outcome.Answer, call(t, http.MethodGet, entry, "/x", "").outcome())
+	must.Eq(t, outcome.Unknown, call(t, http.MethodGet, entry, "/x", "").outcome())
+}
