--- a/bench/call/instance.go
+++ b/bench/call/instance.go
@@ -19,6 +19,7 @@
 	Slow            // runs it after the deadline
 	Shed            // refuses before it starts
 	Cut             // answers half
+	Perish          // runs it and is lost with all its links
 	Gone            // does not accept
 
 )
@@ -50,6 +51,19 @@
 	return i.fault
 }
 
+func (i *instance) perish() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.fault = Gone
+	i.listener.kill()
+}
+
+func (i *instance) accept(l *listener) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.listener = l
+}
+
 func (i *instance) count(key, id string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -79,7 +93,10 @@
 		time.Sleep(i.slow)
 	}
 	i.count(r.Header.Get(keyHeader), r.Header.Get(idHeader))
-	if fault == DieAfter {
+	if fault == Perish {
+		i.perish()
+	}
+	if fault == DieAfter || fault == Perish {
 		panic(http.ErrAbortHandler)
 	}
 	answer := answerTo(r.URL.Path, r.Header.Get(keyHeader), r.Header.Get(idHeader), string(data))
--- a/bench/call/trial.go
+++ b/bench/call/trial.go
@@ -140,8 +140,9 @@
 
 func (t *Trial) open(n int) {
 	i := t.instances[n]
-	i.listener = t.net.listen(fmt.Sprintf("i%d:1", n))
-	go func(l *listener) { _ = (&http.Server{Handler: i, ReadHeaderTimeout: time.Minute}).Serve(l) }(i.listener)
+	l := t.net.listen(fmt.Sprintf("i%d:1", n))
+	i.accept(l)
+	go func() { _ = (&http.Server{Handler: i, ReadHeaderTimeout: time.Minute}).Serve(l) }()
 }
 
 func (t *Trial) start(n int, suspects *poison.Book) *host {
