caller: leave the retry budget to the router

The router knows a retry by what it excludes and keeps a tenth; a second interface for it was one too many.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -41,7 +41,7 @@
 			return nil
 		}
 		if result.instance == "" && last != nil {
-			return c.overall(last) // no other instance: the attempt before tells more
+			return c.overall(last) // no other instance or no budget: the attempt before tells more
 		}
 		last = result.problem
 		c.dispatched = c.dispatched || result.problem.Kind() == outcome.Unknown
@@ -78,10 +78,8 @@
 	if terms.Once() && last.problem.Kind() != outcome.NotRun || attempt > allowed {
 		return false
 	}
-	if _, poisoned := h.parts.Suspects.Refused(c.fingerprint, time.Now()); poisoned {
-		return false
-	}
-	return h.parts.Budget == nil || h.parts.Budget.AllowRetry(c.service)
+	_, poisoned := h.parts.Suspects.Refused(c.fingerprint, time.Now())
+	return !poisoned
 }
 
 // repeatable reports whether the contract allows a request to run twice.
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -38,11 +38,6 @@
 	Acquire(ctx context.Context, q route.Query) (*route.Ticket, error)
 }
 
-// RetryBudget says whether a service may have one more retry now.
-type RetryBudget interface {
-	AllowRetry(service string) bool
-}
-
 // Parts are what a handler works with.
 type Parts struct {
 	Host      string // this host's name
@@ -53,7 +48,6 @@
 	Claims    control.Claimer
 	Settler   *control.Settler
 	Suspects  *poison.Book
-	Budget    RetryBudget // nil: no bound
 	Book      *backlog.Book
 	Decisions *decision.Log
 	Stopping  *atomic.Bool
