--- a/entry/caller/retry_test.go
+++ b/entry/caller/retry_test.go
@@ -30,21 +30,27 @@
 	})
 }
 
+type noBudget struct{}
+
+func (noBudget) AllowRetry(string) bool { return false }
+
 func TestRetriesFollowTheContract(t *testing.T) {
 	tests := map[string]struct {
 		method, path, body string
 		attempts           int32
+		opts               []parts
 	}{
-		"allowed twice":             {http.MethodGet, "/x", "", 3},
-		"small body sent again":     {http.MethodPut, "/x", "body", 3},
-		"large body not sent twice": {http.MethodPut, "/x", strings.Repeat("a", 200_000), 1},
-		"not allowed":               {http.MethodPost, "/x", "body", 1},
+		"allowed twice":             {http.MethodGet, "/x", "", 3, nil},
+		"small body sent again":     {http.MethodPut, "/x", "body", 3, nil},
+		"large body not sent twice": {http.MethodPut, "/x", strings.Repeat("a", 200_000), 1, nil},
+		"not allowed":               {http.MethodPost, "/x", "body", 1, nil},
+		"budget spent":              {http.MethodGet, "/x", "", 1, []parts{func(p *caller.Parts) { p.Budget = noBudget{} }}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var n atomic.Int32
 			views := viewsOf(dying(t, &n), dying(t, &n), dying(t, &n), dying(t, &n))
-			got := call(t, test.method, serveEntry(t, newEntry(t, views, newClaims())), test.path, test.body)
+			got := call(t, test.method, serveEntry(t, newEntry(t, views, newClaims(), test.opts...)), test.path, test.body)
 			must.Eq(t, outcome.Unknown, got.outcome())
 			must.Eq(t, test.attempts, n.Load())
 		})
@@ -59,7 +65,8 @@
 		return contract.NewService(service, contract.WithRetryBudget(0.1))
 	})
 	entry := serveEntry(t, newEntry(t, views, newClaims(), func(p *caller.Parts) {
-		p.Router = route.NewRouter(views, route.NewLeastCount(), tenth)
+		router := route.NewRouter(views, route.NewLeastCount(), tenth)
+		p.Router, p.Budget = router, router
 	}))
 	for range 300 {
 		must.Eq(t, outcome.UpstreamLost, call(t, http.MethodGet, entry, "/x", "").reason())
