--- a/entry/caller/retry_test.go
+++ b/entry/caller/retry_test.go
@@ -13,13 +13,11 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
-type noBudget struct{}
-
-func (noBudget) AllowRetry(string) bool { return false }
-
 // dying closes each link once it has a request, and counts them.
 func dying(t *testing.T, n *atomic.Int32) string {
 	return rawInstance(t, func(_ net.Conn, r *bufio.Reader) {
@@ -32,6 +30,10 @@
 	})
 }
 
+type noBudget struct{}
+
+func (noBudget) AllowRetry(string) bool { return false }
+
 func TestRetriesFollowTheContract(t *testing.T) {
 	tests := map[string]struct {
 		method, path, body string
@@ -55,6 +57,23 @@
 	}
 }
 
+// Without the budget behind the router it would be 900 attempts.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	var n atomic.Int32
+	views := viewsOf(dying(t, &n), dying(t, &n), dying(t, &n))
+	tenth := route.WithTerms(func(service string) *contract.Service {
+		return contract.NewService(service, contract.WithRetryBudget(0.1))
+	})
+	entry := serveEntry(t, newEntry(t, views, newClaims(), func(p *caller.Parts) {
+		router := route.NewRouter(views, route.NewLeastCount(), tenth)
+		p.Router, p.Budget = router, router
+	}))
+	for range 300 {
+		must.Eq(t, outcome.UpstreamLost, call(t, http.MethodGet, entry, "/x", "").reason())
+	}
+	must.LessEq(t, 340, n.Load())
+}
+
 func TestRetryReachesAnotherInstance(t *testing.T) {
 	var n atomic.Int32
 	good := httpInstance(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
@@ -122,3 +141,25 @@
 	}
 	must.True(t, hidden)
 }
+
+// The instance runs the request that comes over a kept link and is gone: the
+// new link that replaces a closed one cannot make it "not run".
+func TestRequestOnAClosedKeptLinkMayHaveRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(conn)
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		_, _ = http.ReadRequest(r)
+		_ = listener.Close()
+		_ = conn.Close()
+	}()
+	entry := serveEntry(t, newEntry(t, viewsOf(listener.Addr().String()), newClaims()))
+	must.Eq(t, outcome.Answer, call(t, http.MethodGet, entry, "/x", "").outcome())
+	must.Eq(t, outcome.Unknown, call(t, http.MethodGet, entry, "/x", "").outcome())
+}
