--- a/bench/route_choose.go
+++ b/bench/route_choose.go
@@ -19,19 +19,19 @@
 		if name == contract.PolicyAdaptive {
 			prefix = ""
 		}
-		few := routeChooseNs(name, 10)
-		many := routeChooseNs(name, 1000)
+		few := chooseNs(name, 10)
+		many := chooseNs(name, 1000)
 		emit(figure.Plain(routeArea, prefix+"chooseNs", few, "ns"))
 		emit(figure.Plain(routeArea, prefix+"chooseNsAt1000", many, "ns"))
 		emit(figure.Plain(routeArea, prefix+"chooseGrowth", many/few, "ratio"))
-		emit(figure.AtMost(routeArea, prefix+"chooseAllocs", routeChooseAllocs(name, 10), "allocations", 0))
-		emit(figure.AtMost(routeArea, prefix+"chooseAllocsAt1000", routeChooseAllocs(name, 1000), "allocations", 0))
+		emit(figure.AtMost(routeArea, prefix+"chooseAllocs", chooseAllocs(name, 10), "allocations", 0))
+		emit(figure.AtMost(routeArea, prefix+"chooseAllocsAt1000", chooseAllocs(name, 1000), "allocations", 0))
 	}
 	return nil
 }
 
 // chooser returns a function that makes one choice among n instances.
-func routeChooser(name string, n int) func() {
+func chooser(name string, n int) func() {
 	var members []route.Member
 	for i := range n {
 		id := instance.ID("catalogue-" + strconv.Itoa(i))
@@ -52,8 +52,8 @@
 	return func() { policy.Choose(view, &q, now, random, trace) }
 }
 
-func routeChooseNs(name string, n int) float64 {
-	choose := routeChooser(name, n)
+func chooseNs(name string, n int) float64 {
+	choose := chooser(name, n)
 	result := testing.Benchmark(func(b *testing.B) {
 		for b.Loop() {
 			choose()
@@ -62,6 +62,6 @@
 	return float64(result.T.Nanoseconds()) / float64(result.N)
 }
 
-func routeChooseAllocs(name string, n int) float64 {
-	return testing.AllocsPerRun(1000, routeChooser(name, n))
+func chooseAllocs(name string, n int) float64 {
+	return testing.AllocsPerRun(1000, chooser(name, n))
 }
