entry/route: shed by the time that a full instance takes

The margin of shedding was the service's own time, but while requests wait every instance is at its limit and an answer takes two turns.

--- a/entry/route/shed.go
+++ b/entry/route/shed.go
@@ -5,8 +5,11 @@
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
-// Times of shedding, in mean service times of the service.
-const shedMargin = 2.0
+// Constants of shedding.
+const (
+	shedMargin = 2.0 // deviations
+	fullLevel  = 2.0 // requests a slot at an instance at its limit: the answer takes as many turns
+)
 
 // refuse returns a problem if the request cannot be answered in time or the
 // queue is full.
@@ -47,7 +50,8 @@
 	return max(int(room), 1)
 }
 
-// margin is the time that an answer takes once the request was sent.
+// margin is the time that an answer takes once the request was sent to a full
+// instance, as all are while requests wait.
 func (d *Dispatcher) margin(view *View) float64 {
-	return view.norm.latency.get() + shedMargin*view.norm.spread.get()
+	return fullLevel*view.norm.latency.get() + shedMargin*view.norm.spread.get()
 }
