--- a/bench/route_choose.go
+++ b/bench/route_choose.go
@@ -19,8 +19,8 @@
 		if name == contract.PolicyAdaptive {
 			prefix = ""
 		}
-		few := chooseNs(name, 10)
-		many := chooseNs(name, 1000)
+		few := routeChooseNs(name, 10)
+		many := routeChooseNs(name, 1000)
 		emit(figure.Plain(routeArea, prefix+"chooseNs", few, "ns"))
 		emit(figure.Plain(routeArea, prefix+"chooseNsAt1000", many, "ns"))
 		emit(figure.Plain(routeArea, prefix+"chooseGrowth", many/few, "ratio"))
@@ -52,7 +52,7 @@
 	return func() { policy.Choose(view, &q, now, random, trace) }
 }
 
-func chooseNs(name string, n int) float64 {
+func routeChooseNs(name string, n int) float64 {
 	choose := chooser(name, n)
 	result := testing.Benchmark(func(b *testing.B) {
 		for b.Loop() {
