fleet: forget hosts that stopped as planned; take alarms up after a crash

Cause: a host that stopped gracefully was shown as silent for ten minutes, so that backlog and status said "1 hosts unheard" after every planned stop; and the alarms of a host that crashed were adopted by nobody, since nothing called Book.Adopt.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 docs: build
 	$(BIN)/snipebeam-entry --print-config > examples/entry.toml
 	$(BIN)/snipebeam-control --print-config > examples/control.toml
+	go run ./bench/capacitypage
 
 tools:
 	@cd tools && GOWORK=off go build -o ../$(BIN)/ tool
--- a/bench/demo/event.go
+++ b/bench/demo/event.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/snipebeam/snipebeam/world/pause"
+
 	"github.com/pkg/errors"
 )
 
@@ -47,11 +49,11 @@
 // load runs.
 func (d *demo) happen(ctx context.Context) {
 	step := d.cli.Duration / 8
-	wait(ctx, step)
+	pause.For(ctx, step)
 	d.timed("rule change, in force on every entry host", func() error { return d.changeRule(ctx) })
-	wait(ctx, step)
+	pause.For(ctx, step)
 	d.timed("drain of "+d.drained.id+", no new work after "+drainLimit.String(), func() error { return d.drainInstance(ctx) })
-	wait(ctx, step/2)
+	pause.For(ctx, step/2)
 	host := d.cluster.Entries[0]
 	d.timed("graceful stop of "+host.Name()+", with requests in flight", func() error { return host.Terminate(stopLimit) })
 }
@@ -62,13 +64,6 @@
 	d.events.add(what, time.Since(started), err)
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // changeRule submits the rules with one deadline changed.
 func (d *demo) changeRule(ctx context.Context) error {
 	text, err := os.ReadFile(d.cli.Rules)
@@ -99,12 +94,12 @@
 		return errors.Wrap(err, "drain")
 	}
 	_ = response.Body.Close()
-	wait(ctx, drainLimit)
+	pause.For(ctx, drainLimit)
 	before, err := d.drained.executions(ctx)
 	if err != nil {
 		return err
 	}
-	wait(ctx, d.cli.Duration/8)
+	pause.For(ctx, d.cli.Duration/8)
 	after, err := d.drained.executions(ctx)
 	if err == nil && len(after) > len(before) {
 		return errors.Errorf("%d requests came later", len(after)-len(before))
--- a/bench/distributionslopes.go
+++ b/bench/distributionslopes.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/snipebeam/snipebeam/bench/figure"
@@ -104,30 +103,26 @@
 	return cost{size: float64(n), rate: rate}, err
 }
 
-// unitOf is the size step that a slope is given for.
-var unitOf = map[string]float64{"Changes": 100_000, "Instances": 1000, "Hosts": 10}
-
+// emitSlopes prints how a host's mean cost grows with one change a day, one
+// instance or one host more.
 func (d *distribution) emitSlopes(name string, costs []cost) error {
-	values := map[string]func(fleet.Rate) float64{
-		"bytesPerSecond": func(r fleet.Rate) float64 { return r.MeanBytesPerSecond },
-		"corePercent":    func(r fleet.Rate) float64 { return r.MeanCorePercent },
-		"residentMB":     func(r fleet.Rate) float64 { return r.ResidentMB },
-	}
-	for _, value := range []string{"bytesPerSecond", "corePercent", "residentMB"} {
+	for _, one := range []struct {
+		name, unit string
+		value      func(fleet.Rate) float64
+	}{
+		{"bytesPerSecondBy", "bytes/s", func(r fleet.Rate) float64 { return r.MeanBytesPerSecond }},
+		{"corePercentBy", "%", func(r fleet.Rate) float64 { return r.MeanCorePercent }},
+		{"residentMBBy", "MB", func(r fleet.Rate) float64 { return r.ResidentMB }},
+	} {
 		var points []slope.Point
-		note := ""
-		for _, one := range costs {
-			y := values[value](one.rate)
-			points = append(points, slope.Point{X: one.size, Y: y})
-			note += fmt.Sprintf(" %.0f: %.2f;", one.size, y)
+		for _, c := range costs {
+			points = append(points, slope.Point{X: c.size, Y: one.value(c.rate)})
 		}
 		line, err := slope.Fit(points)
 		if err != nil {
 			return err
 		}
-		unit := unitOf[name]
-		d.emit(figure.Plain("control", value+"By"+name, line.Slope*unit, fmt.Sprintf("per %.0f more", unit)).With(
-			fmt.Sprintf("a host's mean; at 0 %.2f, error of the slope %.3g;%s", line.Intercept, line.SlopeError*unit, note)))
+		d.emit(figure.Slope("control", one.name+name, one.unit, line, points))
 	}
 	return nil
 }
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -37,15 +37,27 @@
 	return &Fleet{reports: map[string]*wire.HostReport{}, heard: map[string]time.Time{}}
 }
 
-// Report stores a host's report, heard at the given time.
-func (f *Fleet) Report(report *wire.HostReport, now time.Time) {
-	if report.GetName() == "" {
-		return
+// StateLeft is the state of a host's last report: it stopped as planned.
+const StateLeft = "left"
+
+// Report stores a host's report, heard at the given time, and returns the one
+// before, or nil. A host that left is forgotten.
+func (f *Fleet) Report(report *wire.HostReport, now time.Time) *wire.HostReport {
+	name := report.GetName()
+	if name == "" {
+		return nil
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reports[report.GetName()] = report
-	f.heard[report.GetName()] = now
+	previous := f.reports[name]
+	if report.GetState() == StateLeft {
+		delete(f.reports, name)
+		delete(f.heard, name)
+		return previous
+	}
+	f.reports[name] = report
+	f.heard[name] = now
+	return previous
 }
 
 // Hosts returns the reports in order of names; silent hosts are marked.
--- a/control/fleet/fleet_test.go
+++ b/control/fleet/fleet_test.go
@@ -42,3 +42,13 @@
 	must.Eq(t, 7, silent.GetVersion())
 	must.SliceEmpty(t, f.Hosts(start.Add(fleet.ForgetAfter+1)))
 }
+
+func TestAHostThatLeftIsForgottenAndItsLastReportIsKnownAfterACrash(t *testing.T) {
+	f := fleet.New()
+	start := time.Unix(1000, 0)
+	must.Nil(t, f.Report(&wire.HostReport{Name: "e1", State: "ready", Version: 7}, start))
+	again := f.Report(&wire.HostReport{Name: "e1", State: "starting"}, start.Add(time.Minute))
+	must.Eq(t, 7, again.GetVersion())
+	f.Report(&wire.HostReport{Name: "e1", State: fleet.StateLeft}, start.Add(time.Minute))
+	must.SliceEmpty(t, f.Hosts(start.Add(time.Minute)))
+}
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -17,12 +17,15 @@
 // quorum: what this host applied was committed, so it is or was in force. An
 // answer is stale when no quorum said that nothing newer is.
 func (s *Rules) Watch(ctx context.Context, req *wire.WatchRequest) (*wire.WatchResponse, error) {
-	s.fleet.Report(req.GetReport(), time.Now())
+	previous := s.fleet.Report(req.GetReport(), time.Now())
 	newer := s.await(ctx, req)
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
 	response := &wire.WatchResponse{Stale: true, ServedBy: s.name}
+	if req.GetKnownVersion() == 0 {
+		response.Previous = previous
+	}
 	if !newer || req.GetKnownVersion() == 0 {
 		s.confirmWatch(ctx, response)
 	}
--- a/control/peer/change.go
+++ b/control/peer/change.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/control/agreement"
 	"github.com/snipebeam/snipebeam/control/quorum"
+	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"github.com/twitchtv/twirp"
 )
@@ -121,7 +122,7 @@
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
 	}
 	for n.view.Load().leader == v.leader || n.view.Load().leader == "" {
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			break
 		}
 	}
--- a/control/peer/form.go
+++ b/control/peer/form.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/control/disk"
 	"github.com/snipebeam/snipebeam/control/quorum"
+	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -46,7 +47,7 @@
 		if len(members) == len(n.cfg.Initial) {
 			return n.found(members)
 		}
-		pause(ctx, n.cfg.electionTime())
+		pause.For(ctx, n.cfg.electionTime())
 	}
 	return nil
 }
--- a/control/peer/link.go
+++ b/control/peer/link.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"google.golang.org/protobuf/proto"
 )
@@ -139,7 +140,7 @@
 		if snapshot, err = l.node.store.Snapshot(); err == nil {
 			return snapshot, nil
 		}
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 	return nil, err
 }
--- a/control/peer/proposal.go
+++ b/control/peer/proposal.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/control/agreement"
 	"github.com/snipebeam/snipebeam/control/quorum"
+	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
@@ -46,7 +47,7 @@
 		if err == nil || errors.Is(err, errUncertain) {
 			return result, err
 		}
-		if n.failure() != nil || time.Now().After(giveUp) || !pause(ctx, retryPause) {
+		if n.failure() != nil || time.Now().After(giveUp) || !pause.For(ctx, retryPause) {
 			return nil, err
 		}
 	}
@@ -154,14 +155,3 @@
 	}
 	n.waiters = nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/control/peer/read.go
+++ b/control/peer/read.go
@@ -6,6 +6,7 @@
 
 	"github.com/snipebeam/snipebeam/control/agreement"
 	"github.com/snipebeam/snipebeam/control/quorum"
+	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -25,7 +26,7 @@
 		if ok {
 			return n.awaitApplied(ctx, index)
 		}
-		if n.failure() != nil || time.Now().After(giveUp) || !pause(ctx, retryPause) {
+		if n.failure() != nil || time.Now().After(giveUp) || !pause.For(ctx, retryPause) {
 			return agreement.ErrNoQuorum
 		}
 	}
--- a/control/peer/stop.go
+++ b/control/peer/stop.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/snipebeam/snipebeam/control/agreement"
+	"github.com/snipebeam/snipebeam/world/pause"
 )
 
 // handOverTimes is how many election times a stopping leader waits for its
@@ -18,7 +19,7 @@
 	if err := n.call(ctx, func() error { return n.replica.Transfer("") }); err != nil {
 		return
 	}
-	for n.view.Load().isLeader && pause(ctx, retryPause) {
+	for n.view.Load().isLeader && pause.For(ctx, retryPause) {
 		continue
 	}
 	n.logger.Info("leadership handed over", "leader", n.view.Load().leaderName)
--- a/entry/caller/once.go
+++ b/entry/caller/once.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/world/outcome"
+	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -33,7 +34,7 @@
 		ClaimId: uuid.NewString(), Holder: h.holder, Fingerprint: claimPrint(c),
 	}
 	held := false
-	for pause := firstHeldPause; ; pause = min(2*pause, lastHeldPause) {
+	for step := firstHeldPause; ; step = min(2*step, lastHeldPause) {
 		response, err := h.claim(c.clock, req)
 		if err != nil {
 			h.parts.Settler.Release(req)
@@ -51,7 +52,7 @@
 		default:
 			return c.unclaimed(held, "the claim was refused: "+response.GetState().String())
 		}
-		if response.GetUnknown() || !wait(c.clock, pause) {
+		if response.GetUnknown() || !pause.For(c.clock, step) {
 			h.parts.Settler.Release(req)
 			return outcome.New(outcome.Unknown, outcome.ClaimHeld, heldDetail(response))
 		}
@@ -163,14 +164,3 @@
 	}
 	return poison.Of(c.body.length, c.body.start, parts...)
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/world/delta"
+	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -21,6 +22,7 @@
 	watchLimit = watchWait + 2*time.Second // the control host may ask its quorum for a second
 	firstWait  = 200 * time.Millisecond
 	retryPause = 200 * time.Millisecond
+	leaveLimit = 500 * time.Millisecond
 )
 
 // errDigest means that a text is not the one that was accepted.
@@ -36,6 +38,17 @@
 	report func() *wire.HostReport
 	join   func(seeds []*wire.GossipHost)
 	logger hclog.Logger
+
+	adopt    func(previous *wire.HostReport)
+	adopting sync.Once
+}
+
+// WatchOption changes one property of a watch.
+type WatchOption func(*Watch)
+
+// WithAdopt is told the last report of this host before its restart, once.
+func WithAdopt(adopt func(previous *wire.HostReport)) WatchOption {
+	return func(w *Watch) { w.adopt = adopt }
 }
 
 // watched is one control host.
@@ -46,11 +59,14 @@
 
 // NewWatch returns a watch of the control hosts at the addresses; report
 // describes this host at each poll, and join is told other entry hosts.
-func NewWatch(addresses []string, client *http.Client, table *rules.Table, report func() *wire.HostReport, join func([]*wire.GossipHost), logger hclog.Logger) *Watch {
+func NewWatch(addresses []string, client *http.Client, table *rules.Table, report func() *wire.HostReport, join func([]*wire.GossipHost), logger hclog.Logger, opts ...WatchOption) *Watch {
 	w := &Watch{table: table, report: report, join: join, logger: logger.Named("control")}
 	for _, address := range addresses {
 		w.hosts = append(w.hosts, watched{address: address, rules: wire.NewRulesProtobufClient("http://"+address, client)})
 	}
+	for _, opt := range opts {
+		opt(w)
+	}
 	return w
 }
 
@@ -76,11 +92,25 @@
 			w.logger.Info("control host", "address", host.address, "answers", !silent, "error", err)
 		}
 		if err != nil {
-			pause(ctx, retryPause+rand.N(retryPause))
+			pause.For(ctx, retryPause+rand.N(retryPause))
 		}
 	}
 }
 
+// Leave reports once more to every control host, after Run has ended.
+func (w *Watch) Leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, host := range w.hosts {
+		group.Go(func() {
+			// A control host that does not hear it shows this host as silent.
+			_, _ = host.rules.Watch(ctx, &wire.WatchRequest{Report: w.report(), KnownVersion: w.table.Current().Number()})
+		})
+	}
+	group.Wait()
+}
+
 func (w *Watch) poll(ctx context.Context, host watched, whole *atomic.Bool) error {
 	ctx, cancel := context.WithTimeout(ctx, watchLimit)
 	defer cancel()
@@ -93,6 +123,9 @@
 	}
 	whole.Store(false)
 	w.join(response.GetSeeds())
+	if previous := response.GetPrevious(); previous != nil && w.adopt != nil {
+		w.adopting.Do(func() { w.adopt(previous) })
+	}
 	if err := w.take(response, known); err != nil {
 		whole.Store(true)
 		w.logger.Error("a version cannot be put in force", "version", response.GetVersion().GetNumber(), "error", err)
@@ -153,10 +186,3 @@
 	}
 	return text, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -65,6 +65,7 @@
 	table    *rules.Table
 	book     *backlog.Book
 	draining atomic.Bool
+	left     atomic.Bool // stopped as planned
 	bound    atomic.Bool // listeners are open
 }
 
@@ -77,9 +78,11 @@
 	return s.bound.Load() && !s.draining.Load() && s.table.Learned()
 }
 
-// Name returns "starting", "ready" or "draining".
+// Name returns "starting", "ready", "draining" or "left".
 func (s *State) Name() string {
 	switch {
+	case s.left.Load():
+		return "left"
 	case s.draining.Load():
 		return "draining"
 	case s.Ready():
@@ -133,16 +136,23 @@
 }
 
 // runBackground runs the loops that end with the program.
-func runBackground(lc fx.Lifecycle, watch *control.Watch, decisions *decision.Log) {
+func runBackground(lc fx.Lifecycle, state *State, watch *control.Watch, decisions *decision.Log) {
 	ctx, cancel := context.WithCancel(context.Background())
+	watched := make(chan struct{})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go watch.Run(ctx)
+			go func() {
+				defer close(watched)
+				watch.Run(ctx)
+			}()
 			go decisions.Run(ctx)
 			return nil
 		},
-		OnStop: func(context.Context) error {
+		OnStop: func(stop context.Context) error {
 			cancel()
+			<-watched
+			state.left.Store(true)
+			watch.Leave(stop)
 			return nil
 		},
 	})
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -57,5 +57,6 @@
 
 func newWatch(cfg *settings.Settings, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, logger hclog.Logger) *control.Watch {
 	client := ring.Client(&http.Client{Transport: control.NewTransport()})
-	return control.NewWatch(cfg.Control.Hosts, client, table, state.Report, node.Join, logger)
+	return control.NewWatch(cfg.Control.Hosts, client, table, state.Report, node.Join, logger,
+		control.WithAdopt(func(previous *wire.HostReport) { state.book.Adopt(previous.GetBacklog()) }))
 }
--- a/entry/host/stop.go
+++ b/entry/host/stop.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/platform"
+	"github.com/snipebeam/snipebeam/world/pause"
 )
 
 const (
@@ -31,10 +32,10 @@
 	logger.Info("draining", progress(state)...)
 	stopLog := logProgress(ctx, state, logger)
 	defer stopLog()
-	sleep(ctx, newsLimit+platform.AnswerLifetime)
+	pause.For(ctx, newsLimit+platform.AnswerLifetime)
 	for {
 		inFlight, _ := state.book.InFlight(time.Now())
-		if inFlight == 0 || !sleep(ctx, drainPoll) {
+		if inFlight == 0 || !pause.For(ctx, drainPoll) {
 			break
 		}
 	}
@@ -55,20 +56,9 @@
 func logProgress(ctx context.Context, state *State, logger hclog.Logger) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
-		for sleep(ctx, progressInterval) {
+		for pause.For(ctx, progressInterval) {
 			logger.Info("draining", progress(state)...)
 		}
 	}()
 	return cancel
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/entry/route/adaptive.go
+++ b/entry/route/adaptive.go
@@ -62,6 +62,11 @@
 	return &Adaptive{name: contract.PolicyAdaptive, why: "lowest expected time to the answer", scorer: e, eject: true}
 }
 
+// zoneTie is the share of the way to another zone that is added to the score:
+// enough to settle a tie. More of it starves instances of other zones at high
+// load.
+const zoneTie = 1e-3
+
 // unknownLatency stands for the service time before any answer.
 const unknownLatency = float64(5 * time.Millisecond)
 
@@ -73,7 +78,7 @@
 	slots := float64(m.instance.Slots())
 	service := m.load.serviceTime(norm, now)
 	way := 0.0
-	if q.zone != "" && m.instance.Zone() != q.zone {
+	if q.elsewhere(m) {
 		way = e.zoneCost
 	}
 	own := float64(m.load.inFlight.Load())
@@ -88,6 +93,9 @@
 		damped = norm * math.Pow(service/norm, e.weight)
 	}
 	score := damped * (max(1, (level+1)/slots) + e.idle*level/slots)
+	if q.zonePreference() == contract.ZonePrefer {
+		score += way * zoneTie
+	}
 	// Requests on their way to another zone and back keep no slot busy.
 	most := slots*(1+way/norm) + float64(e.headroom)
 	// With nothing of its own in flight there, no answer would end a wait.
--- a/entry/route/health.go
+++ b/entry/route/health.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/snipebeam/snipebeam/world/contract"
 )
 
 // State says how far an instance may be used.
@@ -89,6 +91,8 @@
 		return Draining
 	case len(q.exclude) > 0 && q.Excludes(m.instance.ID()):
 		return Excluded
+	case q.zonePreference() == contract.ZoneRequire && q.elsewhere(m):
+		return Excluded
 	}
 	if s := m.load.health.state(now); s != Ready {
 		return s
--- a/entry/route/query.go
+++ b/entry/route/query.go
@@ -52,3 +52,16 @@
 	}
 	return false
 }
+
+// zonePreference returns how zones weigh under the request's contract.
+func (q *Query) zonePreference() contract.ZonePreference {
+	if q.contract == nil {
+		return contract.ZonePrefer
+	}
+	return q.contract.Zone()
+}
+
+// elsewhere reports whether a member is in another zone than the asking host.
+func (q *Query) elsewhere(m *Member) bool {
+	return q.zone != "" && m.instance.Zone() != q.zone
+}
--- a/standin/upstream/queue.go
+++ b/standin/upstream/queue.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 )
 
 // queue holds requests until one of the slots is free, in order of arrival.
@@ -35,15 +34,3 @@
 	<-q.slots
 	q.inside.Add(-1)
 }
-
-// hold keeps a slot for a time. It returns false if the caller gave up.
-func hold(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -24,6 +24,8 @@
 	"strconv"
 	"time"
 
+	"github.com/snipebeam/snipebeam/world/pause"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -105,7 +107,7 @@
 	if !s.queue.enter(r.Context()) {
 		return
 	}
-	done := hold(r.Context(), s.cfg.ProbeCost)
+	done := pause.For(r.Context(), s.cfg.ProbeCost)
 	s.queue.leave()
 	if done {
 		s.report(w)
@@ -183,7 +185,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	if !hold(ctx, s.duration(faults)) {
+	if !pause.For(ctx, s.duration(faults)) {
 		return 0, 0, ctx.Err()
 	}
 	return size, digest.Sum64(), nil
