placement: follow services' rates; capacity: the two-year size from slopes

Cause: hostRate had no effect, since membership records carry no rates, so one entry host was active for a service whatever its load; and docs/CAPACITY.md was missing.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 fmt: tools
 	$(BIN)/gofumpt -w $(GO_FILES)
 
-# ONLY=route runs one area.
+# ONLY=route runs one area, ONLY=control/distribution one part of it.
 bench:
 	@go run ./bench --only=$(ONLY)
 
--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -63,12 +63,7 @@
 		}
 		points = append(points, slope.Point{X: float64(size), Y: cost})
 	}
-	line, err := slope.Fit(points)
-	if err != nil {
-		return err
-	}
-	emit(figure.Slope("capacity", c.name, c.unit, line, points))
-	return nil
+	return emitSlope(emit, c.name, c.unit, points)
 }
 
 // repeat returns the mean time of one call in nanoseconds.
--- a/bench/capacity/model.go
+++ b/bench/capacity/model.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/entry/gossip"
 )
 
 // The size of two years from now, as the users name it.
@@ -70,13 +71,36 @@
 // Rows works out every row.
 func Rows(m *Measurements) ([]Row, error) {
 	hosts := float64(EntryHosts(m))
-	rows := append(entryRows(m, hosts), controlRows(m, hosts)...)
+	entries, controls := entryRows(m, hosts), controlRows(m, hosts)
+	rows := append(entries, total(entries))
+	rows = append(rows, controls...)
+	rows = append(rows, total(controls))
 	if len(m.missing) > 0 {
 		return nil, errors.Errorf("no measurement of %s", strings.Join(m.missing, ", "))
 	}
 	return rows, nil
 }
 
+// total adds up what the budget for control binds.
+func total(rows []Row) Row {
+	sum := Row{Role: rows[0].Role, Mechanism: "**all of it but the work itself**"}
+	for _, r := range rows {
+		if !r.Data {
+			sum.BytesPerS += known(r.BytesPerS)
+			sum.CorePercent += known(r.CorePercent)
+			sum.MemoryMB += known(r.MemoryMB)
+		}
+	}
+	return sum
+}
+
+func known(cost float64) float64 {
+	if math.IsNaN(cost) {
+		return 0
+	}
+	return cost
+}
+
 // todayHosts is how many entry hosts the slope by instances was measured on.
 const todayHosts = 29
 
@@ -87,13 +111,13 @@
 	callsPerHost := callsPerS / hosts
 	return []Row{
 		{
-			Role: entry, Mechanism: "announcements heard, one a second each", From: "bytesPerSecondByInstances, corePercentByInstances",
-			BytesPerS: m.each("bytesPerSecondByInstances", todayHosts) * heard, CorePercent: m.each("corePercentByInstances", todayHosts) * heard, MemoryMB: none,
+			Role: entry, Mechanism: "announcements heard, one a second each", From: "bytesPerSecondPer1000Instances, corePercentPer1000Instances",
+			BytesPerS: m.value("bytesPerSecondPer1000Instances") / 1000 * todayHosts * heard, CorePercent: m.value("corePercentPer1000Instances") / 1000 * todayHosts * heard, MemoryMB: none,
 			Note: "leases that grow with the instances that a host hears",
 		},
 		{
-			Role: entry, Mechanism: "membership of hosts and instances (gossip)", From: "membershipBytesPerSecondPerHost, membershipCoreNsPerSecondPerInstance, membershipHeapBytesPerInstance",
-			BytesPerS: m.at("membershipBytesPerSecondPerHost", hosts), CorePercent: m.at("membershipCoreNsPerSecondPerInstance", instances) / perSecond * percent,
+			Role: entry, Mechanism: "membership of hosts and instances (gossip)", From: "the bound of what a host sends, and as much received; membershipCoreNsPerSecondPerInstance, membershipHeapBytesPerInstance",
+			BytesPerS: 2 * gossip.DefaultRate, CorePercent: m.at("membershipCoreNsPerSecondPerInstance", instances) / perSecond * percent,
 			MemoryMB: m.at("membershipHeapBytesPerInstance", instances) / megabyte, Note: "a heap of lease ends instead of a walk over all instances",
 		},
 		{
@@ -101,8 +125,8 @@
 			BytesPerS: none, CorePercent: none, MemoryMB: m.at("registryBytesPerInstance", instances) / megabyte,
 		},
 		{
-			Role: entry, Mechanism: "rules: changes of a day, line differences", From: "bytesPerSecondByChanges, corePercentByChanges, rulesBytesPerLine",
-			BytesPerS: m.each("bytesPerSecondByChanges", changesPerDay), CorePercent: m.each("corePercentByChanges", changesPerDay),
+			Role: entry, Mechanism: "rules: changes of a day, line differences", From: "bytesPerSecondPer100000Changes, corePercentPer100000Changes, rulesBytesPerLine",
+			BytesPerS: m.value("bytesPerSecondPer100000Changes") / 100_000 * changesPerDay, CorePercent: m.value("corePercentPer100000Changes") / 100_000 * changesPerDay,
 			MemoryMB: m.at("rulesBytesPerLine", services*linesPerService) / megabyte,
 		},
 		{
@@ -137,9 +161,8 @@
 			Note: "reports through a tree of a few entry hosts for each zone; longer polls",
 		},
 		{
-			Role: control, Mechanism: "rules: history of texts", From: "rulesBytesPerLine",
+			Role: control, Mechanism: "the process, with 1,000 versions and 100,000 live claims", From: "controlHostResidentMB",
 			BytesPerS: none, CorePercent: none, MemoryMB: m.value("controlHostResidentMB"),
-			Note: "memory of the whole process with 100,000 live claims",
 		},
 		{
 			Role: control, Mechanism: "claims: one group, held for a day", From: "claimBytesPerClaim, claimApplyNsPerClaim",
--- a/bench/capacity/table.go
+++ b/bench/capacity/table.go
@@ -27,7 +27,7 @@
 		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s | %s |\n", r.Role, r.Mechanism,
 			cell(r.BytesPerS, budgetBytesPerS, r.Data), cell(r.CorePercent, budgetCorePercent, r.Data), cell(r.MemoryMB, budgetMemoryMB, false), r.From, r.Note)
 	}
-	fmt.Fprintf(&b, "| budget | | %d | %.1f | %d | | |\n", budgetBytesPerS, budgetCorePercent, budgetMemoryMB)
+	fmt.Fprintf(&b, "| each host | budget | %d | %.1f | %d | | |\n", budgetBytesPerS, budgetCorePercent, budgetMemoryMB)
 	return b.String(), nil
 }
 
--- a/bench/capacitymembership.go
+++ b/bench/capacitymembership.go
@@ -11,16 +11,15 @@
 func init() { register("capacity", measureMembershipSlopes) }
 
 const (
-	meshSpan      = 10 * time.Second // of virtual time
-	meshInstances = 1000
-	meshHosts     = 29
+	meshSpan  = 10 * time.Second // of virtual time
+	meshHosts = 29
 )
 
-// meshCost is what membership costs one host.
+// meshCost is what membership costs one host. Its bytes a second are measured
+// in the control area, since they settle slowly.
 type meshCost struct {
-	bytes float64 // sent and received a second
-	core  float64 // nanoseconds of processor time a second
-	heap  float64 // bytes of state
+	core float64 // nanoseconds of processor time a second
+	heap float64 // bytes of state
 }
 
 // measureMesh returns what a host spends in a group of a size. The processor
@@ -34,42 +33,31 @@
 	})
 	g.Run(membershipSettle)
 	start := time.Now()
-	bytes := g.BytesPerSecond(meshSpan)
+	g.Run(meshSpan)
 	spent := time.Since(start)
 	perSecond := float64(hosts) * meshSpan.Seconds()
-	return meshCost{bytes: bytes, core: float64(spent.Nanoseconds()) / perSecond, heap: heap / float64(hosts)}
+	return meshCost{core: float64(spent.Nanoseconds()) / perSecond, heap: heap / float64(hosts)}
 }
 
+// measureMembershipSlopes prints how the cost of one host grows with instances.
 func measureMembershipSlopes(emit func(figure.Figure)) error {
-	byHosts := func(hosts int) meshCost { return measureMesh(hosts, meshInstances) }
-	if err := emitMesh(emit, "Host", []int{10, 20, 29, 58}, byHosts); err != nil {
+	var core, heap []slope.Point
+	for _, instances := range []int{60, 500, 2000, 3900} {
+		cost := measureMesh(meshHosts, instances)
+		core = append(core, slope.Point{X: float64(instances), Y: cost.core})
+		heap = append(heap, slope.Point{X: float64(instances), Y: cost.heap})
+	}
+	if err := emitSlope(emit, "membershipCoreNsPerSecondPerInstance", "ns/s", core); err != nil {
 		return err
 	}
-	byInstances := func(instances int) meshCost { return measureMesh(meshHosts, instances) }
-	return emitMesh(emit, "Instance", []int{60, 500, 2000, 3900}, byInstances)
+	return emitSlope(emit, "membershipHeapBytesPerInstance", "bytes", heap)
 }
 
-// emitMesh prints how the cost of one host grows with hosts or instances.
-func emitMesh(emit func(figure.Figure), what string, sizes []int, measure func(int) meshCost) error {
-	var bytes, core, heap []slope.Point
-	for _, size := range sizes {
-		cost := measure(size)
-		at := func(y float64) slope.Point { return slope.Point{X: float64(size), Y: y} }
-		bytes, core, heap = append(bytes, at(cost.bytes)), append(core, at(cost.core)), append(heap, at(cost.heap))
-	}
-	for _, one := range []struct {
-		name, unit string
-		points     []slope.Point
-	}{
-		{"membershipBytesPerSecondPer" + what, "bytes/s", bytes},
-		{"membershipCoreNsPerSecondPer" + what, "ns/s", core},
-		{"membershipHeapBytesPer" + what, "bytes", heap},
-	} {
-		line, err := slope.Fit(one.points)
-		if err != nil {
-			return err
-		}
-		emit(figure.Slope("capacity", one.name, one.unit, line, one.points))
+func emitSlope(emit func(figure.Figure), name, unit string, points []slope.Point) error {
+	line, err := slope.Fit(points)
+	if err != nil {
+		return err
 	}
+	emit(figure.Slope("capacity", name, unit, line, points))
 	return nil
 }
--- a/bench/distribution.go
+++ b/bench/distribution.go
@@ -10,7 +10,7 @@
 	"github.com/snipebeam/snipebeam/bench/fleet"
 )
 
-func init() { register("control", measureDistribution) }
+func init() { registerPart("control", "distribution", measureDistribution) }
 
 // Bounds of distribution and membership, from the users' targets.
 const (
--- a/bench/main.go
+++ b/bench/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"sort"
+	"strings"
 
 	"github.com/alecthomas/kong"
 	"github.com/snipebeam/snipebeam/bench/figure"
@@ -13,34 +14,50 @@
 // area measures one part of the system.
 type area func(emit func(figure.Figure)) error
 
-// areas are the parts that can be measured; each file of this package adds its
-// own with register.
-var areas = map[string][]area{}
+// part is one measurement of an area, with a name if it can be run alone.
+type part struct {
+	name    string
+	measure area
+}
+
+// areas are what can be measured; each file of this package adds its own with
+// register or registerPart.
+var areas = map[string][]part{}
 
-func register(name string, measure area) { areas[name] = append(areas[name], measure) }
+func register(name string, measure area) { registerPart(name, "", measure) }
+
+// registerPart adds a measurement that AREA/PART runs alone.
+func registerPart(name, one string, measure area) {
+	areas[name] = append(areas[name], part{name: one, measure: measure})
+}
 
 type flags struct {
-	Only string `help:"Area to measure; all by default."`
+	Only string `help:"Area, or AREA/PART, to measure; all by default."`
 }
 
 func main() {
 	var cli flags
 	kong.Parse(&cli, kong.Name("bench"))
+	only, one, _ := strings.Cut(cli.Only, "/")
 	names := make([]string, 0, len(areas))
 	for name := range areas {
-		if cli.Only == "" || cli.Only == name {
+		if only == "" || only == name {
 			names = append(names, name)
 		}
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		measureArea(name)
+		measureArea(name, one)
 	}
 }
 
-func measureArea(name string) {
-	for _, measure := range areas[name] {
-		if err := measure(printFigure); err != nil {
+// measureArea runs all parts of an area, or the named one.
+func measureArea(name, only string) {
+	for _, p := range areas[name] {
+		if only != "" && only != p.name {
+			continue
+		}
+		if err := p.measure(printFigure); err != nil {
 			fmt.Fprintf(os.Stderr, "bench: %s: %v\n", name, err)
 			os.Exit(1)
 		}
--- a/bench/membershipslopes.go
+++ b/bench/membershipslopes.go
@@ -8,7 +8,7 @@
 	"github.com/snipebeam/snipebeam/bench/membership"
 )
 
-func init() { register("control", measureMembership) }
+func init() { registerPart("control", "membership", measureMembership) }
 
 // membershipSize is one group in virtual time.
 type membershipSize struct {
--- a/control/fleet/fleet_test.go
+++ b/control/fleet/fleet_test.go
@@ -52,3 +52,18 @@
 	f.Report(&wire.HostReport{Name: "e1", State: fleet.StateLeft}, start.Add(time.Minute))
 	must.SliceEmpty(t, f.Hosts(start.Add(time.Minute)))
 }
+
+func TestRatesAddUpOverHostsThatReportedLately(t *testing.T) {
+	f := fleet.New()
+	start := time.Unix(1000, 0)
+	line := func(service, instance string, rate float64) *wire.ServiceBacklog {
+		return &wire.ServiceBacklog{Service: service, Instance: instance, ArrivalsPerS: rate}
+	}
+	f.Report(&wire.HostReport{Name: "old", Backlog: []*wire.ServiceBacklog{line("catalogue", "", 5000)}}, start.Add(-time.Minute))
+	f.Report(&wire.HostReport{Name: "e1", Backlog: []*wire.ServiceBacklog{line("catalogue", "", 1500), line("catalogue", "catalogue-1", 9000)}}, start)
+	f.Report(&wire.HostReport{Name: "e2", Backlog: []*wire.ServiceBacklog{line("catalogue", "", 700)}}, start)
+	rates := f.Rates(start)
+	must.Len(t, 1, rates)
+	must.Eq(t, "catalogue", rates[0].GetService())
+	must.Eq(t, 2200, rates[0].GetArrivalsPerS())
+}
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -35,6 +35,7 @@
 		s.addText(req, response, text)
 	}
 	response.AsOf = time.Now().UnixNano()
+	response.Rates = s.fleet.Rates(time.Now())
 	response.Seeds = s.fleet.Seeds(req.GetReport().GetName(), time.Now())
 	return response, nil
 }
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -39,6 +39,7 @@
 	join   func(seeds []*wire.GossipHost)
 	logger hclog.Logger
 
+	rates    func(rates []*wire.ServiceRate)
 	adopt    func(previous *wire.HostReport)
 	adopting sync.Once
 }
@@ -46,6 +47,11 @@
 // WatchOption changes one property of a watch.
 type WatchOption func(*Watch)
 
+// WithRates is told the services' rates with each answer.
+func WithRates(rates func(rates []*wire.ServiceRate)) WatchOption {
+	return func(w *Watch) { w.rates = rates }
+}
+
 // WithAdopt is told the last report of this host before its restart, once.
 func WithAdopt(adopt func(previous *wire.HostReport)) WatchOption {
 	return func(w *Watch) { w.adopt = adopt }
@@ -123,6 +129,9 @@
 	}
 	whole.Store(false)
 	w.join(response.GetSeeds())
+	if w.rates != nil {
+		w.rates(response.GetRates())
+	}
 	if previous := response.GetPrevious(); previous != nil && w.adopt != nil {
 		w.adopting.Do(func() { w.adopt(previous) })
 	}
--- a/entry/host/directory.go
+++ b/entry/host/directory.go
@@ -13,6 +13,7 @@
 type directory struct {
 	zone     string
 	hostRate float64 // requests a second that one entry host takes of a service
+	rates    *placement.Rates
 	table    *rules.Table
 	entries  func() []*wire.HostReport
 }
@@ -26,7 +27,7 @@
 	if !set.Knows(name) {
 		return placement.Answer{}, false
 	}
-	plan := placement.Plan{Spread: set.Terms(name).Spread(), HostRate: d.hostRate}
+	plan := placement.Plan{Spread: set.Terms(name).Spread(), HostRate: d.hostRate, Rate: d.rates.Of(name)}
 	return placement.Choose(d.entries(), name, d.zone, plan), true
 }
 
@@ -36,7 +37,7 @@
 	if d.hostRate == 0 {
 		return 1
 	}
-	return 1 / float64(placement.ActiveCount(d.entries(), service, d.hostRate))
+	return 1 / float64(placement.ActiveCount(d.rates.Of(service), d.hostRate))
 }
 
 // Host returns an entry host by its name, or nil.
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -49,7 +49,7 @@
 			newPolicy,
 			func() *route.Views { return &route.Views{} },
 			registry.New,
-			rules.NewTable, backlog.NewBook, decision.NewLog,
+			rules.NewTable, placement.NewRates, backlog.NewBook, decision.NewLog,
 			newPool, newSettler, newSuspects,
 			newClient, newState, newWatch, newNode, newRouter, newDoors, newExporter,
 		),
@@ -121,8 +121,8 @@
 	return route.ByName(name)
 }
 
-func newRouter(cfg *settings.Settings, views *route.Views, policy route.Policy, table *rules.Table, node *peer.Node) *route.Router {
-	where := &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, table: table, entries: node.Entries}
+func newRouter(cfg *settings.Settings, rates *placement.Rates, views *route.Views, policy route.Policy, table *rules.Table, node *peer.Node) *route.Router {
+	where := &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, rates: rates, table: table, entries: node.Entries}
 	return route.NewRouter(views, policy,
 		route.WithShare(where.share),
 		route.WithLimits(route.Limits{
@@ -158,10 +158,10 @@
 	})
 }
 
-func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, node *peer.Node, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, rates *placement.Rates, logger hclog.Logger, state *State, table *rules.Table, node *peer.Node, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
 	handler := platform.New(platform.Parts{
 		Host: cfg.Host.Name, Table: table, Members: node, Entries: node.Entries,
-		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: doors.upstreams, HostRate: cfg.Route.HostRate,
+		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: doors.upstreams, HostRate: cfg.Route.HostRate, Rate: rates.Of,
 	})
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
@@ -188,8 +188,8 @@
 	})
 }
 
-func runDNS(lc fx.Lifecycle, cfg *settings.Settings, table *rules.Table, node *peer.Node) {
-	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, table: table, entries: node.Entries})
+func runDNS(lc fx.Lifecycle, cfg *settings.Settings, rates *placement.Rates, table *rules.Table, node *peer.Node) {
+	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, rates: rates, table: table, entries: node.Entries})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			_, err := server.Start(cfg.Listen.DNS)
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/peer"
+	"github.com/snipebeam/snipebeam/entry/placement"
 	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/rules"
@@ -55,8 +56,9 @@
 	})
 }
 
-func newWatch(cfg *settings.Settings, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, logger hclog.Logger) *control.Watch {
+func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, logger hclog.Logger) *control.Watch {
 	client := ring.Client(&http.Client{Transport: control.NewTransport()})
 	return control.NewWatch(cfg.Control.Hosts, client, table, state.Report, node.Join, logger,
+		control.WithRates(rates.Store),
 		control.WithAdopt(func(previous *wire.HostReport) { state.book.Adopt(previous.GetBacklog()) }))
 }
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -28,6 +28,7 @@
 // Plan says how many hosts an answer names.
 type Plan struct {
 	Spread   int     // hosts of an answer, spares included
+	Rate     float64 // requests a second of the service
 	HostRate float64 // requests a second that one host takes of a service, 0 for no bound
 }
 
@@ -57,27 +58,19 @@
 func Choose(entries []*wire.HostReport, service, zone string, plan Plan) Answer {
 	ranked := rank(entries, service)
 	hosts := overZones(ranked, max(plan.Spread, 1))
-	active := min(ActiveCount(entries, service, plan.HostRate), len(hosts))
+	active := min(ActiveCount(plan.Rate, plan.HostRate), len(hosts))
 	sort.SliceStable(hosts[:active], func(i, j int) bool {
 		return hosts[i].GetZone() == zone && hosts[j].GetZone() != zone
 	})
 	return NewAnswer(hosts, active)
 }
 
-// ActiveCount returns how many hosts carry the service's rate.
-func ActiveCount(entries []*wire.HostReport, service string, hostRate float64) int {
+// ActiveCount returns how many hosts carry a service's rate.
+func ActiveCount(rate, hostRate float64) int {
 	if hostRate <= 0 {
 		return 1
 	}
-	total := 0.0
-	for _, host := range entries {
-		for _, line := range host.GetBacklog() {
-			if line.GetService() == service && line.GetInstance() == "" {
-				total += line.GetArrivalsPerS()
-			}
-		}
-	}
-	return max(int(math.Ceil(total/hostRate)), 1)
+	return max(int(math.Ceil(rate/hostRate)), 1)
 }
 
 func rank(entries []*wire.HostReport, service string) []*wire.HostReport {
--- a/entry/placement/placement_test.go
+++ b/entry/placement/placement_test.go
@@ -68,13 +68,21 @@
 	entries := fleet(29, 3)
 	plan := placement.Plan{Spread: 4, HostRate: 1000}
 	must.Len(t, 1, placement.Choose(entries, "catalogue", "", plan).Active())
-	entries[3].Backlog = []*wire.ServiceBacklog{{Service: "catalogue", ArrivalsPerS: 1500}, {Service: "catalogue", Instance: "catalogue-1", ArrivalsPerS: 9000}}
-	entries[5].Backlog = []*wire.ServiceBacklog{{Service: "catalogue", ArrivalsPerS: 700}, {Service: "orders", ArrivalsPerS: 9000}}
+	plan.Rate = 2200
 	must.Len(t, 3, placement.Choose(entries, "catalogue", "", plan).Active())
-	entries[5].Backlog[0].ArrivalsPerS = 70_000
+	plan.Rate = 71_500
 	must.Len(t, 4, placement.Choose(entries, "catalogue", "", plan).Active())
 }
 
+func TestRatesAreReplacedWhole(t *testing.T) {
+	rates := placement.NewRates()
+	must.Zero(t, rates.Of("catalogue"))
+	rates.Store([]*wire.ServiceRate{{Service: "catalogue", ArrivalsPerS: 7}})
+	must.Eq(t, 7, rates.Of("catalogue"))
+	rates.Store([]*wire.ServiceRate{{Service: "orders", ArrivalsPerS: 3}})
+	must.Zero(t, rates.Of("catalogue"))
+}
+
 func TestHostsThatAreNotReadyAreNotNamed(t *testing.T) {
 	entries := fleet(3, 3)
 	entries[0].State, entries[1].Role = "draining", "control"
--- a/entry/platform/address.go
+++ b/entry/platform/address.go
@@ -43,7 +43,7 @@
 	}
 	answer := AddressAnswer{Service: service, TTLSeconds: AnswerLifetime.Seconds(), Addresses: []Address{}}
 	var names []string
-	plan := placement.Plan{Spread: set.Terms(service).Spread(), HostRate: p.parts.HostRate}
+	plan := placement.Plan{Spread: set.Terms(service).Spread(), HostRate: p.parts.HostRate, Rate: p.parts.Rate(service)}
 	chosen := placement.Choose(p.parts.Entries(), service, c.Query("zone"), plan)
 	for n, host := range chosen.Hosts() {
 		spare := n >= len(chosen.Active())
--- a/entry/platform/platform.go
+++ b/entry/platform/platform.go
@@ -35,7 +35,8 @@
 	Metrics   func(w io.Writer) // writes the Prometheus text format
 	Decisions *decision.Log
 	Keys      *key.Ring
-	HostRate  float64 // requests a second that one entry host takes of a service
+	Rate      func(service string) float64 // requests a second over all entry hosts
+	HostRate  float64                      // requests a second that one entry host takes of a service
 }
 
 type platform struct {
--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/decision"
+	"github.com/snipebeam/snipebeam/entry/placement"
 	"github.com/snipebeam/snipebeam/entry/platform"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/world/key"
@@ -30,7 +31,7 @@
 	f := &fixture{table: rules.NewTable(), members: newMembers()}
 	f.handler = platform.New(platform.Parts{
 		Host: "e1", Table: f.table, Members: f.members, Entries: func() []*wire.HostReport { return f.entries },
-		Ready:     func() bool { return true },
+		Ready: func() bool { return true }, Rate: placement.NewRates().Of,
 		Decisions: decision.NewLog(hclog.NewNullLogger()), Keys: key.New(keys...), Metrics: func(io.Writer) {},
 	})
 	return f
