control: take services' rates from confirmed answers only

A control host that is cut off has heard few entry hosts, and its rates replaced those of the others, so that address answers would name one active host where more are needed.

No test of its own yet, and a control host that restarted within a quorum can still tell low rates for a poll or two.

--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -129,8 +129,9 @@
 	}
 	whole.Store(false)
 	w.join(response.GetSeeds())
-	if w.rates != nil {
-		w.rates(response.GetRates())
+	// A control host that is cut off, or has just started, heard few reports.
+	if rates := response.GetRates(); w.rates != nil && !response.GetStale() && len(rates) > 0 {
+		w.rates(rates)
 	}
 	if previous := response.GetPrevious(); previous != nil && w.adopt != nil {
 		w.adopting.Do(func() { w.adopt(previous) })
