--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Every target works in a fresh clone that has Go and a module cache.
-MODULES = world entry control snipebeam standin bench
+MODULES = world entry control platform snipebeam standin bench
 BIN = .bin
 PROTO = world/wire/wire.proto
 GO_FILES = $$(git ls-files -co --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$' | xargs ls 2>/dev/null)
--- a/bench/route/virtual/run.go
+++ b/bench/route/virtual/run.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/snipebeam/snipebeam/entry/placement"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/instance"
--- /dev/null
+++ b/control/directory/directory.go
@@ -0,0 +1,95 @@
+// Package directory tells callers which entry hosts to use for a host name.
+// Few entry hosts serve one service, so that what each of them has in flight
+// is nearly the whole truth about the service's instances; more are named as
+// the rate of its requests asks for it.
+//
+// Usage:
+//
+//	d := directory.New(machine, fleet, directory.WithHostRate(50))
+//	hosts, known := d.Resolve("counter.example", "shawinigan")
+package directory
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/snipebeam/snipebeam/control/fleet"
+	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/placement"
+	"github.com/snipebeam/snipebeam/world/rule"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+// Lifetime is how long callers keep an answer.
+const Lifetime = 2 * time.Second
+
+// Directory answers from the rules in force and the entry hosts that poll this
+// control host.
+type Directory struct {
+	machine  *state.Machine
+	fleet    *fleet.Fleet
+	hostRate float64
+	least    int
+
+	mu     sync.Mutex
+	number uint64
+	set    *rule.Set
+}
+
+// Option changes one property.
+type Option func(*Directory)
+
+// WithHostRate sets the requests a second of a service that one entry host
+// takes, 0 for no bound.
+func WithHostRate(rate float64) Option { return func(d *Directory) { d.hostRate = rate } }
+
+// WithLeast sets how many entry hosts serve a service at least.
+func WithLeast(n int) Option { return func(d *Directory) { d.least = n } }
+
+// New returns a directory.
+func New(machine *state.Machine, hosts *fleet.Fleet, opts ...Option) *Directory {
+	d := &Directory{machine: machine, fleet: hosts, least: 1}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// Resolve returns the entry hosts that callers in a zone use for a host name,
+// those of their zone first, and whether any rule is for it.
+func (d *Directory) Resolve(host, zone string) (hosts []*wire.HostReport, known bool) {
+	services := d.rules().ServicesAt(strings.ToLower(host))
+	if len(services) == 0 {
+		return nil, false
+	}
+	now := time.Now()
+	entries := d.fleet.Reached(now)
+	rates := map[string]float64{}
+	for _, one := range d.fleet.Rates(now) {
+		rates[one.GetService()] = one.GetArrivalsPerS()
+	}
+	for _, service := range services {
+		active := max(placement.ActiveCount(rates[service], d.hostRate), d.least)
+		answer := placement.Choose(entries, service, zone, placement.Plan{Spread: active})
+		for _, chosen := range answer.Hosts() {
+			if !slices.Contains(hosts, chosen) {
+				hosts = append(hosts, chosen)
+			}
+		}
+	}
+	return hosts, true
+}
+
+// rules returns the rules in force as this control host applied them.
+func (d *Directory) rules() *rule.Set {
+	version, text := d.machine.InForce()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.set == nil || version.GetNumber() > d.number {
+		d.set, _ = rule.ReadChange(d.set, "rules", text)
+		d.number = version.GetNumber()
+	}
+	return d.set
+}
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -30,11 +30,17 @@
 	mu      sync.Mutex
 	reports map[string]*wire.HostReport
 	heard   map[string]time.Time
+	polls   map[string]int // that hosts hold open
+
+	suspects suspects
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{reports: map[string]*wire.HostReport{}, heard: map[string]time.Time{}}
+	return &Fleet{
+		reports: map[string]*wire.HostReport{}, heard: map[string]time.Time{}, polls: map[string]int{},
+		suspects: newSuspects(),
+	}
 }
 
 // StateLeft is the state of a host's last report: it stopped as planned.
@@ -60,6 +66,47 @@
 	return previous
 }
 
+// Enter stores the report of a host that begins to poll, as Report does. The
+// host counts as reached until the poll has ended, and for ReachedAfter from
+// then on.
+func (f *Fleet) Enter(report *wire.HostReport, now time.Time) (previous *wire.HostReport, leave func()) {
+	previous = f.Report(report, now)
+	f.suspects.add(report.GetSuspects())
+	name := report.GetName()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.polls[name]++
+	return previous, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.polls[name]--; f.polls[name] == 0 {
+			delete(f.polls, name)
+		}
+		if _, known := f.heard[name]; known {
+			f.heard[name] = time.Now()
+		}
+	}
+}
+
+// ReachedAfter is how long after its last poll a host still counts as reached:
+// the pause between two polls and the way there, with a margin for busy hosts.
+const ReachedAfter = 500 * time.Millisecond
+
+// Reached returns the latest reports of the hosts that poll this control host
+// now, in order of names.
+func (f *Fleet) Reached(now time.Time) []*wire.HostReport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*wire.HostReport
+	for name, report := range f.reports {
+		if f.polls[name] > 0 || now.Sub(f.heard[name]) <= ReachedAfter {
+			all = append(all, report)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].GetName() < all[j].GetName() })
+	return all
+}
+
 // Hosts returns the reports in order of names; silent hosts are marked.
 func (f *Fleet) Hosts(now time.Time) []*wire.HostReport {
 	f.mu.Lock()
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -32,9 +32,13 @@
 const readHeaderLimit = 5 * time.Second
 
 // New returns the application of one control host.
-func New(cfg *settings.Settings, logger hclog.Logger) *fx.App {
+func New(cfg *settings.Settings, logger hclog.Logger, opts ...Option) *fx.App {
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
 	return fx.New(
-		fx.Supply(cfg),
+		fx.Supply(cfg, o),
 		fx.Provide(
 			func() hclog.Logger { return logger },
 			state.New,
@@ -42,14 +46,17 @@
 			newReplica,
 			newNode,
 			newLog,
+			newSeeds,
 			newRules,
+			newInstances,
+			newDirectory,
 			entry.NewClaims,
 			newRing,
 			newOperatorRing,
 			prometheus.New,
 			newServer,
 		),
-		fx.Invoke(runNode),
+		fx.Invoke(runNode, runInstances, runListeners, runReload),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 }
--- /dev/null
+++ b/control/host/listener.go
@@ -0,0 +1,94 @@
+package host
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/control/agreement"
+	"github.com/snipebeam/snipebeam/control/directory"
+	"github.com/snipebeam/snipebeam/control/fleet"
+	"github.com/snipebeam/snipebeam/control/operator"
+	"github.com/snipebeam/snipebeam/control/prometheus"
+	"github.com/snipebeam/snipebeam/control/settings"
+	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/control/upstream"
+	"github.com/snipebeam/snipebeam/world/link"
+	"go.uber.org/fx"
+)
+
+// Services are what a control host does for callers, instances and operators,
+// for listeners that speak another protocol than its own.
+type Services struct {
+	fx.In
+
+	Rules     *operator.Rules
+	Instances *upstream.Instances
+	Directory *directory.Directory
+	Logger    hclog.Logger
+}
+
+// Listener is a further listener of a control host.
+type Listener struct {
+	Name    string
+	Address string
+	Handler http.Handler
+}
+
+// Option changes how a control host is composed.
+type Option func(*options)
+
+type options struct {
+	listeners func(s Services) []Listener
+	reload    func() *settings.Settings
+}
+
+// WithListeners adds listeners that speak another protocol.
+func WithListeners(listeners func(s Services) []Listener) Option {
+	return func(o *options) { o.listeners = listeners }
+}
+
+// WithReload sets how the settings are read again when their file changes.
+func WithReload(reload func() *settings.Settings) Option {
+	return func(o *options) { o.reload = reload }
+}
+
+func newInstances(cfg *settings.Settings, log agreement.Log, machine *state.Machine, logger hclog.Logger) *upstream.Instances {
+	return upstream.New(cfg.Host.Name, log, machine, logger)
+}
+
+func newDirectory(cfg *settings.Settings, machine *state.Machine, hosts *fleet.Fleet) *directory.Directory {
+	return directory.New(machine, hosts, directory.WithHostRate(cfg.Directory.HostRate), directory.WithLeast(cfg.Directory.LeastHosts))
+}
+
+func runInstances(lc fx.Lifecycle, instances *upstream.Instances) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StartStopHook(func() { go instances.Run(ctx) }, cancel))
+}
+
+func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, services Services, exporter *prometheus.Exporter) {
+	var all []Listener
+	if o.listeners != nil {
+		all = o.listeners(services)
+	}
+	if cfg.Listen.Metrics != "" {
+		mux := http.NewServeMux()
+		mux.Handle("GET /metrics", exporter)
+		all = append(all, Listener{Name: "metrics", Address: cfg.Listen.Metrics, Handler: mux})
+	}
+	for _, one := range all {
+		server := &http.Server{Handler: one.Handler, ReadHeaderTimeout: readHeaderLimit}
+		lc.Append(fx.Hook{
+			OnStart: func(ctx context.Context) error {
+				listener, err := link.Listen(ctx, one.Address, link.Message)
+				if err != nil {
+					return errors.Wrapf(err, "listen for %s", one.Name)
+				}
+				go serve(server, listener, services.Logger)
+				return nil
+			},
+			OnStop: server.Shutdown,
+		})
+	}
+}
--- a/control/host/quorum.go
+++ b/control/host/quorum.go
@@ -34,9 +34,10 @@
 	return &replica{store: store, saved: saved}, nil
 }
 
-func newNode(cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, r *replica, machine *state.Machine) (*peer.Node, error) {
+func newNode(cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, r *replica, current *seeds, machine *state.Machine) (*peer.Node, error) {
 	return peer.New(peer.Config{
-		Name: cfg.Host.Name, Initial: initialHosts(cfg),
+		Name: cfg.Host.Name, Address: cfg.Listen.Peers, Initial: initialHosts(cfg),
+		Seeds: current.Seeds, Voters: cfg.Quorum.Voters(),
 		Tick:          time.Duration(cfg.Quorum.TickMs) * time.Millisecond,
 		ElectionTicks: cfg.Quorum.ElectionTicks, HeartbeatTicks: cfg.Quorum.HeartbeatTicks,
 		Client:         func(t http.RoundTripper) *http.Client { return ring.Client(&http.Client{Transport: t}) },
@@ -46,6 +47,9 @@
 }
 
 func initialHosts(cfg *settings.Settings) []peer.Host {
+	if len(cfg.Quorum.Seeds) > 0 {
+		return seedHosts(cfg)
+	}
 	var hosts []peer.Host
 	for _, one := range cfg.Quorum.Initial() {
 		hosts = append(hosts, peer.Host{Name: one[0], Address: one[1]})
--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -93,10 +93,18 @@
 		version, text = s.machine.Version(req.GetNumber())
 	}
 	return &wire.ReadResponse{
-		Version: version, Text: text, Stale: stale, AsOf: s.asOf(stale), ServedBy: s.name,
+		Version: version, Text: text, Stale: stale, AsOf: s.asOf(stale), ServedBy: s.name, Document: s.document(req),
 	}, nil
 }
 
+// document is told with the version in force alone.
+func (s *Rules) document(req *wire.ReadRequest) []byte {
+	if req.GetNumber() > 0 {
+		return nil
+	}
+	return s.machine.Document()
+}
+
 func (s *Rules) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmLimit)
 	defer cancel()
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -6,18 +6,25 @@
 	"time"
 
 	"github.com/snipebeam/snipebeam/world/delta"
+	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
-// maxWatch bounds a long poll.
-const maxWatch = 10 * time.Second
+const (
+	// maxWatch bounds a long poll.
+	maxWatch = 10 * time.Second
+	// gatherTime is how long changes of instances are gathered before a poll is
+	// answered with them; drains must be known within seconds.
+	gatherTime = 50 * time.Millisecond
+)
 
-// Watch records the host's report and waits for a version newer than the
-// known one. A newer version is told at once, without a question to the
+// Watch records the host's report and waits for a version or records of
+// instances newer than the known ones. A newer version is told at once, without a question to the
 // quorum: what this host applied was committed, so it is or was in force. An
 // answer is stale when no quorum said that nothing newer is.
 func (s *Rules) Watch(ctx context.Context, req *wire.WatchRequest) (*wire.WatchResponse, error) {
-	previous := s.fleet.Report(req.GetReport(), time.Now())
+	previous, leave := s.fleet.Enter(req.GetReport(), time.Now())
+	defer leave()
 	newer := s.await(ctx, req)
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -36,22 +43,42 @@
 	}
 	response.AsOf = time.Now().UnixNano()
 	response.Rates = s.fleet.Rates(time.Now())
-	response.Seeds = s.fleet.Seeds(req.GetReport().GetName(), time.Now())
+	s.addMembership(req, response)
 	return response, nil
 }
 
-// await reports whether a newer version came in force within the wait.
+// addMembership adds the records of instances to hosts that learn them from
+// control hosts, and other hosts to join to those that learn them by gossip.
+func (s *Rules) addMembership(req *wire.WatchRequest, response *wire.WatchResponse) {
+	for _, m := range s.log.Status().Members() {
+		response.ControlHosts = append(response.ControlHosts, m.GetAddress())
+	}
+	if !req.GetInstances() {
+		response.Seeds = s.fleet.Seeds(req.GetReport().GetName(), time.Now())
+		return
+	}
+	response.Instances, response.InstancesRevision = s.machine.Instances(req.GetKnownInstances())
+	response.Suspects, response.SuspectsRevision = s.fleet.Suspects(req.GetKnownSuspects())
+}
+
+// await reports whether a newer version came in force within the wait, which
+// ends early with other news too.
 func (s *Rules) await(ctx context.Context, req *wire.WatchRequest) bool {
 	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatch)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		changed := s.machine.Changed()
-		if version, _ := s.machine.InForce(); version.GetNumber() > req.GetKnownVersion() {
+		changed, told := s.machine.Changed(), s.fleet.Told()
+		if s.newer(req) {
 			return true
 		}
+		if s.news(req) {
+			pause.For(ctx, gatherTime)
+			return s.newer(req)
+		}
 		select {
 		case <-changed:
+		case <-told:
 		case <-timer.C:
 			return false
 		case <-ctx.Done():
@@ -60,6 +87,20 @@
 	}
 }
 
+func (s *Rules) newer(req *wire.WatchRequest) bool {
+	version, _ := s.machine.InForce()
+	return version.GetNumber() > req.GetKnownVersion()
+}
+
+// news reports whether there is something to tell beside a version.
+func (s *Rules) news(req *wire.WatchRequest) bool {
+	if !req.GetInstances() {
+		return false
+	}
+	_, suspects := s.fleet.Suspects(req.GetKnownSuspects())
+	return s.machine.InstancesRevision() > req.GetKnownInstances() || suspects > req.GetKnownSuspects()
+}
+
 // confirmWatch asks before the version is read, so that the version is at
 // least as new as any that was accepted before the question.
 func (s *Rules) confirmWatch(ctx context.Context, response *wire.WatchResponse) {
--- a/control/peer/form.go
+++ b/control/peer/form.go
@@ -56,7 +56,7 @@
 // reports whether one of them belongs to a group.
 func (n *Node) gather(ctx context.Context) (members []*wire.Member, formed bool) {
 	for _, host := range n.cfg.Initial {
-		identity := n.store.Identity().GetIdentity()
+		identity, name := n.store.Identity().GetIdentity(), host.Name
 		if host.Name != n.cfg.Name {
 			answer, err := n.hello(ctx, host.Address)
 			if err != nil {
@@ -65,9 +65,9 @@
 			if answer.GetGroup() != "" {
 				return nil, true
 			}
-			identity = answer.GetIdentity()
+			identity, name = answer.GetIdentity(), answer.GetName()
 		}
-		members = append(members, &wire.Member{Name: host.Name, Address: host.Address, Role: quorum.Voter, Identity: identity})
+		members = append(members, &wire.Member{Name: name, Address: host.Address, Role: quorum.Voter, Identity: identity})
 	}
 	return members, false
 }
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -40,7 +40,10 @@
 // Config says who a node is and how it keeps time.
 type Config struct {
 	Name           string
-	Initial        []Host // first membership; its first host forms the group
+	Address        string          // of this host's peers listener, for others
+	Initial        []Host          // first membership; its first host forms the group
+	Seeds          func() []string // addresses at which a replica asks to be taken in, as set now; nil: it waits to be added
+	Voters         int             // that the leader keeps without an operator, 0 to leave the membership as it is
 	Tick           time.Duration
 	ElectionTicks  int
 	HeartbeatTicks int
@@ -90,6 +93,7 @@
 	strangers map[string]string // addresses of senders outside the known membership
 	linkCtx   context.Context
 	snapshots snapshotter
+	steward   steward
 
 	// The group's clock as this leader advances it.
 	clockBase  int64
@@ -105,6 +109,9 @@
 	if cfg.Client == nil {
 		cfg.Client = func(t http.RoundTripper) *http.Client { return &http.Client{Transport: t} }
 	}
+	if cfg.Seeds == nil {
+		cfg.Seeds = func() []string { return nil }
+	}
 	if cfg.OperatorClient == nil {
 		cfg.OperatorClient = cfg.Client
 	}
@@ -112,6 +119,7 @@
 		cfg: cfg, store: store, machine: machine, logger: cfg.Logger.Named("quorum"),
 		work: make(chan func(), workQueue), stopped: make(chan struct{}),
 		pending: map[uint64]*proposal{}, reads: map[uint64]chan quorum.ReadResult{}, links: map[string]*link{}, strangers: map[string]string{},
+		steward: newSteward(cfg.Voters),
 		clients: clientPool{wrap: cfg.Client}, operators: clientPool{wrap: cfg.OperatorClient},
 	}
 	if saved.Snapshot != nil && len(saved.Snapshot.GetState()) > 0 {
@@ -145,6 +153,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n.linkCtx = ctx
+	if n.cfg.Voters > 0 {
+		go n.keepMembership(ctx)
+		go n.joinGroup(ctx)
+	}
 	if err := n.form(ctx); err != nil {
 		n.halt(err)
 	}
--- a/control/settings/quorum.go
+++ b/control/settings/quorum.go
@@ -11,6 +11,9 @@
 // Quorum says which control hosts agree and how they keep time.
 type Quorum struct {
 	Hosts          []string `toml:"hosts" comment:"first membership as name=address, the same list on each host; the first one forms the group; empty: this host alone"`
+	Seeds          []string `toml:"seeds" comment:"addresses of some control hosts, with any port; instead of hosts, for a group that keeps its own membership"`
+	Bootstrap      bool     `toml:"bootstrap" comment:"with seeds: the whole system starts for the first time, and the seeds form the group"`
+	FaultTolerance int      `toml:"faultTolerance" comment:"with seeds: control hosts that may be lost at the same time; the group keeps twice as many votes and one"`
 	TickMs         int      `toml:"tickMs" comment:"milliseconds of one tick"`
 	HeartbeatTicks int      `toml:"heartbeatTicks" comment:"ticks between heartbeats"`
 	ElectionTicks  int      `toml:"electionTicks" comment:"ticks without a leader before an election, at least; a leader without a quorum steps down after as many"`
@@ -31,7 +34,25 @@
 	return all
 }
 
+// Voters returns how many votes the group keeps by itself, 0 if operators
+// change its membership.
+func (q *Quorum) Voters() int {
+	if len(q.Seeds) == 0 {
+		return 0
+	}
+	return 2*q.FaultTolerance + 1
+}
+
 func (q *Quorum) check(c *setting.Checker) {
+	for _, one := range q.Seeds {
+		c.Address("quorum.seeds", one, "10.0.0.1:7100")
+	}
+	if len(q.Seeds) > 0 && len(q.Hosts) > 0 {
+		c.Fail("quorum.seeds", "stands beside quorum.hosts", "keep one of the two")
+	}
+	if q.FaultTolerance < 0 {
+		c.Fail("quorum.faultTolerance", "is negative", "1 needs three control hosts, 2 needs five")
+	}
 	var names []string
 	for _, one := range q.Hosts {
 		name, address, ok := strings.Cut(one, "=")
--- a/control/settings/settings.go
+++ b/control/settings/settings.go
@@ -14,17 +14,18 @@
 
 // Settings is the whole file, one field a section.
 type Settings struct {
-	Host   Host   `toml:"host" comment:"what this host is"`
-	Listen Listen `toml:"listen" comment:"addresses that this host listens on"`
-	Data   Data   `toml:"data" comment:"durable state"`
-	Quorum Quorum `toml:"quorum" comment:"the control hosts that agree"`
-	Keys   Keys   `toml:"keys" comment:"key files, each with one or two keys; set all of them or none"`
-	Log    Log    `toml:"log" comment:"what is logged"`
+	Host      Host      `toml:"host" comment:"what this host is"`
+	Listen    Listen    `toml:"listen" comment:"addresses that this host listens on"`
+	Data      Data      `toml:"data" comment:"durable state"`
+	Quorum    Quorum    `toml:"quorum" comment:"the control hosts that agree"`
+	Directory Directory `toml:"directory" comment:"what callers are told"`
+	Keys      Keys      `toml:"keys" comment:"key files, each with one or two keys; set all of them or none"`
+	Log       Log       `toml:"log" comment:"what is logged"`
 }
 
 // Default returns the settings that a file need not name.
 func Default() *Settings {
-	return &Settings{Listen: defaultListen(), Data: defaultData(), Quorum: defaultQuorum(), Log: defaultLog()}
+	return &Settings{Listen: defaultListen(), Data: defaultData(), Quorum: defaultQuorum(), Directory: defaultDirectory(), Log: defaultLog()}
 }
 
 // Load reads and checks a file, before which the overrides go. All findings
@@ -41,6 +42,7 @@
 	c.OneOf("log.level", s.Log.Level, logging.Levels()...)
 	s.Data.check(c)
 	s.Quorum.check(c)
+	s.Directory.check(c)
 	s.Keys.check(c)
 	s.Listen.check(c, s.Keys)
 }
--- a/control/state/changed.go
+++ b/control/state/changed.go
@@ -1,7 +1,8 @@
 package state
 
-// Changed returns a channel that is closed when another version comes in
-// force. Whoever waits asks for the channel first and reads the version then.
+// Changed returns a channel that is closed when another version comes in force
+// or a record of an instance changes. Whoever waits asks for the channel first
+// and reads the state then.
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -11,16 +12,19 @@
 	return m.changed
 }
 
-// announce wakes those who wait if the version in force is not the one before.
-func (m *Machine) announce(before uint64) {
-	if m.inForce() == before || m.changed == nil {
+// mark says how far the state that watchers wait for has come.
+type mark struct{ version, instances uint64 }
+
+func (m *Machine) mark() mark {
+	version, _ := m.rules.newest()
+	return mark{version: version.GetNumber(), instances: m.instances.revision}
+}
+
+// announce wakes those who wait if the state went on from a mark.
+func (m *Machine) announce(before mark) {
+	if m.mark() == before || m.changed == nil {
 		return
 	}
 	close(m.changed)
 	m.changed = nil
 }
-
-func (m *Machine) inForce() uint64 {
-	version, _ := m.rules.newest()
-	return version.GetNumber()
-}
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -1,5 +1,6 @@
 // Package state is the replicated state machine of the control hosts: the
-// accepted rules files and the claims on requests that run at most once.
+// accepted rules files, the claims on requests that run at most once, and the
+// records of instances that announced themselves to control hosts.
 //
 // The machine is deterministic: it reads no clock and no random source, so
 // that every replica that applies the same commands holds the same state. What
@@ -27,7 +28,9 @@
 	rules  rulesState
 	claims claimsState
 
-	changed chan struct{} // closed when another version comes in force
+	instances instancesState
+
+	changed chan struct{} // closed when another version comes in force or an instance changes
 }
 
 // New returns an empty machine.
@@ -35,6 +38,7 @@
 	m := &Machine{}
 	m.rules.reset()
 	m.claims.reset()
+	m.instances.reset()
 	return m
 }
 
@@ -42,13 +46,14 @@
 func (m *Machine) Apply(cmd *wire.Command) *wire.Result {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	defer m.announce(m.inForce())
+	defer m.announce(m.mark())
 	return m.apply(cmd)
 }
 
 func (m *Machine) apply(cmd *wire.Command) *wire.Result {
 	m.clock = max(m.clock, cmd.GetClock())
 	m.claims.expire(m.clock)
+	m.instances.expire(m.clock)
 	switch body := cmd.GetBody().(type) {
 	case *wire.Command_Submit:
 		return &wire.Result{Body: &wire.Result_Submit{Submit: m.rules.submit(body.Submit, cmd.GetAt())}}
@@ -60,6 +65,8 @@
 		return &wire.Result{Body: &wire.Result_Release{Release: m.claims.release(body.Release, m.clock)}}
 	case *wire.Command_Resolve:
 		return &wire.Result{Body: &wire.Result_Resolve{Resolve: m.claims.resolve(body.Resolve, m.clock)}}
+	case *wire.Command_Announce:
+		return &wire.Result{Body: &wire.Result_Announce{Announce: m.instances.announce(body.Announce, m.clock)}}
 	case *wire.Command_Batch:
 		return m.applyBatch(body.Batch)
 	}
@@ -81,6 +88,13 @@
 	return m.rules.newest()
 }
 
+// Document returns what the newest version was translated from, if anything.
+func (m *Machine) Document() []byte {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.rules.document
+}
+
 // Version returns one accepted version and its text, or nil.
 func (m *Machine) Version(number uint64) (*wire.Version, string) {
 	m.mu.RLock()
--- a/control/state/rules.go
+++ b/control/state/rules.go
@@ -1,7 +1,9 @@
 package state
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -31,7 +33,8 @@
 }
 
 type rulesState struct {
-	versions    []acceptedVersion // in order of their numbers, without gaps
+	versions    []acceptedVersion // in order of their numbers
+	document    []byte            // what the newest text was translated from
 	textBytes   int
 	oldestText  int // versions before it have no text
 	submissions map[string]submission
@@ -44,6 +47,9 @@
 
 // submit accepts a rules file if its base is the version in force.
 func (r *rulesState) submit(req *wire.SubmitRequest, now int64) *wire.SubmitResponse {
+	if req.GetNumber() > 0 {
+		return r.submitNumbered(req, now)
+	}
 	digest := requestDigest(req)
 	if first, ok := r.submissions[req.GetSubmissionId()]; ok {
 		if first.digest != digest {
@@ -84,12 +90,27 @@
 	if refusal := r.refuseRollback(req); refusal != "" {
 		return &wire.SubmitResponse{Refusal: refusal}
 	}
+	return r.accept(req, current+1, now)
+}
+
+// submitNumbered accepts a rules file under the number that its submitter
+// chose. One whose number is not higher than that in force changes nothing,
+// so that a submission may be sent again and again.
+func (r *rulesState) submitNumbered(req *wire.SubmitRequest, now int64) *wire.SubmitResponse {
+	if winner, _ := r.newest(); req.GetNumber() <= winner.GetNumber() {
+		return &wire.SubmitResponse{Superseded: true, Version: winner}
+	}
+	return r.accept(req, req.GetNumber(), now)
+}
+
+func (r *rulesState) accept(req *wire.SubmitRequest, number uint64, now int64) *wire.SubmitResponse {
 	version := &wire.Version{
-		Number: current + 1, Digest: Digest(req.GetText()), Author: req.GetAuthor(), Reason: req.GetReason(),
+		Number: number, Digest: Digest(req.GetText()), Author: req.GetAuthor(), Reason: req.GetReason(),
 		AcceptedAt: now, SubmissionId: req.GetSubmissionId(), RollbackOf: req.GetRollbackOf(),
 	}
 	r.versions = append(r.versions, acceptedVersion{version: version, text: req.GetText()})
 	r.textBytes += len(req.GetText())
+	r.document = req.GetDocument()
 	r.dropOld()
 	return &wire.SubmitResponse{Accepted: true, Version: version}
 }
@@ -145,15 +166,13 @@
 func (r *rulesState) newest() (*wire.Version, string) { return r.version(r.newestNumber()) }
 
 func (r *rulesState) version(number uint64) (*wire.Version, string) {
-	if len(r.versions) == 0 {
-		return nil, ""
-	}
-	first := r.versions[0].version.GetNumber()
-	if number < first || number > r.newestNumber() {
+	at, found := slices.BinarySearchFunc(r.versions, number, func(v acceptedVersion, number uint64) int {
+		return cmp.Compare(v.version.GetNumber(), number)
+	})
+	if !found {
 		return nil, ""
 	}
-	v := r.versions[number-first]
-	return v.version, v.text
+	return r.versions[at].version, r.versions[at].text
 }
 
 func (r *rulesState) history(limit int) []*wire.Version {
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -23,6 +23,7 @@
 	defer m.mu.RUnlock()
 	f := &Frozen{head: &wire.StateSnapshot{Clock: m.clock}}
 	m.rules.save(f.head)
+	m.instances.save(f.head)
 	f.claims = make([]claim, 0, len(m.claims.byKey))
 	for _, c := range m.claims.byKey {
 		f.claims = append(f.claims, *c)
@@ -101,6 +102,8 @@
 	var next Machine
 	next.rules.reset()
 	next.claims.reset()
+	next.instances.reset()
+	next.instances.load(s)
 	if err := next.rules.load(s); err != nil {
 		return err
 	}
@@ -109,9 +112,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	defer m.announce(m.inForce())
+	defer m.announce(m.mark())
 	m.clock = s.GetClock()
-	m.rules, m.claims = next.rules, next.claims
+	m.rules, m.claims, m.instances = next.rules, next.claims, next.instances
 	return nil
 }
 
@@ -141,6 +144,9 @@
 	for _, v := range r.versions {
 		s.Versions = append(s.Versions, &wire.SnapshotVersion{Version: v.version, Text: v.text})
 	}
+	if n := len(s.Versions); n > 0 {
+		s.Versions[n-1].Document = r.document
+	}
 	for _, id := range r.order {
 		one := r.submissions[id]
 		s.Submissions = append(s.Submissions, &wire.SnapshotSubmission{Id: id, Response: one.response, Digest: one.digest})
@@ -149,7 +155,7 @@
 
 func (r *rulesState) load(s *wire.StateSnapshot) error {
 	for n, v := range s.GetVersions() {
-		if n > 0 && v.GetVersion().GetNumber() != r.newestNumber()+1 {
+		if n > 0 && v.GetVersion().GetNumber() <= r.newestNumber() {
 			return errors.Errorf("version %d follows version %d", v.GetVersion().GetNumber(), r.newestNumber())
 		}
 		if v.GetVersion().GetNumber() == 0 {
@@ -157,6 +163,7 @@
 		}
 		r.versions = append(r.versions, acceptedVersion{version: v.GetVersion(), text: v.GetText()})
 		r.textBytes += len(v.GetText())
+		r.document = v.GetDocument()
 	}
 	for _, one := range s.GetSubmissions() {
 		r.remember(one.GetId(), submission{digest: one.GetDigest(), response: one.GetResponse()})
--- a/entry/caller/answer.go
+++ b/entry/caller/answer.go
@@ -42,12 +42,22 @@
 	d.c.stay.Answering(time.Now())
 	d.c.clock.answered()
 	d.report.Failed = response.StatusCode >= http.StatusInternalServerError
-	d.report.Reported, d.report.HasReport = loadOf(response)
+	if report, told := d.c.dialect.Load(response.Header); told {
+		d.report.Reported, d.report.Speed, d.report.HasReport = report.Requests, report.Speed, true
+	}
 	d.c.decision.Status = response.StatusCode
 	d.flight.Answered()
-	if response.Header.Get(RefusedHeader) != "" {
+	if d.c.dialect.Refused(response.StatusCode, response.Header) {
+		d.report.Refused, d.report.Failed = true, false
+		if misdirected := d.c.dialect.Misdirected; misdirected != nil && misdirected(response.StatusCode) {
+			d.report.Lost = true
+		}
 		return result{problem: d.c.problem(outcome.NotRun, outcome.UpstreamRefused, "the instance refused before it started"), instance: id}
 	}
+	if !d.c.dialect.Outcomes {
+		d.pass(exchange)
+		return result{instance: id}
+	}
 	switch outcome.Kind(response.Header.Get(outcome.Header)) {
 	case outcome.NotRun:
 		return result{problem: d.c.problem(outcome.NotRun, outcome.UpstreamRefused, "the layer below did not run it"), instance: id, final: true}
@@ -73,8 +83,10 @@
 	if connection != nil {
 		c.w.Header()["Connection"] = connection
 	}
-	c.w.Header().Set(outcome.Header, string(outcome.Answer))
-	c.w.Header().Set(outcome.DecisionHeader, c.id)
+	if c.dialect.Outcomes {
+		c.w.Header().Set(outcome.Header, string(outcome.Answer))
+		c.w.Header().Set(outcome.DecisionHeader, c.id)
+	}
 	c.allowWrite()
 	c.sent = true
 	c.w.WriteHeader(response.StatusCode)
--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -75,7 +75,10 @@
 	if last.problem.Kind() == outcome.NotRun {
 		allowed = max(allowed, refusedTries)
 	}
-	if terms.Once() && last.problem.Kind() != outcome.NotRun || attempt > allowed {
+	if most := terms.Attempts(); most > 0 {
+		allowed = min(allowed, most-1)
+	}
+	if (terms.Once() || terms.Single()) && last.problem.Kind() != outcome.NotRun || attempt > allowed {
 		return false
 	}
 	if _, poisoned := h.parts.Suspects.Refused(c.fingerprint, time.Now()); poisoned {
@@ -88,7 +91,7 @@
 func (c *call) repeatable() bool {
 	terms := c.rule.Contract()
 	safe := c.r.Method == http.MethodGet || c.r.Method == http.MethodHead || c.r.Method == http.MethodOptions
-	return !terms.Once() && (terms.Retries() > 0 || safe)
+	return !terms.Once() && !terms.Single() && (terms.Retries() > 0 || safe)
 }
 
 // attempt sends the request to one instance.
@@ -146,18 +149,24 @@
 // is replaced by a new one if the request may run twice.
 func (d *dispatch) send(attempt int) (*upstream.Exchange, error) {
 	opts := []upstream.SendOption{upstream.WithInform(d.c.inform)}
+	if speaks := d.c.dialect; speaks.Identity != "" {
+		opts = append(opts, upstream.WithIdentity(speaks.Identity, d.c.r.Header.Get(speaks.Identity)))
+	}
+	if d.c.dialect.Unframed {
+		opts = append(opts, upstream.WithUnframed())
+	}
 	switch {
 	case attempt > 1:
 		opts = append(opts, upstream.WithMaxIdle(0))
 	case !d.c.repeatable():
 		opts = append(opts, upstream.WithMaxIdle(freshIdle))
 	}
-	exchange, err := d.h.parts.Links.Send(d.c.clock, d.target.Address(), d.c.outgoing(attempt), opts...)
+	exchange, err := d.h.parts.Links.Send(d.c.clock, d.target.Address(), d.c.outgoing(attempt, d.target.ID()), opts...)
 	var failure *upstream.Failure
 	if errors.As(err, &failure) && failure.Cause() == upstream.Stale && d.c.repeatable() && d.c.body.replayable() {
 		d.c.dispatched = true // the instance may have run it before it closed the link
 		opts = append(opts, upstream.WithMaxIdle(0))
-		return d.h.parts.Links.Send(d.c.clock, d.target.Address(), d.c.outgoing(attempt), opts...)
+		return d.h.parts.Links.Send(d.c.clock, d.target.Address(), d.c.outgoing(attempt, d.target.ID()), opts...)
 	}
 	return exchange, err
 }
--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -27,6 +27,7 @@
 // call is one request on its way through the handler.
 type call struct {
 	id          string
+	dialect     *Dialect
 	service     string
 	caller      string
 	version     uint64
@@ -46,10 +47,10 @@
 	decision    decision.Decision
 }
 
-func newCall(w http.ResponseWriter, r *http.Request, limits Limits) *call {
+func newCall(w http.ResponseWriter, r *http.Request, limits Limits, speaks *Dialect) *call {
 	return &call{
-		id: newID(), service: serviceOf(r), caller: callerOf(r), w: w, control: http.NewResponseController(w), r: r,
-		layer: layerOf(r), progress: limits.Progress,
+		id: idOf(r, speaks), dialect: speaks, service: serviceOf(r, speaks), caller: callerOf(r, speaks), w: w, control: http.NewResponseController(w), r: r,
+		layer: layerOf(r, speaks), progress: limits.Progress,
 	}
 }
 
@@ -67,6 +68,17 @@
 	return hex.EncodeToString(raw[:])
 }
 
+// maxIDBytes bounds an identity that a caller gave.
+const maxIDBytes = 128
+
+// idOf returns the identity that the caller gave, or a new one.
+func idOf(r *http.Request, speaks *Dialect) string {
+	if id := header(r.Header, speaks.Identity); id != "" && len(id) <= maxIDBytes {
+		return id
+	}
+	return newID()
+}
+
 // allowWrite gives the caller time to take the next part of the answer. A
 // connection without deadlines cannot be bounded.
 func (c *call) allowWrite() { _ = c.control.SetWriteDeadline(time.Now().Add(c.progress)) }
@@ -84,8 +96,8 @@
 
 // serviceOf names the service that a request is for: by header, else by the
 // first label of the host.
-func serviceOf(r *http.Request) string {
-	if name := r.Header.Get(ServiceHeader); name != "" {
+func serviceOf(r *http.Request, speaks *Dialect) string {
+	if name := header(r.Header, speaks.Service); name != "" {
 		return name
 	}
 	name, _, _ := strings.Cut(r.Host, ".")
@@ -93,8 +105,8 @@
 	return name
 }
 
-func callerOf(r *http.Request) string {
-	if name := r.Header.Get(CallerHeader); name != "" {
+func callerOf(r *http.Request, speaks *Dialect) string {
+	if name := header(r.Header, speaks.Caller); name != "" {
 		return name
 	}
 	address, _, _ := net.SplitHostPort(r.RemoteAddr)
@@ -102,8 +114,8 @@
 }
 
 // layerOf returns the attempt of the layer above that the request is.
-func layerOf(r *http.Request) int {
-	n, err := strconv.Atoi(r.Header.Get(AttemptHeader))
+func layerOf(r *http.Request, speaks *Dialect) int {
+	n, err := strconv.Atoi(header(r.Header, speaks.Attempt))
 	if err != nil || n < 1 {
 		return 1
 	}
--- a/entry/caller/clock.go
+++ b/entry/caller/clock.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/world/contract"
 )
 
 var (
@@ -31,12 +32,16 @@
 	done  bool // no deadline any more
 }
 
-func newClock(r *http.Request, limit time.Duration) *clock {
+func newClock(r *http.Request, terms *contract.Contract, deadlineHeader string) *clock {
+	limit := terms.Deadline()
 	c := &clock{limit: limit}
 	now := time.Now()
-	if ms, err := strconv.ParseInt(r.Header.Get(DeadlineHeader), 10, 32); err == nil && ms > 0 {
+	if ms, err := strconv.ParseInt(header(r.Header, deadlineHeader), 10, 32); err == nil && ms > 0 {
 		c.own = now.Add(time.Duration(ms) * time.Millisecond)
 	}
+	if timeout := terms.Timeout(); timeout > 0 && (c.own.IsZero() || now.Add(timeout).Before(c.own)) {
+		c.own = now.Add(timeout)
+	}
 	c.Context, c.cancel = context.WithCancelCause(context.WithoutCancel(r.Context()))
 	c.unwatch = context.AfterFunc(r.Context(), func() { c.cancel(errCallerGone) })
 	c.at = c.bounded(now.Add(limit))
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -31,6 +31,7 @@
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/upstream"
 	"github.com/snipebeam/snipebeam/world/outcome"
+	"github.com/snipebeam/snipebeam/world/rule"
 )
 
 // Acquirer gives out instances for attempts.
@@ -59,6 +60,7 @@
 	Stopping  *atomic.Bool
 	Logger    hclog.Logger
 	Limits    Limits
+	Dialect   *Dialect // nil: snipebeam's own
 }
 
 // Limits bound what one request may take.
@@ -80,6 +82,7 @@
 	parts  Parts
 	holder string // unique to this process start
 	door   *door
+	turns  turns
 }
 
 // New returns a handler.
@@ -87,6 +90,9 @@
 	if parts.Limits == (Limits{}) {
 		parts.Limits = DefaultLimits()
 	}
+	if parts.Dialect == nil {
+		parts.Dialect = &native
+	}
 	if parts.Logger == nil {
 		parts.Logger = hclog.NewNullLogger()
 	}
@@ -101,7 +107,7 @@
 
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := newCall(w, r, h.parts.Limits)
+	c := newCall(w, r, h.parts.Limits, h.parts.Dialect)
 	if h.parts.Stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -163,6 +169,9 @@
 	if !h.parts.Table.Learned() {
 		return outcome.New(outcome.NotRun, outcome.NotReady, "this host has not learned the rules in force yet")
 	}
+	if host := rule.HostOf(c.r); inForce.Set().HasHost(host) {
+		return h.matchHost(c, inForce.Set(), host)
+	}
 	if !inForce.Set().Knows(c.service) {
 		return outcome.New(outcome.NotRun, outcome.UnknownService, "no rule names the service "+strconv.Quote(c.service))
 	}
@@ -173,6 +182,18 @@
 	return nil
 }
 
+// matchHost finds the rule of a request that names no service, and the service
+// that its turn falls on.
+func (h *Handler) matchHost(c *call, set *rule.Set, host string) *outcome.Problem {
+	c.service = ""
+	c.rule = set.At(host, c.r.URL.EscapedPath())
+	if c.rule == nil {
+		return outcome.New(outcome.NotRun, outcome.NoRule, "no rule of "+host+" matches "+c.r.URL.Path)
+	}
+	c.service = h.turns.service(c.rule)
+	return nil
+}
+
 // bodyLimit returns the largest body that the request may have.
 func (h *Handler) bodyLimit(c *call) int64 {
 	if most := c.rule.Contract().MaxBody(); most > 0 {
@@ -184,7 +205,7 @@
 // run returns nil once an answer was sent to the caller.
 func (h *Handler) run(c *call) *outcome.Problem {
 	terms := c.rule.Contract()
-	c.clock = newClock(c.r, terms.Deadline())
+	c.clock = newClock(c.r, terms, c.dialect.Deadline)
 	defer c.clock.stop()
 	if terms.Once() && c.r.Header.Get(terms.OnceHeader()) == "" {
 		return outcome.New(outcome.NotRun, outcome.KeyMissing, "the rule asks for the header "+terms.OnceHeader())
@@ -218,7 +239,7 @@
 		_ = c.control.SetReadDeadline(time.Now().Add(lingerLimit))
 	}
 	c.allowWrite()
-	problem.Write(c.w, c.id)
+	c.dialect.Problem(c.w, Refusal{Problem: problem, ID: c.id})
 }
 
 func (h *Handler) write(c *call, result string) {
--- a/entry/caller/header.go
+++ b/entry/caller/header.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
@@ -63,7 +64,7 @@
 }
 
 // outgoing returns the request as it goes to the instance.
-func (c *call) outgoing(attempt int) *http.Request {
+func (c *call) outgoing(attempt int, target instance.ID) *http.Request {
 	out := c.r.WithContext(c.clock)
 	out.Header = c.r.Header.Clone()
 	url := *c.r.URL
@@ -74,14 +75,11 @@
 	out.Close = false
 	removeHopHeaders(out.Header)
 	delete(out.Header, "Expect")
-	out.Header.Set(DeadlineHeader, strconv.FormatInt(max(c.clock.left().Milliseconds(), 1), 10))
-	out.Header.Set(AttemptHeader, strconv.Itoa(c.layer-1+attempt))
-	out.Header.Set(CallerHeader, c.caller)
+	speaks := c.dialect
+	setHeader(out.Header, speaks.Deadline, strconv.FormatInt(max(c.clock.left().Milliseconds(), 1), 10))
+	setHeader(out.Header, speaks.Attempt, strconv.Itoa(c.layer-1+attempt))
+	setHeader(out.Header, speaks.Caller, c.caller)
+	setHeader(out.Header, speaks.Instance, string(target))
 	out.Body = c.body.open()
 	return out
 }
-
-func loadOf(response *http.Response) (int, bool) {
-	n, err := strconv.Atoi(response.Header.Get(LoadHeader))
-	return n, err == nil && n >= 0
-}
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -4,8 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -33,15 +33,21 @@
 // no control host that failed, is cut off or is stale can hold it back, and
 // each one has this host's report.
 type Watch struct {
-	hosts  []watched
+	client *http.Client
+	seeds  func() []string
 	table  *rules.Table
 	report func() *wire.HostReport
 	join   func(seeds []*wire.GossipHost)
 	logger hclog.Logger
 
 	rates    func(rates []*wire.ServiceRate)
+	members  Membership
 	adopt    func(previous *wire.HostReport)
 	adopting sync.Once
+
+	mu    sync.Mutex
+	group []string      // addresses of the group's members, as they were told last
+	told  chan struct{} // holds one when the group changed
 }
 
 // WatchOption changes one property of a watch.
@@ -57,39 +63,114 @@
 	return func(w *Watch) { w.adopt = adopt }
 }
 
+// Membership takes what control hosts tell of instances and suspects.
+type Membership interface {
+	// Known returns the revision of the newest record of an instance.
+	Known() uint64
+	// Take takes records of instances, oldest first, up to a revision.
+	Take(instances []*wire.Instance, revision uint64)
+	// Suspect takes fingerprints of requests that cost instances.
+	Suspect(suspects []*wire.Suspect)
+}
+
+// WithMembership learns instances and suspects from the control hosts.
+func WithMembership(m Membership) WatchOption { return func(w *Watch) { w.members = m } }
+
 // watched is one control host.
 type watched struct {
-	address string
-	rules   wire.Rules
+	address  string
+	rules    wire.Rules
+	suspects uint64 // revision of the suspects that it told last
+	whole    bool   // the next version is to be told whole
 }
 
-// NewWatch returns a watch of the control hosts at the addresses; report
-// describes this host at each poll, and join is told other entry hosts.
-func NewWatch(addresses []string, client *http.Client, table *rules.Table, report func() *wire.HostReport, join func([]*wire.GossipHost), logger hclog.Logger, opts ...WatchOption) *Watch {
-	w := &Watch{table: table, report: report, join: join, logger: logger.Named("control")}
-	for _, address := range addresses {
-		w.hosts = append(w.hosts, watched{address: address, rules: wire.NewRulesProtobufClient("http://"+address, client)})
-	}
+// NewWatch returns a watch of the control hosts that seeds names now, and of
+// those that they name as members of their group; report describes this host at each poll, and join is told other entry hosts.
+func NewWatch(seeds func() []string, client *http.Client, table *rules.Table, report func() *wire.HostReport, join func([]*wire.GossipHost), logger hclog.Logger, opts ...WatchOption) *Watch {
+	w := &Watch{client: client, seeds: seeds, table: table, report: report, join: join, logger: logger.Named("control"), told: make(chan struct{}, 1)}
 	for _, opt := range opts {
 		opt(w)
 	}
 	return w
 }
 
+// hostsInterval is how often the control hosts to watch are looked at when
+// nobody tells of a change: the seeds may be set anew.
+const hostsInterval = time.Second
+
 // Run polls until the context ends.
 func (w *Watch) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, host := range w.hosts {
-		group.Go(func() { w.follow(ctx, host) })
+	defer group.Wait()
+	followed := map[string]context.CancelFunc{}
+	ticker := time.NewTicker(hostsInterval)
+	defer ticker.Stop()
+	for {
+		wanted := w.hosts()
+		for address, stop := range followed {
+			if !slices.Contains(wanted, address) {
+				stop()
+				delete(followed, address)
+			}
+		}
+		for _, address := range wanted {
+			if followed[address] != nil {
+				continue
+			}
+			hostCtx, stop := context.WithCancel(ctx)
+			followed[address] = stop
+			group.Go(func() { w.follow(hostCtx, w.host(address)) })
+		}
+		select {
+		case <-ctx.Done():
+			for _, stop := range followed {
+				stop()
+			}
+			return
+		case <-w.told:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *Watch) host(address string) *watched {
+	return &watched{address: address, rules: wire.NewRulesProtobufClient("http://"+address, w.client)}
+}
+
+// hosts returns the control hosts to watch: the seeds, and the members of the
+// group.
+func (w *Watch) hosts() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := append(w.seeds(), w.group...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// learnGroup takes the members that a control host with a quorum named.
+func (w *Watch) learnGroup(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	slices.Sort(addresses)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if slices.Equal(addresses, w.group) {
+		return
+	}
+	w.group = addresses
+	w.logger.Info("control group", "hosts", addresses)
+	select {
+	case w.told <- struct{}{}:
+	default:
 	}
-	group.Wait()
 }
 
 // follow polls one control host.
-func (w *Watch) follow(ctx context.Context, host watched) {
-	silent, whole := false, &atomic.Bool{}
+func (w *Watch) follow(ctx context.Context, host *watched) {
+	silent := false
 	for ctx.Err() == nil {
-		err := w.poll(ctx, host, whole)
+		err := w.poll(ctx, host)
 		if ctx.Err() != nil {
 			return
 		}
@@ -103,32 +184,54 @@
 	}
 }
 
-// Leave reports once more to every control host, after Run has ended.
-func (w *Watch) Leave(ctx context.Context) {
+// Report tells every control host this host's state at once.
+func (w *Watch) Report(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, host := range w.hosts {
+	for _, address := range w.hosts() {
 		group.Go(func() {
-			// A control host that does not hear it shows this host as silent.
-			_, _ = host.rules.Watch(ctx, &wire.WatchRequest{Report: w.report(), KnownVersion: w.table.Current().Number()})
+			// A control host that does not hear it learns it with the next poll, or
+			// shows this host as silent.
+			_, _ = w.host(address).rules.Watch(ctx, &wire.WatchRequest{Report: w.report(), KnownVersion: w.table.Current().Number()})
 		})
 	}
 	group.Wait()
 }
 
-func (w *Watch) poll(ctx context.Context, host watched, whole *atomic.Bool) error {
+func (w *Watch) poll(ctx context.Context, host *watched) error {
 	ctx, cancel := context.WithTimeout(ctx, watchLimit)
 	defer cancel()
 	known := w.table.Current()
-	response, err := host.rules.Watch(ctx, &wire.WatchRequest{
-		Report: w.report(), KnownVersion: known.Number(), WaitMs: w.wait().Milliseconds(), Whole: whole.Load(),
-	})
+	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: w.wait().Milliseconds(), Whole: host.whole}
+	if w.members != nil {
+		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Known(), host.suspects
+	}
+	response, err := host.rules.Watch(ctx, request)
 	if err != nil {
 		return err
 	}
-	whole.Store(false)
+	host.whole = false
+	w.learn(host, response)
+	if err := w.take(response, known); err != nil {
+		host.whole = true
+		w.logger.Error("a version cannot be put in force", "version", response.GetVersion().GetNumber(), "error", err)
+		return err
+	}
+	return nil
+}
+
+// learn takes what an answer tells beside the rules.
+func (w *Watch) learn(host *watched, response *wire.WatchResponse) {
 	w.join(response.GetSeeds())
+	if w.members != nil {
+		w.members.Take(response.GetInstances(), response.GetInstancesRevision())
+		w.members.Suspect(response.GetSuspects())
+		host.suspects = response.GetSuspectsRevision()
+	}
+	if !response.GetStale() {
+		w.learnGroup(response.GetControlHosts())
+	}
 	// A control host that is cut off, or has just started, heard few reports.
 	if rates := response.GetRates(); w.rates != nil && !response.GetStale() && len(rates) > 0 {
 		w.rates(rates)
@@ -136,12 +239,6 @@
 	if previous := response.GetPrevious(); previous != nil && w.adopt != nil {
 		w.adopting.Do(func() { w.adopt(previous) })
 	}
-	if err := w.take(response, known); err != nil {
-		whole.Store(true)
-		w.logger.Error("a version cannot be put in force", "version", response.GetVersion().GetNumber(), "error", err)
-		return err
-	}
-	return nil
 }
 
 // wait is short while a quorum has not confirmed the version that a stale
--- a/entry/control/watch_test.go
+++ b/entry/control/watch_test.go
@@ -168,7 +168,7 @@
 func watch(ctx context.Context, g *group) *watching {
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watching{group: g, table: rules.NewTable(), cancel: cancel, done: make(chan struct{})}
-	one := control.NewWatch([]string{"c0", "c1", "c2"}, &http.Client{Transport: g}, w.table,
+	one := control.NewWatch(func() []string { return []string{"c0", "c1", "c2"} }, &http.Client{Transport: g}, w.table,
 		func() *wire.HostReport { return &wire.HostReport{} }, func([]*wire.GossipHost) {}, hclog.NewNullLogger())
 	go func() {
 		defer close(w.done)
--- a/entry/platform/address.go
+++ b/entry/discovery/address.go
@@ -1,4 +1,4 @@
-package platform
+package discovery
 
 import (
 	"net/http"
@@ -7,7 +7,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 	"github.com/snipebeam/snipebeam/entry/decision"
-	"github.com/snipebeam/snipebeam/entry/placement"
+	"github.com/snipebeam/snipebeam/world/placement"
 )
 
 // AnswerLifetime is how long a caller may keep an address answer.
--- a/entry/platform/platform.go
+++ b/entry/discovery/discovery.go
@@ -1,4 +1,4 @@
-// Package platform serves HTTP to callers that ask for addresses, to instances
+// Package discovery serves HTTP to callers that ask for addresses, to instances
 // that announce themselves, and to whoever watches this host's health.
 //
 //	GET    /v1/addresses/SERVICE?zone=ZONE   entry hosts to use, with a lifetime
@@ -10,9 +10,9 @@
 //
 // Usage:
 //
-//	handler := platform.New(platform.Parts{...})
+//	handler := discovery.New(discovery.Parts{...})
 //	http.Serve(listener, handler)
-package platform
+package discovery
 
 import (
 	"io"
--- a/entry/platform/platform_test.go
+++ b/entry/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package discovery_test
 
 import (
 	"encoding/json"
@@ -12,10 +12,10 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/decision"
-	"github.com/snipebeam/snipebeam/entry/placement"
-	"github.com/snipebeam/snipebeam/entry/platform"
+	"github.com/snipebeam/snipebeam/entry/discovery"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -29,7 +29,7 @@
 
 func newFixture(keys ...string) *fixture {
 	f := &fixture{table: rules.NewTable(), members: newMembers()}
-	f.handler = platform.New(platform.Parts{
+	f.handler = discovery.New(discovery.Parts{
 		Host: "e1", Table: f.table, Members: f.members, Entries: func() []*wire.HostReport { return f.entries },
 		Ready: func() bool { return true }, Rate: placement.NewRates().Of,
 		Decisions: decision.NewLog(hclog.NewNullLogger()), Keys: key.New(keys...), Metrics: func(io.Writer) {},
@@ -40,7 +40,7 @@
 func (f *fixture) rules(t *testing.T) {
 	_, err := f.table.Advance(&wire.Version{Number: 1}, "service a: spread 2 # w: y\nroute a # w: y")
 	must.NoError(t, err)
-	must.Eq(t, platform.NotReady, refusal(t, f.call(http.MethodGet, "/v1/addresses/a", "")))
+	must.Eq(t, discovery.NotReady, refusal(t, f.call(http.MethodGet, "/v1/addresses/a", "")))
 	f.table.Confirm(1, time.Now())
 }
 
@@ -54,8 +54,8 @@
 	return w
 }
 
-func refusal(t *testing.T, w *httptest.ResponseRecorder) platform.Reason {
-	var p platform.Problem
+func refusal(t *testing.T, w *httptest.ResponseRecorder) discovery.Reason {
+	var p discovery.Problem
 	must.NoError(t, json.Unmarshal(w.Body.Bytes(), &p))
 	must.Eq(t, w.Code, p.Status)
 	must.Eq(t, "application/problem+json", w.Header().Get("Content-Type"))
@@ -64,16 +64,16 @@
 
 func TestAddressAnswers(t *testing.T) {
 	f := newFixture()
-	must.Eq(t, platform.NotReady, refusal(t, f.call(http.MethodGet, "/v1/addresses/a", "")))
+	must.Eq(t, discovery.NotReady, refusal(t, f.call(http.MethodGet, "/v1/addresses/a", "")))
 	f.rules(t)
-	must.Eq(t, platform.UnknownService, refusal(t, f.call(http.MethodGet, "/v1/addresses/b%00", "")))
+	must.Eq(t, discovery.UnknownService, refusal(t, f.call(http.MethodGet, "/v1/addresses/b%00", "")))
 	w := f.call(http.MethodGet, "/v1/addresses/a", "")
-	must.Eq(t, platform.NoEntryHost, refusal(t, w))
+	must.Eq(t, discovery.NoEntryHost, refusal(t, w))
 	must.Eq(t, "1", w.Header().Get("Retry-After"))
 	for _, name := range []string{"e1", "e2", "e3"} {
 		f.entries = append(f.entries, &wire.HostReport{Name: name, Role: "entry", State: "ready", Zone: "z" + name[1:], CallersAddress: "127.0.0.1:720" + name[1:]})
 	}
-	var answer platform.AddressAnswer
+	var answer discovery.AddressAnswer
 	w = f.call(http.MethodGet, "/v1/addresses/a?zone=z2", "")
 	must.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
 	must.Len(t, 2, answer.Addresses)
@@ -101,20 +101,20 @@
 		"zone with a path": `{"service":"a","address":"127.0.0.1:9001","zone":"../x"}`,
 	}
 	for what, body := range cases {
-		must.Eq(t, platform.Malformed, refusal(t, f.call(http.MethodPut, "/v1/instances/a-2", body)), must.Sprint(what))
+		must.Eq(t, discovery.Malformed, refusal(t, f.call(http.MethodPut, "/v1/instances/a-2", body)), must.Sprint(what))
 	}
-	must.Eq(t, platform.Malformed, refusal(t, f.call(http.MethodPut, "/v1/instances/a%20b", good)))
-	must.Eq(t, platform.TooLarge, refusal(t, f.call(http.MethodPut, "/v1/instances/a-2", `{"service":"`+strings.Repeat("a", 20<<10)+`"}`)))
-	must.Eq(t, platform.WrongMethod, refusal(t, f.call(http.MethodPost, "/v1/instances/a-2", good)))
-	must.Eq(t, platform.NotFound, refusal(t, f.call(http.MethodGet, "/v2", "")))
+	must.Eq(t, discovery.Malformed, refusal(t, f.call(http.MethodPut, "/v1/instances/a%20b", good)))
+	must.Eq(t, discovery.TooLarge, refusal(t, f.call(http.MethodPut, "/v1/instances/a-2", `{"service":"`+strings.Repeat("a", 20<<10)+`"}`)))
+	must.Eq(t, discovery.WrongMethod, refusal(t, f.call(http.MethodPost, "/v1/instances/a-2", good)))
+	must.Eq(t, discovery.NotFound, refusal(t, f.call(http.MethodGet, "/v2", "")))
 	must.Len(t, 1, f.members.core.Instances())
 }
 
 func TestAnnouncementsNeedAKeyOnceThereAreKeys(t *testing.T) {
 	f := newFixture("new", "old")
 	body := `{"service":"a","address":"127.0.0.1:9001"}`
-	must.Eq(t, platform.KeyRefused, refusal(t, f.call(http.MethodPut, "/v1/instances/a-1", body)))
-	must.Eq(t, platform.KeyRefused, refusal(t, f.call(http.MethodDelete, "/v1/instances/a-1", "", "Authorization", "Bearer wrong")))
+	must.Eq(t, discovery.KeyRefused, refusal(t, f.call(http.MethodPut, "/v1/instances/a-1", body)))
+	must.Eq(t, discovery.KeyRefused, refusal(t, f.call(http.MethodDelete, "/v1/instances/a-1", "", "Authorization", "Bearer wrong")))
 	for _, accepted := range []string{"new", "old"} {
 		must.Eq(t, http.StatusOK, f.call(http.MethodPut, "/v1/instances/a-1", body, "Authorization", "Bearer "+accepted).Code)
 	}
--- a/entry/platform/members_test.go
+++ b/entry/discovery/members_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package discovery_test
 
 import (
 	"encoding/json"
@@ -7,8 +7,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/discovery"
 	"github.com/snipebeam/snipebeam/entry/gossip"
-	"github.com/snipebeam/snipebeam/entry/platform"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -40,12 +40,12 @@
 	}
 	must.Eq(t, http.StatusOK, announce("7"))
 	must.Eq(t, http.StatusConflict, announce("6"))
-	must.Eq(t, platform.OldIncarnation, refusal(t, f.call(http.MethodDelete, "/v1/instances/a-1?incarnation=6", "")))
+	must.Eq(t, discovery.OldIncarnation, refusal(t, f.call(http.MethodDelete, "/v1/instances/a-1?incarnation=6", "")))
 	must.Len(t, 1, f.members.core.Instances())
-	must.Eq(t, platform.Malformed, refusal(t, f.call(http.MethodDelete, "/v1/instances/a-1?incarnation=x", "")))
+	must.Eq(t, discovery.Malformed, refusal(t, f.call(http.MethodDelete, "/v1/instances/a-1?incarnation=x", "")))
 	w := f.call(http.MethodDelete, "/v1/instances/a-1?incarnation=7", "")
 	must.Eq(t, http.StatusOK, w.Code)
-	var lease platform.Lease
+	var lease discovery.Lease
 	must.NoError(t, json.Unmarshal(w.Body.Bytes(), &lease))
 	must.Eq(t, []string{"127.0.0.1:7301"}, lease.Alternates)
 	must.SliceEmpty(t, f.members.core.Instances())
--- a/entry/platform/problem.go
+++ b/entry/discovery/problem.go
@@ -1,4 +1,4 @@
-package platform
+package discovery
 
 import (
 	"net/http"
--- a/entry/dns/dns.go
+++ b/entry/dns/dns.go
@@ -16,7 +16,7 @@
 
 	mdns "github.com/miekg/dns"
 	"github.com/pkg/errors"
-	"github.com/snipebeam/snipebeam/entry/placement"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
--- a/entry/dns/dns_test.go
+++ b/entry/dns/dns_test.go
@@ -9,7 +9,7 @@
 	mdns "github.com/miekg/dns"
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/dns"
-	"github.com/snipebeam/snipebeam/entry/placement"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -46,6 +46,8 @@
 	Suspects  *poison.Book
 	Book      *backlog.Book
 	Decisions *decision.Log
+	Watch     *control.Watch
+	Options   options
 }
 
 func (p *callerParts) handler() *caller.Handler {
@@ -54,6 +56,7 @@
 		Host: p.Config.Host.Name, Zone: p.Config.Host.Zone, Table: p.Table, Router: p.Router, Links: p.Links,
 		Claims: p.Claims, Settler: p.Settler, Suspects: p.Suspects, Budget: p.Router, Book: p.Book, Decisions: p.Decisions,
 		Stopping: &p.State.draining, Logger: p.Logger.Named("caller"),
+		Dialect: p.Options.dialect,
 		Limits: caller.Limits{
 			BodyBytes: limits.BodyBytes, BufferBytes: limits.BufferBytes, Progress: seconds(limits.ProgressSeconds),
 			ProgressBytes: limits.ProgressBytes, InFlight: limits.InFlight,
@@ -82,6 +85,8 @@
 		},
 		OnStop: func(stopCtx context.Context) error {
 			defer cancel()
+			state.draining.Store(true)
+			parts.Watch.Report(stopCtx)
 			drain(stopCtx, state, parts.Settler, logger)
 			return server.Shutdown(stopCtx)
 		},
--- a/entry/host/directory.go
+++ b/entry/host/directory.go
@@ -3,8 +3,8 @@
 import (
 	"strings"
 
-	"github.com/snipebeam/snipebeam/entry/placement"
 	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -18,12 +18,12 @@
 	"github.com/snipebeam/snipebeam/entry/backlog"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/decision"
+	"github.com/snipebeam/snipebeam/entry/discovery"
 	"github.com/snipebeam/snipebeam/entry/dns"
 	"github.com/snipebeam/snipebeam/entry/framing"
 	"github.com/snipebeam/snipebeam/entry/operator"
 	"github.com/snipebeam/snipebeam/entry/peer"
-	"github.com/snipebeam/snipebeam/entry/placement"
-	"github.com/snipebeam/snipebeam/entry/platform"
+	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/prometheus"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/route"
@@ -32,6 +32,7 @@
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/link"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -40,9 +41,13 @@
 const callTimeout = 10 * time.Second
 
 // New returns the application of one entry host.
-func New(cfg *settings.Settings, logger hclog.Logger) *fx.App {
+func New(cfg *settings.Settings, logger hclog.Logger, opts ...Option) *fx.App {
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
 	return fx.New(
-		fx.Supply(cfg),
+		fx.Supply(cfg, o),
 		fx.Provide(
 			func() hclog.Logger { return logger },
 			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
@@ -50,10 +55,11 @@
 			func() *route.Views { return &route.Views{} },
 			registry.New,
 			rules.NewTable, placement.NewRates, backlog.NewBook, decision.NewLog,
-			newPool, newSettler, newSuspects,
+			newControlHosts, newPool, newSettler, newSuspects,
 			newClient, newState, newWatch, newNode, newRouter, newDoors, newExporter,
 		),
-		fx.Invoke(runNode, runBackground, runBacklog, runPlatform, runPeers, runDNS, runCallers),
+		fx.Invoke(runMembership(cfg)...),
+		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runReload, runCallers),
 		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
@@ -64,13 +70,14 @@
 	cfg      *settings.Settings
 	table    *rules.Table
 	book     *backlog.Book
+	suspects *poison.Book
 	draining atomic.Bool
 	left     atomic.Bool // stopped as planned
 	bound    atomic.Bool // listeners are open
 }
 
-func newState(cfg *settings.Settings, table *rules.Table, book *backlog.Book) *State {
-	return &State{cfg: cfg, table: table, book: book}
+func newState(cfg *settings.Settings, table *rules.Table, book *backlog.Book, suspects *poison.Book) *State {
+	return &State{cfg: cfg, table: table, book: book, suspects: suspects}
 }
 
 // Ready reports whether this host takes callers.
@@ -100,13 +107,23 @@
 		Name: s.cfg.Host.Name, Zone: s.cfg.Host.Zone, Role: "entry", State: s.Name(),
 		CallersAddress: s.cfg.Listen.Callers, PeersAddress: s.cfg.Listen.Peers, PlatformAddress: s.cfg.Listen.Platform,
 		Version: s.table.Current().Number(), ReportedAt: now.UnixNano(), Backlog: s.book.Services(now),
-		VersionConfirmedAt: s.table.ConfirmedNano(), InFlight: uint32(inFlight),
+		VersionConfirmedAt: s.table.ConfirmedNano(), InFlight: uint32(inFlight), Suspects: s.suspects.Suspects(),
+	}
+}
+
+// runMembership returns what learns hosts and instances: the protocol between
+// entry hosts, with the listeners that answer callers and instances from it.
+// Where control hosts do all that, nothing is run beside the watch.
+func runMembership(cfg *settings.Settings) []any {
+	if cfg.Peers.Membership == settings.MembershipControl {
+		return nil
 	}
+	return []any{runNode, runPlatform, runDNS}
 }
 
 func newClient(cfg *settings.Settings, ring *key.Ring) (*control.Client, *http.Client) {
 	client := ring.Client(&http.Client{Timeout: callTimeout, Transport: link.Transport()})
-	return control.NewClient(cfg.Control.Hosts, client), client
+	return control.NewClient(cfg.Control.Addresses(), client), client
 }
 
 func newPolicy(cfg *settings.Settings) route.Policy { return policyNamed(cfg.Route, cfg.Route.Policy) }
@@ -152,14 +169,14 @@
 			cancel()
 			<-watched
 			state.left.Store(true)
-			watch.Leave(stop)
+			watch.Report(stop)
 			return nil
 		},
 	})
 }
 
 func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, rates *placement.Rates, logger hclog.Logger, state *State, table *rules.Table, node *peer.Node, decisions *decision.Log, doors *doors, exporter *prometheus.Exporter) {
-	handler := platform.New(platform.Parts{
+	handler := discovery.New(discovery.Parts{
 		Host: cfg.Host.Name, Table: table, Members: node, Entries: node.Entries,
 		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: doors.upstreams, HostRate: cfg.Route.HostRate, Rate: rates.Of,
 	})
@@ -189,7 +206,7 @@
 }
 
 func runDNS(lc fx.Lifecycle, cfg *settings.Settings, rates *placement.Rates, table *rules.Table, node *peer.Node) {
-	server := dns.New(cfg.Listen.Domain, platform.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, rates: rates, table: table, entries: node.Entries})
+	server := dns.New(cfg.Listen.Domain, discovery.AnswerLifetime, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, rates: rates, table: table, entries: node.Entries})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			_, err := server.Start(cfg.Listen.DNS)
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -7,12 +7,12 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/peer"
-	"github.com/snipebeam/snipebeam/entry/placement"
 	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"go.uber.org/fx"
 )
@@ -56,9 +56,20 @@
 	})
 }
 
-func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, logger hclog.Logger) *control.Watch {
+func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, reg *registry.Registry, suspects *poison.Book, current *controlHosts, logger hclog.Logger) *control.Watch {
 	client := ring.Client(&http.Client{Transport: control.NewTransport()})
-	return control.NewWatch(cfg.Control.Hosts, client, table, state.Report, node.Join, logger,
+	opts := []control.WatchOption{
 		control.WithRates(rates.Store),
-		control.WithAdopt(func(previous *wire.HostReport) { state.book.Adopt(previous.GetBacklog()) }))
+		control.WithAdopt(func(previous *wire.HostReport) { state.book.Adopt(previous.GetBacklog()) }),
+	}
+	join := node.Join
+	if cfg.Peers.Membership == settings.MembershipControl {
+		opts = append(opts, control.WithMembership(registry.NewMembership(reg, suspects)))
+		join = func([]*wire.GossipHost) {}
+	}
+	watch := control.NewWatch(current.Addresses, client, table, state.Report, join, logger, opts...)
+	if cfg.Peers.Membership == settings.MembershipControl {
+		suspects.ShareWith(func(ctx context.Context, _ []*wire.Suspect) { watch.Report(ctx) })
+	}
+	return watch
 }
--- a/entry/host/stop.go
+++ b/entry/host/stop.go
@@ -8,16 +8,12 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/entry/control"
-	"github.com/snipebeam/snipebeam/entry/platform"
 	"github.com/snipebeam/snipebeam/world/pause"
 )
 
 const (
-	stopTimeout = 100 * 365 * 24 * time.Hour // a planned stop waits for what is in flight
-	drainPoll   = 20 * time.Millisecond
-	// newsLimit bounds how long other hosts go on naming this one in address
-	// answers after it began to drain: the bound of the membership protocol.
-	newsLimit        = 2 * time.Second
+	stopTimeout      = 100 * 365 * 24 * time.Hour // a planned stop waits for what is in flight
+	drainPoll        = 20 * time.Millisecond
 	progressInterval = 5 * time.Second
 	settleLimit      = 30 * time.Second
 )
@@ -32,7 +28,7 @@
 	logger.Info("draining", progress(state)...)
 	stopLog := logProgress(ctx, state, logger)
 	defer stopLog()
-	pause.For(ctx, newsLimit+platform.AnswerLifetime)
+	pause.For(ctx, seconds(state.cfg.Host.LeaveSeconds))
 	for {
 		inFlight, _ := state.book.InFlight(time.Now())
 		if inFlight == 0 || !pause.For(ctx, drainPoll) {
--- a/entry/host/stop_test.go
+++ b/entry/host/stop_test.go
@@ -10,13 +10,13 @@
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/backlog"
 	"github.com/snipebeam/snipebeam/entry/control"
-	"github.com/snipebeam/snipebeam/entry/platform"
+	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 )
 
 func drained(ctx context.Context, t *testing.T, longest time.Duration) time.Duration {
-	state := newState(settings.Default(), rules.NewTable(), backlog.NewBook())
+	state := newState(settings.Default(), rules.NewTable(), backlog.NewBook(), poison.NewBook())
 	stay := state.book.Arrive("aftercare", time.Now())
 	time.AfterFunc(longest, func() { stay.End(false, time.Now()) })
 	started := time.Now()
@@ -28,7 +28,7 @@
 func TestDrainWaitsForTheLastAddressAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		took := drained(t.Context(), t, time.Millisecond)
-		must.GreaterEq(t, newsLimit+platform.AnswerLifetime, took)
+		must.GreaterEq(t, seconds(settings.Default().Host.LeaveSeconds), took)
 	})
 }
 
--- a/entry/peer/alternates.go
+++ b/entry/peer/alternates.go
@@ -4,7 +4,7 @@
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/snipebeam/snipebeam/entry/placement"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
--- /dev/null
+++ b/entry/registry/membership.go
@@ -0,0 +1,61 @@
+package registry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/snipebeam/snipebeam/entry/poison"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+// Membership feeds a registry with the records of instances that control hosts
+// keep, in the order of their revisions.
+type Membership struct {
+	registry *Registry
+	suspects *poison.Book
+
+	mu    sync.Mutex
+	known uint64
+}
+
+// NewMembership returns a membership that knows no instance.
+func NewMembership(registry *Registry, suspects *poison.Book) *Membership {
+	return &Membership{registry: registry, suspects: suspects}
+}
+
+// Known returns the revision of the newest record that was taken.
+func (m *Membership) Known() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.known
+}
+
+// Take takes records up to a revision. Control hosts apply the same log, so
+// what one of them told up to a revision is all that any of them knew.
+func (m *Membership) Take(instances []*wire.Instance, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision <= m.known {
+		return
+	}
+	changes := make([]Change, 0, len(instances))
+	for _, one := range instances {
+		if one.GetRevision() <= m.known {
+			continue
+		}
+		if one.GetGone() {
+			changes = append(changes, Lost(one.GetId()))
+			continue
+		}
+		changes = append(changes, Announced(one))
+	}
+	m.known = revision
+	m.registry.Update(changes)
+}
+
+// Suspect takes fingerprints of requests that cost instances.
+func (m *Membership) Suspect(suspects []*wire.Suspect) {
+	if len(suspects) > 0 {
+		m.suspects.Merge(suspects, time.Now())
+	}
+}
--- a/entry/route/learn.go
+++ b/entry/route/learn.go
@@ -12,6 +12,11 @@
 		load.compare(report.Reported, float64(report.Latency), expectedAt(view, report.Reported, slots))
 		load.SetReported(report.Reported, now)
 	}
+	if report.Refused && !report.Lost {
+		load.shrink(most)
+		load.addPenalty(1, now)
+		return
+	}
 	if report.Failed || report.Lost {
 		load.shrink(most)
 		load.addPenalty(slots, now)
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -12,9 +12,11 @@
 	Latency time.Duration // from dispatch to the first byte of the answer
 	Failed  bool          // the answer is an error of the instance, or there is none
 	Lost    bool          // the link broke or went silent
+	Refused bool          // the instance did not start it
 	// Reported is the load that the answer carried, valid if HasReport.
 	Reported  int
 	HasReport bool
+	Speed     float64 // time that work takes now, as a multiple of the usual; 0 if not told
 }
 
 // Ticket is the right to send one attempt to one instance.
--- a/entry/settings/control.go
+++ b/entry/settings/control.go
@@ -1,10 +1,28 @@
 package settings
 
-import "github.com/snipebeam/snipebeam/world/setting"
+import (
+	"net"
+	"strconv"
+
+	"github.com/snipebeam/snipebeam/world/setting"
+)
 
 // Control names the control hosts.
 type Control struct {
 	Hosts []string `toml:"hosts" comment:"addresses of the control hosts' peers listeners"`
+	Port  int      `toml:"port" comment:"port of the control hosts' peers listeners if control.hosts names another, else 0"`
+}
+
+// Addresses returns the addresses of the peers listeners.
+func (h Control) Addresses() []string {
+	var all []string
+	for _, address := range h.Hosts {
+		if host, _, err := net.SplitHostPort(address); err == nil && h.Port > 0 {
+			address = net.JoinHostPort(host, strconv.Itoa(h.Port))
+		}
+		all = append(all, address)
+	}
+	return all
 }
 
 func (h Control) check(c *setting.Checker) {
--- a/entry/settings/listen.go
+++ b/entry/settings/listen.go
@@ -5,6 +5,7 @@
 // Listen holds the addresses that this host listens on.
 type Listen struct {
 	Callers      string `toml:"callers" comment:"requests of callers"`
+	Metrics      string `toml:"metrics" comment:"metrics alone, empty: with the platform listener only"`
 	Platform     string `toml:"platform" comment:"address answers, announcements, health and metrics"`
 	Peers        string `toml:"peers" comment:"operators and other hosts of the system (Twirp over HTTP)"`
 	DNS          string `toml:"dns" comment:"address answers by DNS, UDP and TCP"`
@@ -23,6 +24,9 @@
 	c.Address("listen.callers", l.Callers, "127.0.0.1:7200")
 	c.Address("listen.platform", l.Platform, "127.0.0.1:7201")
 	c.Address("listen.peers", l.Peers, "127.0.0.1:7202")
+	if l.Metrics != "" {
+		c.Address("listen.metrics", l.Metrics, "127.0.0.1:9100")
+	}
 	c.Address("listen.dns", l.DNS, "127.0.0.1:7253")
 	c.Told("listen.callers", l.Callers)
 	c.Told("listen.platform", l.Platform)
--- a/entry/settings/peers.go
+++ b/entry/settings/peers.go
@@ -8,18 +8,28 @@
 
 // Peers says how this host speaks to the other entry hosts.
 type Peers struct {
-	BytesPerSecond int `toml:"bytesPerSecond" comment:"bound of what this host sends to learn of hosts and instances, bytes a second"`
+	Membership     string `toml:"membership" comment:"where hosts and instances are learnt: gossip of the entry hosts, or control for the control hosts"`
+	BytesPerSecond int    `toml:"bytesPerSecond" comment:"bound of what this host sends to learn of hosts and instances, bytes a second"`
 }
 
+// Where hosts and instances are learnt.
+const (
+	MembershipGossip  = "gossip"
+	MembershipControl = "control"
+)
+
 // Bounds of what a host sends to the others.
 const (
 	defaultPeersBytes = 3072
 	minPeersBytes     = 1024
 )
 
-func defaultPeers() Peers { return Peers{BytesPerSecond: defaultPeersBytes} }
+func defaultPeers() Peers {
+	return Peers{Membership: MembershipGossip, BytesPerSecond: defaultPeersBytes}
+}
 
 func (p Peers) check(c *setting.Checker) {
+	c.OneOf("peers.membership", p.Membership, MembershipGossip, MembershipControl)
 	if p.BytesPerSecond < minPeersBytes {
 		c.Fail("peers.bytesPerSecond", fmt.Sprintf("is %d", p.BytesPerSecond), fmt.Sprintf("set at least %d", minPeersBytes))
 	}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -28,7 +28,7 @@
 // Default returns the settings that a file need not name.
 func Default() *Settings {
 	return &Settings{
-		Listen: defaultListen(), Peers: defaultPeers(), Route: defaultRoute(), Limits: defaultLimits(),
+		Host: defaultHost(), Listen: defaultListen(), Peers: defaultPeers(), Route: defaultRoute(), Limits: defaultLimits(),
 		Links: defaultLinks(), Poison: defaultPoison(), Log: defaultLog(),
 	}
 }
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -14,6 +14,7 @@
 // Bounds of an exchange.
 const (
 	maxInform        = 16       // interim answers before the final one
+	maxStrayBytes    = 1 << 20  // of an answer to another request that is read over
 	maxInlineBytes   = 16 << 10 // bodies that are written before the answer is awaited
 	anyIdle          = time.Duration(math.MaxInt64)
 	retirementMargin = time.Second // siblings opened this much later are retired too
@@ -21,6 +22,7 @@
 
 var (
 	errUnframed = errors.New("the end of the answer cannot be told from a cut")
+	errStray    = errors.New("the link holds the answer to another request")
 	errInform   = errors.New("unexpected or too many interim answers")
 )
 
@@ -34,7 +36,11 @@
 	sent     chan error // nil once the whole request is known to be sent
 	stop     func() bool
 	inform   func(code int, header http.Header)
+	header   string // that repeats the request's identity on its answer
+	identity string
+	unframed bool // answers may end with their link
 	maxIdle  time.Duration
+	strays   int
 	whole    bool // the answer was read to its end
 	closed   atomic.Bool
 }
@@ -47,6 +53,16 @@
 	return func(e *Exchange) { e.inform = inform }
 }
 
+// WithIdentity passes over answers that repeat another identity in a header: a
+// late answer to an earlier request on the link.
+func WithIdentity(header, identity string) SendOption {
+	return func(e *Exchange) { e.header, e.identity = header, identity }
+}
+
+// WithUnframed takes an answer without a length that ends with its link, which
+// is whole unless the link was reset.
+func WithUnframed() SendOption { return func(e *Exchange) { e.unframed = true } }
+
 // WithMaxIdle allows only links that were used within a time, 0 for new ones.
 func WithMaxIdle(d time.Duration) SendOption { return func(e *Exchange) { e.maxIdle = d } }
 
@@ -131,10 +147,16 @@
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
+		if response.StatusCode >= http.StatusOK && e.stray(response) {
+			if err := e.skip(response); err != nil {
+				return err
+			}
+			continue
+		}
 		if response.StatusCode >= http.StatusOK {
 			e.response = response
 			e.link.inHead = false
-			return framed(response)
+			return e.framed(response)
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return errInform
@@ -146,9 +168,37 @@
 	return errInform
 }
 
+// stray reports whether an answer belongs to another request.
+func (e *Exchange) stray(response *http.Response) bool {
+	if e.header == "" {
+		return false
+	}
+	got := response.Header.Get(e.header)
+	return got != "" && got != e.identity
+}
+
+// skip reads an answer that belongs to another request to its end. The link is
+// not used again.
+func (e *Exchange) skip(response *http.Response) error {
+	if framedBody := response.ContentLength >= 0 || len(response.TransferEncoding) > 0; !framedBody || response.Close {
+		return errStray
+	}
+	e.strays++
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil {
+		return errors.Wrap(err, "read the answer to another request")
+	}
+	return nil
+}
+
 // framed refuses a body that ends with the link, since its end cannot be told
 // from a cut.
-func framed(response *http.Response) error {
+func (e *Exchange) framed(response *http.Response) error {
+	if e.strays > 0 {
+		response.Close = true
+	}
+	if e.unframed {
+		return nil
+	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
 		return errUnframed
 	}
--- a/entry/upstream/failure.go
+++ b/entry/upstream/failure.go
@@ -58,7 +58,7 @@
 	switch {
 	case errors.As(err, &body):
 		return Body
-	case errors.Is(err, errHeadTooLarge), errors.Is(err, errUnframed), errors.Is(err, errInform):
+	case errors.Is(err, errHeadTooLarge), errors.Is(err, errUnframed), errors.Is(err, errInform), errors.Is(err, errStray):
 		return Malformed
 	case errors.Is(err, syscall.ETIMEDOUT), errors.Is(err, errProgress):
 		return Silent
--- a/world/contract/contract.go
+++ b/world/contract/contract.go
@@ -57,6 +57,10 @@
 	maxBody        int64
 	callerInFlight int
 	callerRate     float64
+	single         bool
+	attempts       int
+	aim            time.Duration
+	timeout        time.Duration
 }
 
 // Option changes one term of a contract.
@@ -133,3 +137,32 @@
 
 // CallerRate returns the bound on one caller's requests a second, 0 for none.
 func (c *Contract) CallerRate() float64 { return c.callerRate }
+
+// WithSingle makes each request run at most once as it was sent, without a
+// key: it goes on to another instance only after one that did not run it.
+func WithSingle() Option { return func(c *Contract) { c.single = true } }
+
+// WithAttempts bounds the instances that one request may be sent to, 0 for no
+// bound.
+func WithAttempts(n int) Option { return func(c *Contract) { c.attempts = n } }
+
+// WithAim sets the time within which an answer is worth most, 0 if unknown.
+func WithAim(d time.Duration) Option { return func(c *Contract) { c.aim = d } }
+
+// WithTimeout bounds the time from a request's arrival to its answer, 0 for
+// no bound.
+func WithTimeout(d time.Duration) Option { return func(c *Contract) { c.timeout = d } }
+
+// Single reports whether each request runs at most once as it was sent.
+func (c *Contract) Single() bool { return c.single }
+
+// Attempts returns the bound on the instances that one request may be sent
+// to, 0 for none.
+func (c *Contract) Attempts() int { return c.attempts }
+
+// Aim returns the time within which an answer is worth most, 0 if unknown.
+func (c *Contract) Aim() time.Duration { return c.aim }
+
+// Timeout returns the bound on the time from a request's arrival to its
+// answer, 0 for none.
+func (c *Contract) Timeout() time.Duration { return c.timeout }
--- a/entry/placement/placement_test.go
+++ b/world/placement/placement_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
-	"github.com/snipebeam/snipebeam/entry/placement"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/testseed"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"pgregory.net/rapid"
--- a/world/rule/format.go
+++ b/world/rule/format.go
@@ -83,6 +83,15 @@
 
 func formatRoute(b *strings.Builder, node *routeNode) {
 	b.WriteString("route " + node.Service)
+	if node.Weight != "" {
+		b.WriteString("=" + node.Weight)
+	}
+	for _, other := range node.Others {
+		b.WriteString("," + other.Service + "=" + other.Weight)
+	}
+	if node.At != nil {
+		b.WriteString(" at " + node.At.Host + " " + node.At.Prefix)
+	}
 	for n, m := range node.Methods {
 		joiner := ","
 		if n == 0 {
--- a/world/rule/grammar.go
+++ b/world/rule/grammar.go
@@ -38,11 +38,28 @@
 type routeNode struct {
 	Pos        lexer.Position
 	Service    string           `parser:"@Word"`
+	Weight     string           `parser:"( '=' @Quantity )?"`
+	Others     []*shareNode     `parser:"( ',' @@ )*"`
+	At         *atNode          `parser:"( 'at' @@ )?"`
 	Methods    []*methodNode    `parser:"( (?! 'when') @@ ( ',' @@ )* )?"`
 	Path       *pathNode        `parser:"@@?"`
 	Conditions []*conditionNode `parser:"( 'when' @@ ( 'and' @@ )* )?"`
 }
 
+// shareNode is a further service among which requests are divided.
+type shareNode struct {
+	Pos     lexer.Position
+	Service string `parser:"@Word '='"`
+	Weight  string `parser:"@Quantity"`
+}
+
+// atNode is the host and the path prefix of requests that name no service.
+type atNode struct {
+	Pos    lexer.Position
+	Host   string `parser:"( @String | @Word )"`
+	Prefix string `parser:"( @String | @Path )"`
+}
+
 type methodNode struct {
 	Pos  lexer.Position
 	Name string `parser:"@Word"`
--- a/world/rule/lint.go
+++ b/world/rule/lint.go
@@ -41,7 +41,7 @@
 func (l *linter) service(name string) {
 	line := l.set.services[name]
 	routes := l.set.routes[name]
-	if line != nil && len(routes) == 0 {
+	if line != nil && len(routes) == 0 && !l.set.targets[name] {
 		l.fail(line.place, fmt.Sprintf("service %s has no route line, so every request for it is refused", name),
 			"add a line \"route "+name+": ...\", or remove this one")
 		return
@@ -50,7 +50,9 @@
 		l.policy(line)
 		return
 	}
-	l.unowned(name, routes[0])
+	if len(routes) > 0 {
+		l.unowned(name, routes[0])
+	}
 }
 
 // unowned reports routes whose service has no line.
--- a/world/rule/parse.go
+++ b/world/rule/parse.go
@@ -48,11 +48,14 @@
 			p.fresh(n, line)
 		}
 	}
+	for _, rules := range p.set.hosts {
+		slices.SortStableFunc(rules, func(a, b *Rule) int { return len(b.prefix) - len(a.prefix) })
+	}
 	return p.set, p.findings
 }
 
 func newParser(file string) *parser {
-	return &parser{file: file, set: &Set{routes: map[string][]*Rule{}, services: map[string]*ServiceLine{}, lines: map[string]lineContent{}}}
+	return &parser{file: file, set: &Set{routes: map[string][]*Rule{}, services: map[string]*ServiceLine{}, hosts: map[string][]*Rule{}, targets: map[string]bool{}, lines: map[string]lineContent{}}}
 }
 
 func (p *parser) fits(text string) bool {
@@ -214,6 +217,7 @@
 		place: finding.At(p.file, n, node.Route.Pos.Column), service: name,
 		methods: p.methods(n, node.Route), reason: reason, text: formatLine(node),
 	}
+	p.at(n, node.Route, r)
 	if path := node.Route.Path; path != nil {
 		r.path = path.Text
 		r.pattern = p.pattern(n, path)
@@ -235,6 +239,10 @@
 }
 
 func (p *parser) add(r *Rule) {
+	if r.host != "" {
+		p.addAt(r)
+		return
+	}
 	p.know(r.service)
 	if len(p.set.routes[r.service]) == MaxRoutes {
 		p.findings.Add(finding.Error, r.place, fmt.Sprintf("service %s has over %d route lines", r.service, MaxRoutes), "join rules with patterns")
--- a/world/rule/rule.go
+++ b/world/rule/rule.go
@@ -5,9 +5,16 @@
 //	route catalogue GET,HEAD /lookup/**: deadline 300ms, retries 2             # M. Tremblay: a piercer waits
 //	route checkout POST /payments when X-Channel=counter: once Idempotency-Key # L. Roy: never paid twice
 //
+//	route catalogue=90,trial=10 at counter.example /lookup/: deadline 300ms     # M. Tremblay: a piercer waits
+//
 // A service line binds a whole service; of the route lines, the first one
 // that matches a request gives its contract.
 //
+// A route line with "at" is for requests to a host and below a path prefix,
+// whatever service their callers know of: of the lines of a host, the one with
+// the longest prefix gives the contract, and the service or the services among
+// which requests are divided by weight.
+//
 // A path pattern matches whole paths, segment by segment: * stands for any
 // characters within a segment, /** at the end for any number of segments, none
 // included. A slash at the end counts. A request path with a segment "." or
@@ -23,6 +30,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/finding"
@@ -61,6 +69,45 @@
 	contract   *contract.Contract
 	reason     Reason
 	text       string
+	host       string // of requests that name no service, empty for others
+	prefix     string
+	shares     []Share
+}
+
+// Share is the part of a rule's requests that goes to a service.
+type Share struct {
+	service string
+	weight  int
+}
+
+// Service returns the service.
+func (s Share) Service() string { return s.service }
+
+// Weight returns the part of the requests, relative to the other shares.
+func (s Share) Weight() int { return s.weight }
+
+// Host returns the host of requests that name no service, empty for others.
+func (r *Rule) Host() string { return r.host }
+
+// Prefix returns the path prefix of requests that name no service.
+func (r *Rule) Prefix() string { return r.prefix }
+
+// Shares returns the services among which requests are divided, none if all
+// of them go to one.
+func (r *Rule) Shares() []Share { return r.shares }
+
+// Services returns the services to which the rule's requests may go.
+func (r *Rule) Services() []string {
+	if len(r.shares) == 0 {
+		return []string{r.service}
+	}
+	var all []string
+	for _, share := range r.shares {
+		if share.weight > 0 {
+			all = append(all, share.service)
+		}
+	}
+	return all
 }
 
 // Place returns where the rule stands.
@@ -127,6 +174,8 @@
 type Set struct {
 	routes   map[string][]*Rule
 	services map[string]*ServiceLine
+	hosts    map[string][]*Rule // by host, the longest prefix first
+	targets  map[string]bool    // services of rules of hosts
 	order    []string
 	lines    map[string]lineContent // lines without findings, by their text
 }
@@ -156,7 +205,34 @@
 
 // Knows reports whether any line names the service.
 func (s *Set) Knows(service string) bool {
-	return s.services[service] != nil || len(s.routes[service]) > 0
+	return s.services[service] != nil || len(s.routes[service]) > 0 || s.targets[service]
+}
+
+// HasHost reports whether any rule is for requests to a host.
+func (s *Set) HasHost(host string) bool { return len(s.hosts[host]) > 0 }
+
+// At returns the rule of a host with the longest prefix of a path, or nil. The
+// path is escaped, as it stands in the request.
+func (s *Set) At(host, escapedPath string) *Rule {
+	for _, r := range s.hosts[host] {
+		if strings.HasPrefix(escapedPath, r.prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// ServicesAt returns the services to which requests to a host may go.
+func (s *Set) ServicesAt(host string) []string {
+	var all []string
+	for _, r := range s.hosts[host] {
+		for _, service := range r.Services() {
+			if !slices.Contains(all, service) {
+				all = append(all, service)
+			}
+		}
+	}
+	return all
 }
 
 // Match returns the first rule that a request falls under, or nil. The path is
--- a/world/rule/term.go
+++ b/world/rule/term.go
@@ -28,6 +28,10 @@
 	"once": func(v *values) contract.Option {
 		return contract.WithOnce(v.optionalWord(contract.DefaultOnceHeader))
 	},
+	"single":   func(*values) contract.Option { return contract.WithSingle() },
+	"attempts": func(v *values) contract.Option { return contract.WithAttempts(v.count(maxRetries)) },
+	"aim":      func(v *values) contract.Option { return contract.WithAim(v.duration(maxDeadline)) },
+	"timeout":  func(v *values) contract.Option { return contract.WithTimeout(v.duration(maxDeadline)) },
 	"zone": func(v *values) contract.Option {
 		return contract.WithZone(contract.ZonePreference(v.choice("prefer", "any", "require")))
 	},
