state: leaving without a start named ends the known one

Cause: the platform's instances leave with an empty body, which says nothing of their start; the record of incarnation 0 counted as outdated, so that an instance that leaves without draining first kept its place in the views.

Ruled out: late delivery of the watch (the entry hosts had every version within 150 ms).

--- a/control/state/instances.go
+++ b/control/state/instances.go
@@ -43,6 +43,13 @@
 func (s *instancesState) announce(req *wire.Announcement, clock int64) *wire.AnnouncementResult {
 	m := req.GetInstance()
 	old := s.byID[m.GetId()]
+	if m.GetGone() && m.GetIncarnation() == 0 {
+		if old == nil {
+			return &wire.AnnouncementResult{}
+		}
+		m = proto.Clone(m).(*wire.Instance)
+		m.Incarnation = old.GetIncarnation() // it did not say which start it is
+	}
 	switch {
 	case m.GetSilent():
 		return s.silence(old, m)
--- /dev/null
+++ b/control/state/instances_test.go
@@ -0,0 +1,138 @@
+package state_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+type change func(*wire.Instance)
+
+func instanceOf(id string, incarnation, sequence uint64, changes ...change) *wire.Instance {
+	m := &wire.Instance{
+		Id: id, Service: "shop", Address: "10.0.0.1:80", Zone: "z", Slots: 3, HeardBy: "c1",
+		Incarnation: incarnation, Sequence: sequence,
+	}
+	for _, change := range changes {
+		change(m)
+	}
+	return m
+}
+
+func draining(m *wire.Instance) { m.Draining = true }
+func leaving(m *wire.Instance)  { m.Gone, m.Left = true, true }
+
+func announce(m *state.Machine, one *wire.Instance) *wire.AnnouncementResult {
+	return m.Apply(&wire.Command{Body: &wire.Command_Announce{Announce: &wire.Announcement{Instance: one}}}).GetAnnounce()
+}
+
+func TestLeavingEndsTheKnownStartIfNoneIsNamed(t *testing.T) {
+	m := state.New()
+	announce(m, instanceOf("a", 7, 1))
+	must.True(t, announce(m, &wire.Instance{Id: "a", Gone: true, Left: true}).GetChanged())
+	must.True(t, m.Instance("a").GetGone())
+	must.Eq(t, 7, m.Instance("a").GetIncarnation())
+	must.False(t, announce(m, &wire.Instance{Id: "b", Gone: true, Left: true}).GetChanged())
+}
+
+func TestADrainIsForGoodForOneStart(t *testing.T) {
+	m := state.New()
+	announce(m, instanceOf("a", 7, 1))
+	must.True(t, announce(m, instanceOf("a", 7, 2, draining)).GetChanged())
+	announce(m, instanceOf("a", 7, 3, func(m *wire.Instance) { m.HeardBy = "c2" }))
+	must.True(t, m.Instance("a").GetDraining())
+	announce(m, instanceOf("a", 8, 1))
+	must.False(t, m.Instance("a").GetDraining())
+}
+
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	for what, late := range map[string]*wire.Instance{
+		"of an earlier start":                instanceOf("a", 6, 9),
+		"overtaken":                          instanceOf("a", 7, 4, func(m *wire.Instance) { m.Cold = true }),
+		"of an earlier user of the address":  instanceOf("b", 5, 1),
+		"after the end, of the same address": instanceOf("gone", 4, 9),
+	} {
+		m := state.New()
+		announce(m, instanceOf("gone", 4, 1))
+		announce(m, instanceOf("gone", 4, 2, leaving))
+		announce(m, instanceOf("a", 7, 5))
+		_, before := m.Instances(0)
+		must.True(t, announce(m, late).GetOutdated(), must.Sprint(what))
+		_, after := m.Instances(0)
+		must.Eq(t, before, after, must.Sprint(what))
+	}
+}
+
+func TestALaterStartTakesTheAddressOver(t *testing.T) {
+	m := state.New()
+	announce(m, instanceOf("a", 7, 1))
+	announce(m, instanceOf("b", 8, 1, func(m *wire.Instance) { m.Service = "other" }))
+	all, _ := m.Instances(0)
+	must.Len(t, 1, all)
+	must.Eq(t, "b", all[0].GetId())
+	must.True(t, m.Instance("a").GetGone())
+}
+
+func TestReadersAreToldWhatIsNewerThanTheyKnow(t *testing.T) {
+	m := state.New()
+	announce(m, instanceOf("a", 7, 1))
+	_, known := m.Instances(0)
+	announce(m, instanceOf("b", 7, 1, func(m *wire.Instance) { m.Address = "10.0.0.2:80" }))
+	announce(m, instanceOf("a", 7, 2, leaving))
+	news, revision := m.Instances(known)
+	must.Len(t, 2, news)
+	must.Eq(t, "b", news[0].GetId())
+	must.True(t, news[1].GetGone())
+	none, _ := m.Instances(revision)
+	must.SliceEmpty(t, none)
+	// The snapshot holds the same.
+	data, err := m.Snapshot()
+	must.NoError(t, err)
+	other := state.New()
+	must.NoError(t, other.Restore(data))
+	again, same := other.Instances(known)
+	must.Eq(t, revision, same)
+	must.Eq(t, fmt.Sprint(news), fmt.Sprint(again))
+}
+
+func TestSilenceHoldsUntilTheInstanceIsHeard(t *testing.T) {
+	m := state.New()
+	announce(m, instanceOf("a", 7, 1))
+	silent := &wire.Instance{Id: "a", Incarnation: 7, HeardBy: "c2", Silent: true}
+	must.False(t, announce(m, silent).GetChanged(), must.Sprint("another host heard it last"))
+	silent.HeardBy = "c1"
+	must.True(t, announce(m, silent).GetChanged())
+	must.True(t, m.Instance("a").GetSilent())
+	must.True(t, announce(m, instanceOf("a", 7, 2)).GetChanged())
+	must.False(t, m.Instance("a").GetSilent())
+}
+
+func TestTheHighestNumberIsInForce(t *testing.T) {
+	m := state.New()
+	submit := func(number uint64, text string) *wire.SubmitResponse {
+		return m.Apply(&wire.Command{Body: &wire.Command_Submit{Submit: &wire.SubmitRequest{
+			SubmissionId: fmt.Sprint(number), Number: number, Text: text, Document: []byte(text),
+		}}}).GetSubmit()
+	}
+	must.True(t, submit(7, "seven").GetAccepted())
+	must.True(t, submit(3, "three").GetSuperseded())
+	must.True(t, submit(7, "other").GetSuperseded())
+	must.True(t, submit(12, "twelve").GetAccepted())
+	version, text := m.InForce()
+	must.Eq(t, 12, version.GetNumber())
+	must.Eq(t, "twelve", text)
+	must.Eq(t, "twelve", string(m.Document()))
+	data, err := m.Snapshot()
+	must.NoError(t, err)
+	other := state.New()
+	must.NoError(t, other.Restore(data))
+	must.Eq(t, "twelve", string(other.Document()))
+	older, text := other.Version(7)
+	must.Eq(t, 7, older.GetNumber())
+	must.Eq(t, "seven", text)
+	missing, _ := other.Version(8)
+	must.Nil(t, missing)
+}
