entry: choose by told speed, keep a slot free, send late requests twice

Instances slow down once all slots are in use and turn four times slower for parts of a second; the policy knew neither.

Change: route.fill leaves a share of the slots unused; the speed that answers and probes tell, aged, weighs in the score; the probe planner is in force, for hosts that serve a service; rules with hedge are, for requests that may be repeated. The time constants of what is learnt grow with the service's time. One control host tells an entry host of instances, in its zone if it can.

--- a/bench/route/virtual/run.go
+++ b/bench/route/virtual/run.go
@@ -7,10 +7,10 @@
 	"strconv"
 	"time"
 
-	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/instance"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -32,6 +32,7 @@
 // Rules implements the Twirp service.
 type Rules struct {
 	name    string
+	zone    string
 	log     agreement.Log
 	machine *state.Machine
 	fleet   *fleet.Fleet
@@ -45,6 +46,12 @@
 	return &Rules{name: name, log: log, machine: machine, fleet: hosts, shared: newConfirmer(log)}
 }
 
+// WithZone sets the availability zone that watchers are told.
+func (s *Rules) WithZone(zone string) *Rules {
+	s.zone = zone
+	return s
+}
+
 // Submit checks a rules file and proposes it.
 func (s *Rules) Submit(ctx context.Context, req *wire.SubmitRequest) (*wire.SubmitResponse, error) {
 	if req.GetSubmissionId() == "" {
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -15,7 +15,10 @@
 	maxWatch = 10 * time.Second
 	// gatherTime is how long changes of instances are gathered before a poll is
 	// answered with them; drains must be known within seconds.
-	gatherTime = 50 * time.Millisecond
+	gatherTime = 150 * time.Millisecond
+	// quorumInterval is how often a poll for instances is given up when this
+	// host has lost the quorum: another one tells of them then.
+	quorumInterval = 250 * time.Millisecond
 )
 
 // Watch records the host's report and waits for a version or records of
@@ -29,7 +32,7 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	response := &wire.WatchResponse{Stale: true, ServedBy: s.name}
+	response := &wire.WatchResponse{Stale: true, ServedBy: s.name, Zone: s.zone}
 	if req.GetKnownVersion() == 0 {
 		response.Previous = previous
 	}
@@ -64,9 +67,12 @@
 // await reports whether a newer version came in force within the wait, which
 // ends early with other news too.
 func (s *Rules) await(ctx context.Context, req *wire.WatchRequest) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatch)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	lost := s.quorumLost(ctx, req)
 	for {
 		changed, told := s.machine.Changed(), s.fleet.Told()
 		if s.newer(req) {
@@ -79,6 +85,8 @@
 		select {
 		case <-changed:
 		case <-told:
+		case <-lost:
+			return false
 		case <-timer.C:
 			return false
 		case <-ctx.Done():
@@ -87,6 +95,24 @@
 	}
 }
 
+// quorumLost returns a channel that is closed when this host has no quorum any
+// more, for a poll that relies on it for instances, else nil.
+func (s *Rules) quorumLost(ctx context.Context, req *wire.WatchRequest) <-chan struct{} {
+	if !req.GetInstances() || !s.log.Status().Quorum() {
+		return nil
+	}
+	lost := make(chan struct{})
+	go func() {
+		for pause.For(ctx, quorumInterval) {
+			if !s.log.Status().Quorum() {
+				close(lost)
+				return
+			}
+		}
+	}()
+	return lost
+}
+
 func (s *Rules) newer(req *wire.WatchRequest) bool {
 	version, _ := s.machine.InForce()
 	return version.GetNumber() > req.GetKnownVersion()
--- a/control/peer/view.go
+++ b/control/peer/view.go
@@ -29,9 +29,13 @@
 	if told := n.told.Load(); told != nil && !v.isLeader && time.Since(told.at) < toldLimit {
 		members = told.members
 	}
-	return agreement.NewStatus(v.leaderName, v.leaderAddress, v.term, v.commitIndex, v.quorum, members).WithAsOf(v.heardAt)
+	return agreement.NewStatus(v.leaderName, v.leaderAddress, v.term, v.commitIndex, v.quorum && time.Since(v.heardAt) < staleTimes*n.cfg.electionTime(), members).WithAsOf(v.heardAt)
 }
 
+// staleTimes is how many election times old the last word of a quorum may be:
+// a replica that waits for its disk hears nothing meanwhile.
+const staleTimes = 2
+
 // toldLimit is how long a follower passes on what the leader said.
 const toldLimit = 3 * time.Second
 
--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -106,6 +107,9 @@
 	}
 	d := &dispatch{h: h, c: c, ticket: ticket, target: ticket.Instance(), seen: seen}
 	defer d.finish()
+	if h.mayHedge(c) {
+		return h.race(d, attempt, tried)
+	}
 	return d.run(attempt)
 }
 
@@ -119,6 +123,9 @@
 	flight  *poison.Flight
 	report  route.Report
 	seen    *recorder
+	ctx     context.Context // ends the exchange, nil: the call's own
+	cancel  context.CancelFunc
+	stale   bool // the instance closed a link that it may have read the request from
 	started time.Time
 }
 
@@ -128,14 +135,26 @@
 }
 
 func (d *dispatch) run(attempt int) result {
-	c, id := d.c, d.target.ID()
-	d.flight = d.h.parts.Suspects.Enter(c.clock, c.fingerprint, string(id))
-	c.stay.Start(id, time.Now())
+	d.begin()
+	exchange, err := d.send(attempt)
+	return d.conclude(attempt, exchange, err)
+}
+
+// begin counts the attempt as under way.
+func (d *dispatch) begin() {
+	c := d.c
+	d.flight = d.h.parts.Suspects.Enter(c.clock, c.fingerprint, string(d.target.ID()))
+	c.stay.Start(d.target.ID(), time.Now())
 	if c.body.whole {
 		c.stay.Sent(time.Now())
 	}
 	d.started = time.Now()
-	exchange, err := d.send(attempt)
+}
+
+// conclude passes the answer on, or reports why there is none.
+func (d *dispatch) conclude(attempt int, exchange *upstream.Exchange, err error) result {
+	id := d.target.ID()
+	d.c.dispatched = d.c.dispatched || d.stale
 	d.report.Latency = time.Since(d.started)
 	d.note(attempt)
 	if err != nil {
@@ -148,7 +167,10 @@
 // send sends the request. A link that the instance closed as the request came
 // is replaced by a new one if the request may run twice.
 func (d *dispatch) send(attempt int) (*upstream.Exchange, error) {
-	opts := []upstream.SendOption{upstream.WithInform(d.c.inform)}
+	var opts []upstream.SendOption
+	if d.ctx == nil { // two exchanges cannot both tell the caller
+		opts = append(opts, upstream.WithInform(d.c.inform))
+	}
 	if speaks := d.c.dialect; speaks.Identity != "" {
 		opts = append(opts, upstream.WithIdentity(speaks.Identity, d.c.r.Header.Get(speaks.Identity)))
 	}
@@ -161,16 +183,27 @@
 	case !d.c.repeatable():
 		opts = append(opts, upstream.WithMaxIdle(freshIdle))
 	}
-	exchange, err := d.h.parts.Links.Send(d.c.clock, d.target.Address(), d.c.outgoing(attempt, d.target.ID()), opts...)
+	exchange, err := d.h.parts.Links.Send(d.context(), d.target.Address(), d.outgoing(attempt), opts...)
 	var failure *upstream.Failure
 	if errors.As(err, &failure) && failure.Cause() == upstream.Stale && d.c.repeatable() && d.c.body.replayable() {
-		d.c.dispatched = true // the instance may have run it before it closed the link
+		d.stale = true // the instance may have run it before it closed the link
 		opts = append(opts, upstream.WithMaxIdle(0))
-		return d.h.parts.Links.Send(d.c.clock, d.target.Address(), d.c.outgoing(attempt, d.target.ID()), opts...)
+		return d.h.parts.Links.Send(d.context(), d.target.Address(), d.outgoing(attempt), opts...)
 	}
 	return exchange, err
 }
 
+func (d *dispatch) context() context.Context {
+	if d.ctx != nil {
+		return d.ctx
+	}
+	return d.c.clock
+}
+
+func (d *dispatch) outgoing(attempt int) *http.Request {
+	return d.c.outgoing(attempt, d.target.ID()).WithContext(d.context())
+}
+
 func (d *dispatch) note(attempt int) {
 	note := &d.c.decision
 	note.Instance = string(d.target.ID())
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -37,6 +37,10 @@
 // Acquirer gives out instances for attempts.
 type Acquirer interface {
 	Acquire(ctx context.Context, q route.Query) (*route.Ticket, error)
+	// Try is Acquire without waiting; nil: there is no instance to spare.
+	Try(q route.Query) *route.Ticket
+	// HedgeDelay is the time after which an answer is late, 0 if unknown.
+	HedgeDelay(service string, aim time.Duration) time.Duration
 }
 
 // RetryBudget says whether a service may have one more retry now.
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -45,9 +45,12 @@
 	adopt    func(previous *wire.HostReport)
 	adopting sync.Once
 
-	mu    sync.Mutex
-	group []string      // addresses of the group's members, as they were told last
-	told  chan struct{} // holds one when the group changed
+	zone     string
+	mu       sync.Mutex
+	primary  *watched // that tells of instances
+	followed map[string]*watched
+	group    []string      // addresses of the group's members, as they were told last
+	told     chan struct{} // holds one when the group changed
 }
 
 // WatchOption changes one property of a watch.
@@ -76,18 +79,21 @@
 // WithMembership learns instances and suspects from the control hosts.
 func WithMembership(m Membership) WatchOption { return func(w *Watch) { w.members = m } }
 
-// watched is one control host.
+// watched is one control host, followed by one goroutine.
 type watched struct {
 	address  string
 	rules    wire.Rules
 	suspects uint64 // revision of the suspects that it told last
 	whole    bool   // the next version is to be told whole
+	zone     string
+	healthy  bool                    // it answered last, and has a quorum
+	cancel   context.CancelCauseFunc // ends the poll that waits; guarded by the watch's lock
 }
 
 // NewWatch returns a watch of the control hosts that seeds names now, and of
 // those that they name as members of their group; report describes this host at each poll, and join is told other entry hosts.
 func NewWatch(seeds func() []string, client *http.Client, table *rules.Table, report func() *wire.HostReport, join func([]*wire.GossipHost), logger hclog.Logger, opts ...WatchOption) *Watch {
-	w := &Watch{client: client, seeds: seeds, table: table, report: report, join: join, logger: logger.Named("control"), told: make(chan struct{}, 1)}
+	w := &Watch{client: client, seeds: seeds, table: table, report: report, join: join, logger: logger.Named("control"), followed: map[string]*watched{}, told: make(chan struct{}, 1)}
 	for _, opt := range opts {
 		opt(w)
 	}
@@ -119,7 +125,12 @@
 			}
 			hostCtx, stop := context.WithCancel(ctx)
 			followed[address] = stop
-			group.Go(func() { w.follow(hostCtx, w.host(address)) })
+			host := w.host(address)
+			w.enter(host)
+			group.Go(func() {
+				defer w.leave(host)
+				w.follow(hostCtx, host)
+			})
 		}
 		select {
 		case <-ctx.Done():
@@ -203,16 +214,22 @@
 	ctx, cancel := context.WithTimeout(ctx, watchLimit)
 	defer cancel()
 	known := w.table.Current()
+	ctx, primary := w.begin(ctx, host)
 	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: w.wait().Milliseconds(), Whole: host.whole}
-	if w.members != nil {
+	if primary {
 		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Known(), host.suspects
 	}
 	response, err := host.rules.Watch(ctx, request)
+	if errors.Is(context.Cause(ctx), errElected) {
+		return nil
+	}
 	if err != nil {
+		w.judge(host, false, "")
 		return err
 	}
+	w.judge(host, !response.GetStale(), response.GetZone())
 	host.whole = false
-	w.learn(host, response)
+	w.learn(host, response, primary)
 	if err := w.take(response, known); err != nil {
 		host.whole = true
 		w.logger.Error("a version cannot be put in force", "version", response.GetVersion().GetNumber(), "error", err)
@@ -222,9 +239,9 @@
 }
 
 // learn takes what an answer tells beside the rules.
-func (w *Watch) learn(host *watched, response *wire.WatchResponse) {
+func (w *Watch) learn(host *watched, response *wire.WatchResponse, primary bool) {
 	w.join(response.GetSeeds())
-	if w.members != nil {
+	if primary {
 		w.members.Take(response.GetInstances(), response.GetInstancesRevision())
 		w.members.Suspect(response.GetSuspects())
 		host.suspects = response.GetSuspectsRevision()
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -59,7 +59,7 @@
 			newClient, newState, newWatch, newNode, newRouter, newDoors, newExporter,
 		),
 		fx.Invoke(runMembership(cfg)...),
-		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runReload, runCallers),
+		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runCallers),
 		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
@@ -132,7 +132,7 @@
 func policyNamed(cfg settings.Route, name string) route.Policy {
 	if name == contract.PolicyAdaptive {
 		return route.NewAdaptive(
-			route.WithHeadroom(cfg.Headroom), route.WithLatencyWeight(cfg.LatencyWeight),
+			route.WithHeadroom(cfg.Headroom), route.WithFill(cfg.Fill), route.WithLatencyWeight(cfg.LatencyWeight),
 			route.WithZoneCost(time.Duration(cfg.ZoneCostMicros)*time.Microsecond))
 	}
 	return route.ByName(name)
--- a/entry/host/listener.go
+++ b/entry/host/listener.go
@@ -42,6 +42,18 @@
 	return func(o *options) { o.reload = reload }
 }
 
+// load returns what an answer to a probe tells, or nil.
+func (o options) load(h http.Header) *probeAnswer {
+	if o.dialect == nil {
+		return nil
+	}
+	report, told := o.dialect.Load(h)
+	if !told {
+		return nil
+	}
+	return &probeAnswer{told: true, requests: report.Requests, speed: report.Speed}
+}
+
 func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, state *State, exporter *prometheus.Exporter, logger hclog.Logger) {
 	var all []Listener
 	if o.listeners != nil {
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -64,7 +64,7 @@
 	}
 	join := node.Join
 	if cfg.Peers.Membership == settings.MembershipControl {
-		opts = append(opts, control.WithMembership(registry.NewMembership(reg, suspects)))
+		opts = append(opts, control.WithMembership(registry.NewMembership(reg, suspects)), control.WithZone(cfg.Host.Zone))
 		join = func([]*wire.GossipHost) {}
 	}
 	watch := control.NewWatch(current.Addresses, client, table, state.Report, join, logger, opts...)
--- a/entry/probe/planner.go
+++ b/entry/probe/planner.go
@@ -15,6 +15,7 @@
 	Window time.Duration // over which the budget holds
 	Most   time.Duration // time that one probe may take
 	Stale  time.Duration // age from which what is known is no longer fresh
+	Least  float64       // answers a second from which a host serves a service, 0 for any
 }
 
 // Planner says which instances to probe. A host asks only about services that
@@ -88,7 +89,7 @@
 // serves reports whether the service's requests come to this host.
 func (p *Planner) serves(view *route.View, now int64) bool {
 	last := view.Norm().LastAnswer()
-	return last != 0 && now-last < int64(p.settings.Window)
+	return last != 0 && now-last < int64(p.settings.Window) && view.Norm().Rate(now) >= p.settings.Least
 }
 
 // fresh reports whether an answer or a probe told of the instance of late.
--- a/entry/route/adaptive.go
+++ b/entry/route/adaptive.go
@@ -16,6 +16,7 @@
 // service time, times its queue once its slots are full, and the way to another
 // zone.
 type expected struct {
+	fill     float64 // share of the slots that may be in use, 0 for all and the headroom
 	headroom int     // requests beyond the slots that may be in flight
 	weight   float64 // exponent of the instance's own speed; 0 ignores it
 	zoneCost float64 // nanoseconds to another zone and back
@@ -38,6 +39,11 @@
 // WithHeadroom sets how many requests beyond its slots an instance may have.
 func WithHeadroom(n int) AdaptiveOption { return func(e *expected) { e.headroom = n } }
 
+// WithFill sets the share of an instance's slots that are used before requests
+// wait at this host; instances that slow down when nearly full answer more
+// requests that way.
+func WithFill(share float64) AdaptiveOption { return func(e *expected) { e.fill = share } }
+
 // WithLatencyWeight sets how much an instance's own speed weighs, from 0 to 1.
 func WithLatencyWeight(w float64) AdaptiveOption { return func(e *expected) { e.weight = w } }
 
@@ -71,7 +77,7 @@
 const unknownLatency = float64(5 * time.Millisecond)
 
 // Score returns the expected time to the answer.
-func (e *expected) Score(m *Member, q *Query, norm float64, state State, now int64) (float64, bool) {
+func (e *expected) Score(m *Member, q *Query, norm, speed float64, state State, now int64) (float64, bool) {
 	if norm == 0 {
 		norm = unknownLatency
 	}
@@ -84,14 +90,17 @@
 	own := float64(m.load.inFlight.Load())
 	known := own
 	if e.reports > 0 {
-		known += e.reports * m.load.othersNow(now)
+		known += e.reports * m.load.othersNow(norm, now)
 	}
-	level := known + m.load.penaltyNow(now)
+	level := known + m.load.penaltyNow(norm, now)
 	// The speed of an instance changes while a request runs: its estimate is damped.
 	damped := norm
 	if e.weight > 0 {
 		damped = norm * math.Pow(service/norm, e.weight)
 	}
+	if e.fill > 0 {
+		return e.paced(m, damped*m.load.speedOver(speed, norm, now), own, known, level, state)
+	}
 	score := damped * (max(1, (level+1)/slots) + e.idle*level/slots)
 	if q.zonePreference() == contract.ZonePrefer {
 		score += way * zoneTie
@@ -102,3 +111,22 @@
 	room := own == 0 || known < m.load.allowed(most, service/norm, state)
 	return score, room
 }
+
+// coldCost is how much longer work takes at an instance that has just started.
+const coldCost = 2.0
+
+// paced is the score of an instance of which only a share of the slots is used.
+func (e *expected) paced(m *Member, service, own, known, level float64, state State) (score float64, room bool) {
+	slots := float64(m.instance.Slots())
+	if state == Cold || state == Recovering {
+		service *= coldCost
+	}
+	most := max(math.Floor(slots*e.fill), 1)
+	score = service * (max(1, (level+1)/slots) + e.idle*level/slots)
+	// With nothing of its own in flight there, no answer would end a wait.
+	room = known < most || own == 0 && known < slots
+	if state == Recovering {
+		room = own < firstLimit
+	}
+	return score, room
+}
--- a/entry/route/baseline.go
+++ b/entry/route/baseline.go
@@ -9,7 +9,9 @@
 // constant gives every member the same score.
 type constant struct{}
 
-func (constant) Score(*Member, *Query, float64, State, int64) (float64, bool) { return 0, true }
+func (constant) Score(*Member, *Query, float64, float64, State, int64) (float64, bool) {
+	return 0, true
+}
 
 // NewRandomChoice returns the policy "random".
 func NewRandomChoice() Policy {
@@ -19,7 +21,7 @@
 // ownCount is this host's own requests in flight for each slot.
 type ownCount struct{}
 
-func (ownCount) Score(m *Member, _ *Query, _ float64, _ State, _ int64) (float64, bool) {
+func (ownCount) Score(m *Member, _ *Query, _, _ float64, _ State, _ int64) (float64, bool) {
 	return float64(m.load.InFlight()) / float64(m.instance.Slots()), true
 }
 
@@ -38,7 +40,7 @@
 // peakLatency is the peak-sensitive average latency times the own count.
 type peakLatency struct{}
 
-func (peakLatency) Score(m *Member, _ *Query, norm float64, _ State, _ int64) (float64, bool) {
+func (peakLatency) Score(m *Member, _ *Query, norm, _ float64, _ State, _ int64) (float64, bool) {
 	latency := m.load.peak.get()
 	if latency == 0 {
 		latency = norm
--- a/entry/route/learn.go
+++ b/entry/route/learn.go
@@ -12,14 +12,25 @@
 		load.compare(report.Reported, float64(report.Latency), expectedAt(view, report.Reported, slots))
 		load.SetReported(report.Reported, now)
 	}
+	norm := normOf(view)
+	if report.Speed > 0 {
+		load.setSpeed(report.Speed, now)
+		if view != nil {
+			view.norm.speed.average(report.Speed, speedWeight)
+		}
+	}
+	if report.Beaten {
+		load.atLeast(float64(report.Latency)/max(t.speed, 1), now)
+		return
+	}
 	if report.Refused && !report.Lost {
 		load.shrink(most)
-		load.addPenalty(1, now)
+		load.addPenalty(1, norm, now)
 		return
 	}
 	if report.Failed || report.Lost {
 		load.shrink(most)
-		load.addPenalty(slots, now)
+		load.addPenalty(slots, norm, now)
 		if load.health.fail(now) {
 			d.eject(view, load, now)
 		}
@@ -27,13 +38,24 @@
 	}
 	load.health.succeed(now)
 	load.grow(most, t.member.instance.Cold())
-	service := load.observe(float64(report.Latency), t.level, slots, now)
+	service := load.observe(float64(report.Latency)/t.speed, t.level, slots, now)
 	if view != nil {
 		view.norm.observe(service)
 		view.norm.completed(now)
 	}
 }
 
+// speedWeight is the weight of a new report of an instance's speed in the mean
+// of its service.
+const speedWeight = 0.05
+
+func normOf(view *View) float64 {
+	if view == nil {
+		return 0
+	}
+	return view.norm.Latency()
+}
+
 // expectedAt returns the mean latency at a reported load, 0 if unknown.
 func expectedAt(view *View, reported int, slots float64) float64 {
 	if view == nil {
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -52,6 +52,8 @@
 	spread  value // mean deviation of the latency, nanoseconds
 	gap     value // mean time between completions, nanoseconds
 	last    atomic.Int64
+	rate    value // answers a second, over rateSpan
+	speed   value // mean of what instances tell of their speed
 }
 
 // Latency returns the mean service time in nanoseconds, 0 if unknown.
@@ -65,7 +67,17 @@
 	n.spread.average(math.Abs(service-n.latency.get()), normWeight)
 }
 
+// rateSpan is the time over which answers a second are counted.
+const rateSpan = 3 * time.Second
+
+// Rate returns the good answers a second of late.
+func (n *Norm) Rate(now int64) float64 {
+	return n.rate.get() * math.Exp(-float64(now-n.last.Load())/float64(rateSpan))
+}
+
 func (n *Norm) completed(now int64) {
+	rate := n.Rate(now) + 1/rateSpan.Seconds()
+	n.rate.set(rate)
 	if last := n.last.Swap(now); last != 0 && now > last {
 		n.gap.average(float64(now-last), 0.02)
 	}
@@ -85,6 +97,9 @@
 	penaltyAt  atomic.Int64
 	limit      value // requests that may be in flight, 0 before the first one
 	health     health
+
+	speed   value // time that work takes, as a multiple of the usual, as last told
+	speedAt atomic.Int64
 }
 
 // InFlight returns the requests that this host has in flight at the instance.
@@ -125,19 +140,65 @@
 // Lies reports whether the instance's reports are ignored.
 func (l *Load) Lies() bool { return l.health.lies.Load() >= liesUntilIgnored }
 
-// Probed records a load that a probe was told.
-func (l *Load) Probed(reported int, at int64) {
+// speedHalving is the age at which a told speed counts half: machines that are
+// shared turn slow and fast again several times a second.
+const speedHalving = 150 * time.Millisecond
+
+// setSpeed records the time that work takes at the instance, as a multiple of
+// the usual.
+func (l *Load) setSpeed(speed float64, at int64) {
+	if speed <= 0 {
+		return
+	}
+	l.speed.set(speed)
+	l.speedAt.Store(at)
+}
+
+// speedNow returns the expected multiple of the usual time that work takes; an
+// old report moves towards the mean of the service.
+func (l *Load) speedNow(mean float64, now int64) float64 {
+	at := l.speedAt.Load()
+	if at == 0 {
+		return max(mean, 1)
+	}
+	mean = max(mean, 1)
+	return mean + (l.speed.get()-mean)*math.Exp2(-float64(now-at)/float64(speedHalving))
+}
+
+// speedOver returns the expected multiple over the time that a request takes.
+func (l *Load) speedOver(mean, norm float64, now int64) float64 {
+	mean = max(mean, 1)
+	turns := norm * math.Ln2 / float64(speedHalving)
+	if turns == 0 {
+		return l.speedNow(mean, now)
+	}
+	return mean + (l.speedNow(mean, now)-mean)*(1-math.Exp(-turns))/turns
+}
+
+// Probed records a load that a probe was told, and the speed, 0 if it was not
+// told.
+func (l *Load) Probed(reported int, speed float64, at int64) {
+	l.setSpeed(speed, at)
 	l.others.average(float64(reported)-float64(l.inFlight.Load()), othersWeight)
 	l.SetReported(reported, at)
 }
 
 // othersNow returns the requests of other hosts, less the older the report is.
-func (l *Load) othersNow(now int64) float64 {
+func (l *Load) othersNow(norm float64, now int64) float64 {
 	at := l.reportedAt.Load()
 	if at == 0 || l.Lies() {
 		return 0
 	}
-	return max(l.others.get(), 0) * discount(now-at, reportHalving)
+	return max(l.others.get(), 0) * discount(now-at, scaled(reportHalving, norm))
+}
+
+// usualTime is the service time for which the constants above were found; they
+// grow with the time of a slower service.
+const usualTime = float64(5 * time.Millisecond)
+
+// scaled returns a time constant for a service of another service time.
+func scaled(d time.Duration, norm float64) time.Duration {
+	return time.Duration(float64(d) * max(1, norm/usualTime))
 }
 
 // discount is the weight of what was known some time ago.
@@ -148,16 +209,16 @@
 	return 1 / (1 + float64(age)/float64(halving))
 }
 
-func (l *Load) penaltyNow(now int64) float64 {
+func (l *Load) penaltyNow(norm float64, now int64) float64 {
 	p := l.penalty.get()
 	if p == 0 {
 		return 0
 	}
-	return p * math.Exp(-float64(now-l.penaltyAt.Load())/penaltyDecay)
+	return p * math.Exp(-float64(now-l.penaltyAt.Load())/(penaltyDecay*max(1, norm/usualTime)))
 }
 
-func (l *Load) addPenalty(n float64, now int64) {
-	l.penalty.set(min(l.penaltyNow(now)+n, maxPenalty))
+func (l *Load) addPenalty(n, norm float64, now int64) {
+	l.penalty.set(min(l.penaltyNow(norm, now)+n, maxPenalty))
 	l.penaltyAt.Store(now)
 }
 
@@ -168,7 +229,7 @@
 	if s == 0 || norm == 0 {
 		return norm
 	}
-	return norm + (s-norm)*discount(now-l.serviceAt.Load(), estimateHalving)
+	return norm + (s-norm)*discount(now-l.serviceAt.Load(), scaled(estimateHalving, norm))
 }
 
 // observe learns from the latency of a good answer.
@@ -180,6 +241,14 @@
 	return service
 }
 
+// atLeast learns from a request that had no answer after a time.
+func (l *Load) atLeast(service float64, now int64) {
+	if service > l.service.get() {
+		l.service.average(service, latencyWeight)
+		l.serviceAt.Store(now)
+	}
+}
+
 func (l *Load) observePeak(latency float64, now int64) {
 	age := float64(now - l.serviceAt.Load())
 	l.peak.update(func(old float64) float64 {
--- a/entry/route/lowest.go
+++ b/entry/route/lowest.go
@@ -3,7 +3,9 @@
 // Scorer gives each member a score; the lowest one is chosen.
 type Scorer interface {
 	// Score returns a member's score, and whether it may take one more request.
-	Score(m *Member, q *Query, norm float64, state State, now int64) (score float64, room bool)
+	// norm is the service's own time in nanoseconds, speed the mean multiple of
+	// the usual time that its instances tell of, 0 if unknown.
+	Score(m *Member, q *Query, norm, speed float64, state State, now int64) (score float64, room bool)
 }
 
 // Lowest chooses the member with the lowest score among all members or among
@@ -93,7 +95,7 @@
 		s.trace.add(m, state, 0, true, s.now)
 		return false
 	}
-	score, room := s.policy.scorer.Score(m, s.query, s.view.norm.Latency(), state, s.now)
+	score, room := s.policy.scorer.Score(m, s.query, s.view.norm.Latency(), s.view.norm.speed.get(), state, s.now)
 	s.trace.add(m, state, score, room, s.now)
 	if !room {
 		if s.best == NoMember {
--- /dev/null
+++ b/entry/route/probed.go
@@ -0,0 +1,36 @@
+package route
+
+// ProbeReport is what came of a probe.
+type ProbeReport struct {
+	Answered bool
+	Healthy  bool    // as the instance says
+	Told     bool    // the answer told of the load
+	Requests int     // in slots and waiting, valid if Told
+	Speed    float64 // time that work takes now, as a multiple of the usual; 0 if not told
+}
+
+// Probed learns from a probe. What an instance says of its own health decides
+// nothing; one that does not answer is weighed down, and ejected after some
+// times.
+func (r *Router) Probed(m Member, report ProbeReport) {
+	now := r.clock()
+	d := r.Dispatcher(m.instance.Service())
+	view := r.views.Load(m.instance.Service())
+	switch {
+	case report.Told:
+		m.load.Probed(report.Requests, report.Speed, now)
+		if view != nil && report.Speed > 0 {
+			view.norm.speed.average(report.Speed, speedWeight)
+		}
+	case !report.Answered:
+		m.load.addPenalty(1, normOf(view), now)
+		if m.load.health.fail(now) {
+			d.eject(view, m.load, now)
+		}
+	}
+	if d.waiting.Load() > 0 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.dispatch(now)
+	}
+}
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -13,6 +13,7 @@
 	Failed  bool          // the answer is an error of the instance, or there is none
 	Lost    bool          // the link broke or went silent
 	Refused bool          // the instance did not start it
+	Beaten  bool          // it was cancelled, since another instance answered first
 	// Reported is the load that the answer carried, valid if HasReport.
 	Reported  int
 	HasReport bool
@@ -25,6 +26,7 @@
 	dispatcher *Dispatcher
 	policy     string
 	why        string
+	speed      float64 // multiple of the usual time, as expected when this one was sent
 	level      float64 // requests at the instance when this one was sent, itself included
 	waited     time.Duration
 	held       pass
--- a/entry/settings/route.go
+++ b/entry/settings/route.go
@@ -12,6 +12,7 @@
 type Route struct {
 	Policy         string  `toml:"policy" comment:"policy for services whose rules name none: adaptive, least, powerOfTwo, peakEWMA, roundRobin, random"`
 	Headroom       int     `toml:"headroom" comment:"requests beyond its slots that an instance may have from this host"`
+	Fill           float64 `toml:"fill" comment:"share of an instance's slots that are used before requests wait at this host, 0 for all and the headroom"`
 	LatencyWeight  float64 `toml:"latencyWeight" comment:"how much an instance's own speed weighs, from 0 to 1"`
 	ZoneCostMicros int     `toml:"zoneCostMicros" comment:"time to another zone and back, microseconds; more requests may be on their way there"`
 	QueueLength    int     `toml:"queueLength" comment:"requests of one service that may wait at this host"`
@@ -36,6 +37,9 @@
 	if r.Headroom < 0 || r.Headroom > maxHeadroom {
 		c.Fail("route.headroom", "is not from 0 to 16", "3 suits instances with 3 slots")
 	}
+	if r.Fill < 0 || r.Fill > 1 {
+		c.Fail("route.fill", "is not from 0 to 1", "0.8 suits instances that slow down when nearly full")
+	}
 	if r.LatencyWeight < 0 || r.LatencyWeight > 1 {
 		c.Fail("route.latencyWeight", "is not from 0 to 1", "0 ignores the instances' speed")
 	}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -18,6 +18,7 @@
 	Control Control `toml:"control" comment:"the control hosts"`
 	Peers   Peers   `toml:"peers" comment:"the other entry hosts"`
 	Route   Route   `toml:"route" comment:"how instances are chosen"`
+	Probe   Probe   `toml:"probe" comment:"how instances are asked for their load"`
 	Limits  Limits  `toml:"limits" comment:"bounds of what callers may send"`
 	Links   Links   `toml:"links" comment:"links to instances"`
 	Poison  Poison  `toml:"poison" comment:"requests that cost instances"`
@@ -28,7 +29,7 @@
 // Default returns the settings that a file need not name.
 func Default() *Settings {
 	return &Settings{
-		Host: defaultHost(), Listen: defaultListen(), Peers: defaultPeers(), Route: defaultRoute(), Limits: defaultLimits(),
+		Host: defaultHost(), Listen: defaultListen(), Peers: defaultPeers(), Route: defaultRoute(), Probe: defaultProbe(), Limits: defaultLimits(),
 		Links: defaultLinks(), Poison: defaultPoison(), Log: defaultLog(),
 	}
 }
@@ -47,6 +48,7 @@
 	s.Control.check(c)
 	s.Peers.check(c)
 	s.Route.check(c)
+	s.Probe.check(c)
 	s.Limits.check(c)
 	s.Links.check(c)
 	s.Poison.check(c)
--- a/world/contract/service.go
+++ b/world/contract/service.go
@@ -28,6 +28,7 @@
 	spread         int
 	policy         string
 	retryBudget    float64
+	health         string
 }
 
 // ServiceOption changes one term of a service.
@@ -122,3 +123,11 @@
 
 // RetryBudget returns the share of requests that may be retries.
 func (s *Service) RetryBudget() float64 { return s.retryBudget }
+
+// WithHealth sets the path at which an instance tells of its load, empty if it
+// has none.
+func WithHealth(path string) ServiceOption { return func(s *Service) { s.health = path } }
+
+// Health returns the path at which an instance tells of its load, empty if it
+// has none.
+func (s *Service) Health() string { return s.health }
--- a/world/rule/lint.go
+++ b/world/rule/lint.go
@@ -96,7 +96,6 @@
 	word := "retries"
 	if terms.Hedge() {
 		word = "hedge"
-		l.warn(r.place, "hedge is taken note of and not in force yet", "")
 	}
 	if terms.Once() {
 		l.fail(r.place, "a rule with once cannot have "+word, "remove one of the two")
