route: requests wait by their aim, and those that missed it take what is left

Change: waiting requests that can still make their aim go first, by priority; the newest goes first while the oldest would barely make it; those that missed it are served with what is left, and refused at once beyond 0.6 s of work. The time that a caller waited before it asked again counts.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -95,9 +95,18 @@
 	return !terms.Once() && !terms.Single() && (terms.Retries() > 0 || safe)
 }
 
+// query asks for an instance that no earlier attempt used.
+func (c *call) query(zone string, tried []instance.ID) route.Query {
+	q := route.NewQuery(c.service, c.rule.Contract(), c.caller, zone, tried...)
+	if c.aim.IsZero() {
+		return q
+	}
+	return q.Aiming(c.aim)
+}
+
 // attempt sends the request to one instance.
 func (h *Handler) attempt(c *call, attempt int, tried []instance.ID, seen *recorder) result {
-	ticket, err := h.parts.Router.Acquire(c.clock, route.NewQuery(c.service, c.rule.Contract(), c.caller, h.parts.Zone, tried...))
+	ticket, err := h.parts.Router.Acquire(c.clock, c.query(h.parts.Zone, tried))
 	if err != nil {
 		var problem *outcome.Problem
 		if !errors.As(err, &problem) {
--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -38,6 +38,7 @@
 	r           *http.Request
 	body        *body
 	clock       *clock
+	aim         time.Time // by which an answer is worth most, zero if not known
 	progress    time.Duration
 	layer       int // attempt that the layer above made, 1 for its first
 	fingerprint poison.Fingerprint
--- a/entry/caller/clock.go
+++ b/entry/caller/clock.go
@@ -24,7 +24,8 @@
 	cancel          context.CancelCauseFunc
 	unwatch         func() bool
 	limit           time.Duration
-	own             time.Time // the caller's own deadline, zero if it gave none
+	given           time.Duration // that the caller will wait, 0 if it gave no deadline
+	own             time.Time     // the caller's own deadline, zero if it gave none
 
 	mu    sync.Mutex
 	at    time.Time // zero while only the request is awaited
@@ -37,7 +38,8 @@
 	c := &clock{limit: limit}
 	now := time.Now()
 	if ms, err := strconv.ParseInt(header(r.Header, deadlineHeader), 10, 32); err == nil && ms > 0 {
-		c.own = now.Add(time.Duration(ms) * time.Millisecond)
+		c.given = time.Duration(ms) * time.Millisecond
+		c.own = now.Add(c.given)
 	}
 	if timeout := terms.Timeout(); timeout > 0 && (c.own.IsZero() || now.Add(timeout).Before(c.own)) {
 		c.own = now.Add(timeout)
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -87,6 +87,7 @@
 	holder string // unique to this process start
 	door   *door
 	turns  turns
+	waits  waits
 }
 
 // New returns a handler.
@@ -211,6 +212,7 @@
 	terms := c.rule.Contract()
 	c.clock = newClock(c.r, terms, c.dialect.Deadline)
 	defer c.clock.stop()
+	c.aim = h.waits.aim(c.rule, c.clock.given, time.Now())
 	if terms.Once() && c.r.Header.Get(terms.OnceHeader()) == "" {
 		return outcome.New(outcome.NotRun, outcome.KeyMissing, "the rule asks for the header "+terms.OnceHeader())
 	}
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -19,6 +19,7 @@
 
 	mu    sync.Mutex
 	queue *waitlist
+	aims  aims
 }
 
 func newDispatcher(r *Router, service string) *Dispatcher {
@@ -46,6 +47,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if q.aim != 0 {
+		return nil, d.await(q, held, granted, now), nil
+	}
 	if problem := d.refuse(&q, view, now); problem != nil {
 		held.leave()
 		return nil, nil, problem
@@ -58,6 +62,15 @@
 	return nil, w, nil
 }
 
+// await queues a request with an aim. The lock is held.
+func (d *Dispatcher) await(q Query, held pass, granted func(*Ticket, error), now int64) *Waiter {
+	w := &Waiter{dispatcher: d, query: q, held: held, arrivedAt: now, granted: granted, waits: true}
+	d.aims.all = append(d.aims.all, w)
+	d.waiting.Add(1)
+	d.dispatch(now)
+	return w
+}
+
 // share returns this host's part of limits that hold for all hosts together.
 func (d *Dispatcher) share(q *Query, terms *contract.Service) float64 {
 	if !limited(q, terms) {
@@ -94,6 +107,9 @@
 
 // dispatch gives free instances to waiting requests. The lock is held.
 func (d *Dispatcher) dispatch(now int64) {
+	if len(d.aims.all) > 0 {
+		d.dispatchAims(now)
+	}
 	terms := d.router.terms(d.service)
 	for d.queue.len() > 0 {
 		view := d.router.views.Load(d.service)
@@ -124,7 +140,12 @@
 
 // remove takes a waiter out of the queue without a ticket.
 func (d *Dispatcher) remove(w *Waiter) {
-	d.queue.remove(w)
+	if w.waits {
+		w.waits = false
+		d.aims.remove(w)
+	} else {
+		d.queue.remove(w)
+	}
 	d.waiting.Add(-1)
 	w.held.leave()
 }
@@ -167,8 +188,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	oldest := d.queue.oldest()
+	if len(d.aims.all) > 0 && (oldest == nil || d.aims.all[0].arrivedAt < oldest.arrivedAt) {
+		oldest = d.aims.all[0]
+	}
 	if oldest == nil {
 		return 0, 0
 	}
-	return d.queue.len(), time.Duration(d.router.clock() - oldest.arrivedAt)
+	return d.queue.len() + len(d.aims.all), time.Duration(d.router.clock() - oldest.arrivedAt)
 }
--- a/entry/route/query.go
+++ b/entry/route/query.go
@@ -14,6 +14,7 @@
 	caller   string
 	zone     string
 	exclude  []instance.ID
+	aim      int64 // Unix nanoseconds, 0 for none
 	deadline int64 // Unix nanoseconds, 0 for none
 }
 
@@ -28,6 +29,12 @@
 	return q
 }
 
+// Aiming returns the query with the time by which an answer is worth most.
+func (q Query) Aiming(at time.Time) Query {
+	q.aim = at.UnixNano()
+	return q
+}
+
 // Service returns the service that is asked for.
 func (q Query) Service() string { return q.service }
 
--- a/entry/route/waitlist.go
+++ b/entry/route/waitlist.go
@@ -20,6 +20,7 @@
 	passed  int   // times that it was the oldest and another went first
 	index   int   // in the heap
 	element *list.Element
+	waits   bool // in the list of requests with an aim
 }
 
 // Cancel ends the wait. It returns false if the waiter got its answer already.
@@ -27,7 +28,7 @@
 	d := w.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if w.element == nil {
+	if w.element == nil && !w.waits {
 		return false
 	}
 	d.remove(w)
