directory: names that share a service share their entry hosts

Cause: callers ask for a host name, and the names share services, so that the union of the hosts of several services answered for each: three entry hosts had requests of one service, and each knew a third of what an instance had. And an instance's own time was learnt from single answers, of which one in four came from a slow moment of its machine.

Change: the services that are linked by names are placed together. The work that an instance could do between sending and answer, from the speeds it told, is what its own time is learnt from.

--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -1,7 +1,7 @@
 // Package directory tells callers which entry hosts to use for a host name.
 // Few entry hosts serve one service, so that what each of them has in flight
-// is nearly the whole truth about the service's instances; more are named as
-// the rate of its requests asks for it.
+// is nearly the whole truth about the service's instances; names that share a
+// service share their entry hosts. More are named as the rate asks for it.
 //
 // Usage:
 //
@@ -36,6 +36,7 @@
 	mu     sync.Mutex
 	number uint64
 	set    *rule.Set
+	groups map[string][]string // services by host, as they were asked for
 }
 
 // Option changes one property.
@@ -60,36 +61,35 @@
 // Resolve returns the entry hosts that callers in a zone use for a host name,
 // those of their zone first, and whether any rule is for it.
 func (d *Directory) Resolve(host, zone string) (hosts []*wire.HostReport, known bool) {
-	services := d.rules().ServicesAt(strings.ToLower(host))
+	services := d.together(strings.ToLower(host))
 	if len(services) == 0 {
 		return nil, false
 	}
 	now := time.Now()
-	entries := d.fleet.Reached(now)
-	rates := map[string]float64{}
+	rate := 0.0
 	for _, one := range d.fleet.Rates(now) {
-		rates[one.GetService()] = one.GetArrivalsPerS()
-	}
-	for _, service := range services {
-		active := max(placement.ActiveCount(rates[service], d.hostRate), d.least)
-		answer := placement.Choose(entries, service, zone, placement.Plan{Spread: active})
-		for _, chosen := range answer.Hosts() {
-			if !slices.Contains(hosts, chosen) {
-				hosts = append(hosts, chosen)
-			}
+		if slices.Contains(services, one.GetService()) {
+			rate += one.GetArrivalsPerS()
 		}
 	}
-	return hosts, true
+	active := max(placement.ActiveCount(rate, d.hostRate), d.least)
+	return placement.Choose(d.fleet.Reached(now), services[0], zone, placement.Plan{Spread: active}).Hosts(), true
 }
 
-// rules returns the rules in force as this control host applied them.
-func (d *Directory) rules() *rule.Set {
+// together returns the services that are served by the same entry hosts as
+// requests to a host.
+func (d *Directory) together(host string) []string {
 	version, text := d.machine.InForce()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.set == nil || version.GetNumber() > d.number {
 		d.set, _ = rule.ReadChange(d.set, "rules", text)
-		d.number = version.GetNumber()
+		d.number, d.groups = version.GetNumber(), map[string][]string{}
+	}
+	services, known := d.groups[host]
+	if !known && d.set.HasHost(host) {
+		services = d.set.Together(host)
+		d.groups[host] = services
 	}
-	return d.set
+	return services
 }
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -101,7 +101,7 @@
 	n := t.member.load.inFlight.Add(1)
 	d.limits.inFlight.Add(1)
 	t.dispatcher, t.policy, t.why, t.level = d, policy.Name(), policy.Why(), float64(n)
-	t.speed = t.member.load.speedOver(view.norm.speed.get(), view.norm.Latency(), now)
+	t.work = t.member.load.pace.now(now)
 	return t, at
 }
 
--- a/entry/route/learn.go
+++ b/entry/route/learn.go
@@ -20,7 +20,7 @@
 		}
 	}
 	if report.Beaten {
-		load.atLeast(float64(report.Latency)/max(t.speed, 1), now)
+		load.atLeast(load.pace.since(t.work, float64(report.Latency), now), now)
 		return
 	}
 	if report.Refused && !report.Lost {
@@ -38,7 +38,7 @@
 	}
 	load.health.succeed(now)
 	load.grow(most, t.member.instance.Cold())
-	service := load.observe(float64(report.Latency)/t.speed, t.level, slots, now)
+	service := load.observe(load.pace.since(t.work, float64(report.Latency), now), t.level, slots, now)
 	if view != nil {
 		view.norm.observe(service)
 		view.norm.completed(now)
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -100,6 +100,7 @@
 
 	speed   value // time that work takes, as a multiple of the usual, as last told
 	speedAt atomic.Int64
+	pace    pace
 }
 
 // InFlight returns the requests that this host has in flight at the instance.
@@ -150,6 +151,7 @@
 	if speed <= 0 {
 		return
 	}
+	l.pace.advance(speed, at)
 	l.speed.set(speed)
 	l.speedAt.Store(at)
 }
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -26,7 +26,7 @@
 	dispatcher *Dispatcher
 	policy     string
 	why        string
-	speed      float64 // multiple of the usual time, as expected when this one was sent
+	work       float64 // that the instance could have done when this one was sent
 	level      float64 // requests at the instance when this one was sent, itself included
 	waited     time.Duration
 	held       pass
--- a/world/rule/rule.go
+++ b/world/rule/rule.go
@@ -28,6 +28,7 @@
 package rule
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -222,17 +223,44 @@
 	return nil
 }
 
-// ServicesAt returns the services to which requests to a host may go.
-func (s *Set) ServicesAt(host string) []string {
-	var all []string
-	for _, r := range s.hosts[host] {
+// Together returns the services to which requests to a host may go, and those
+// that share a host with any of them, and so on, in order. Entry hosts that
+// serve all of them know all requests for each. There are none if no rule is
+// for the host.
+func (s *Set) Together(host string) []string {
+	if !s.HasHost(host) {
+		return nil
+	}
+	services, hosts := map[string]bool{}, map[string]bool{host: true}
+	for grown := true; grown; {
+		grown = false
+		for name, rules := range s.hosts {
+			grown = join(name, rules, services, hosts) || grown
+		}
+	}
+	return slices.Sorted(maps.Keys(services))
+}
+
+// join adds a host and its services if it shares anything with those that are
+// known, and reports whether that added anything.
+func join(name string, rules []*Rule, services, hosts map[string]bool) bool {
+	linked := hosts[name]
+	for _, r := range rules {
 		for _, service := range r.Services() {
-			if !slices.Contains(all, service) {
-				all = append(all, service)
-			}
+			linked = linked || services[service]
 		}
 	}
-	return all
+	if !linked {
+		return false
+	}
+	before := len(services) + len(hosts)
+	hosts[name] = true
+	for _, r := range rules {
+		for _, service := range r.Services() {
+			services[service] = true
+		}
+	}
+	return len(services)+len(hosts) > before
 }
 
 // Match returns the first rule that a request falls under, or nil. The path is
