entry, control: turn to another control host as soon as one loses its quorum

Each new version made every control host look unhealthy, since such answers are not confirmed, so that there was none to turn to; and a poll that ended with the quorum asked it once more, for 1 to 2 s.

Ruled out: late commits (the acknowledgement came from the new leader, which told other entry hosts at once).

Change: answers say whether the control host hears its quorum; a poll for instances that ends with the quorum asks nothing.

--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -36,7 +36,7 @@
 	if req.GetKnownVersion() == 0 {
 		response.Previous = previous
 	}
-	if !newer || req.GetKnownVersion() == 0 {
+	if s.mayConfirm(req, newer) {
 		s.confirmWatch(ctx, response)
 	}
 	version, text := s.machine.InForce()
@@ -45,11 +45,22 @@
 		s.addText(req, response, text)
 	}
 	response.AsOf = time.Now().UnixNano()
+	response.Quorum = s.log.Status().Quorum()
 	response.Rates = s.fleet.Rates(time.Now())
 	s.addMembership(req, response)
 	return response, nil
 }
 
+// mayConfirm reports whether the quorum is asked before the answer: not if a
+// newer version is told at once, and not by a host that lost its quorum when
+// the watcher has another one to turn to.
+func (s *Rules) mayConfirm(req *wire.WatchRequest, newer bool) bool {
+	if req.GetKnownVersion() == 0 {
+		return true
+	}
+	return !newer && (!req.GetInstances() || s.log.Status().Quorum())
+}
+
 // addMembership adds the records of instances to hosts that learn them from
 // control hosts, and other hosts to join to those that learn them by gossip.
 func (s *Rules) addMembership(req *wire.WatchRequest, response *wire.WatchResponse) {
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -231,7 +231,7 @@
 		w.judge(host, false, "")
 		return err
 	}
-	w.judge(host, !response.GetStale(), response.GetZone())
+	w.judge(host, response.GetQuorum(), response.GetZone())
 	host.whole = false
 	w.learn(host, response, primary)
 	if err := w.take(response, known); err != nil {
