directory: as many entry hosts as can take the requests

Change: entry hosts report what they can take, from their cores and link; the directory names as many as the rate needs, and the budget of probes is divided by that number.

--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -65,15 +65,52 @@
 	if len(services) == 0 {
 		return nil, false
 	}
-	now := time.Now()
+	entries := d.fleet.Reached(time.Now())
+	return placement.Choose(entries, services[0], zone, placement.Plan{Spread: d.active(services, entries)}).Hosts(), true
+}
+
+// active returns how many entry hosts carry the requests for services.
+func (d *Directory) active(services []string, entries []*wire.HostReport) int {
 	rate := 0.0
-	for _, one := range d.fleet.Rates(now) {
+	for _, one := range d.fleet.Rates(time.Now()) {
 		if slices.Contains(services, one.GetService()) {
 			rate += one.GetArrivalsPerS()
 		}
 	}
-	active := max(placement.ActiveCount(rate, d.hostRate), d.least)
-	return placement.Choose(d.fleet.Reached(now), services[0], zone, placement.Plan{Spread: active}).Hosts(), true
+	return max(placement.ActiveCount(rate, d.capacity(entries)), d.least)
+}
+
+// capacity returns the requests a second that each entry host can take: what
+// the weakest one reports, within the setting.
+func (d *Directory) capacity(entries []*wire.HostReport) float64 {
+	capacity := d.hostRate
+	for _, one := range entries {
+		if own := one.GetRateCapacity(); own > 0 && (capacity == 0 || own < capacity) {
+			capacity = own
+		}
+	}
+	return capacity
+}
+
+// Active returns the largest number of entry hosts that any name is served by.
+func (d *Directory) Active() int {
+	most := d.least
+	entries := d.fleet.Reached(time.Now())
+	for _, services := range d.allTogether() {
+		most = max(most, min(d.active(services, entries), len(entries)))
+	}
+	return most
+}
+
+// allTogether returns the services of the names that were asked for.
+func (d *Directory) allTogether() [][]string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([][]string, 0, len(d.groups))
+	for _, services := range d.groups {
+		all = append(all, services)
+	}
+	return all
 }
 
 // together returns the services that are served by the same entry hosts as
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/control/agreement"
+	"github.com/snipebeam/snipebeam/control/directory"
 	"github.com/snipebeam/snipebeam/control/entry"
 	"github.com/snipebeam/snipebeam/control/fleet"
 	"github.com/snipebeam/snipebeam/control/operator"
@@ -61,8 +62,8 @@
 	)
 }
 
-func newRules(cfg *settings.Settings, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet) *operator.Rules {
-	return operator.New(cfg.Host.Name, log, machine, hosts).WithZone(cfg.Host.Zone)
+func newRules(cfg *settings.Settings, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet, names *directory.Directory) *operator.Rules {
+	return operator.New(cfg.Host.Name, log, machine, hosts).WithZone(cfg.Host.Zone).WithActive(names.Active)
 }
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -33,6 +33,7 @@
 type Rules struct {
 	name    string
 	zone    string
+	active  func() int // entry hosts that serve one name, nil: not told
 	log     agreement.Log
 	machine *state.Machine
 	fleet   *fleet.Fleet
@@ -46,6 +47,12 @@
 	return &Rules{name: name, log: log, machine: machine, fleet: hosts, shared: newConfirmer(log)}
 }
 
+// WithActive sets how watchers are told how many entry hosts serve one name.
+func (s *Rules) WithActive(active func() int) *Rules {
+	s.active = active
+	return s
+}
+
 // WithZone sets the availability zone that watchers are told.
 func (s *Rules) WithZone(zone string) *Rules {
 	s.zone = zone
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -71,6 +71,9 @@
 		response.Seeds = s.fleet.Seeds(req.GetReport().GetName(), time.Now())
 		return
 	}
+	if s.active != nil {
+		response.ActiveHosts = uint32(s.active())
+	}
 	response.Instances, response.InstancesRevision = s.machine.Instances(req.GetKnownInstances())
 	response.Suspects, response.SuspectsRevision = s.fleet.Suspects(req.GetKnownSuspects())
 }
--- a/entry/control/primary_test.go
+++ b/entry/control/primary_test.go
@@ -109,6 +109,8 @@
 
 func (*known) Suspect([]*wire.Suspect) {}
 
+func (*known) Active(int) {}
+
 func TestAnotherHostTellsOfInstancesOnceThePrimaryIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := tellingGroup{}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -53,7 +53,7 @@
 			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
 			newPolicy,
 			func() *route.Views { return &route.Views{} },
-			registry.New,
+			registry.New, registry.NewMembership,
 			rules.NewTable, placement.NewRates, backlog.NewBook, decision.NewLog,
 			newControlHosts, newPool, newSettler, newSuspects,
 			newClient, newState, newWatch, newNode, newRouter, newDoors, newExporter,
@@ -107,7 +107,7 @@
 		Name: s.cfg.Host.Name, Zone: s.cfg.Host.Zone, Role: "entry", State: s.Name(),
 		CallersAddress: s.cfg.Listen.Callers, PeersAddress: s.cfg.Listen.Peers, PlatformAddress: s.cfg.Listen.Platform,
 		Version: s.table.Current().Number(), ReportedAt: now.UnixNano(), Backlog: s.book.Services(now),
-		VersionConfirmedAt: s.table.ConfirmedNano(), InFlight: uint32(inFlight), Suspects: s.suspects.Suspects(),
+		VersionConfirmedAt: s.table.ConfirmedNano(), InFlight: uint32(inFlight), Suspects: s.suspects.Suspects(), RateCapacity: s.cfg.Host.RateCapacity(),
 	}
 }
 
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -56,7 +56,7 @@
 	})
 }
 
-func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, reg *registry.Registry, suspects *poison.Book, current *controlHosts, logger hclog.Logger) *control.Watch {
+func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, members *registry.Membership, suspects *poison.Book, current *controlHosts, logger hclog.Logger) *control.Watch {
 	client := ring.Client(&http.Client{Transport: control.NewTransport()})
 	opts := []control.WatchOption{
 		control.WithRates(rates.Store),
@@ -64,7 +64,7 @@
 	}
 	join := node.Join
 	if cfg.Peers.Membership == settings.MembershipControl {
-		opts = append(opts, control.WithMembership(registry.NewMembership(reg, suspects)), control.WithZone(cfg.Host.Zone))
+		opts = append(opts, control.WithMembership(members), control.WithZone(cfg.Host.Zone))
 		join = func([]*wire.GossipHost) {}
 	}
 	watch := control.NewWatch(current.Addresses, client, table, state.Report, join, logger, opts...)
--- a/entry/host/probe.go
+++ b/entry/host/probe.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/entry/probe"
+	"github.com/snipebeam/snipebeam/entry/registry"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
@@ -40,7 +41,7 @@
 	logger  hclog.Logger
 }
 
-func runProbes(lc fx.Lifecycle, cfg *settings.Settings, o options, views *route.Views, table *rules.Table, links *upstream.Pool, router *route.Router, logger hclog.Logger) {
+func runProbes(lc fx.Lifecycle, cfg *settings.Settings, o options, views *route.Views, table *rules.Table, links *upstream.Pool, router *route.Router, members *registry.Membership, logger hclog.Logger) {
 	if cfg.Probe.StaleMs == 0 {
 		return
 	}
@@ -48,6 +49,7 @@
 	p := &prober{table: table, links: links, router: router, o: o, cfg: cfg, logger: logger.Named("probe")}
 	p.planner = probe.NewPlanner(probe.Settings{
 		Hosts: cfg.Probe.Hosts, Window: probeWindow, Most: milliseconds(cfg.Probe.MostMs), Stale: milliseconds(cfg.Probe.StaleMs), Least: cfg.Probe.LeastRate,
+		Active: members.ActiveHosts,
 	}, views, terms, time.Now().UnixNano())
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.StartStopHook(func() { go p.run(ctx) }, cancel))
--- a/entry/registry/membership.go
+++ b/entry/registry/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipebeam/snipebeam/entry/poison"
@@ -16,8 +17,17 @@
 
 	mu    sync.Mutex
 	known uint64
+
+	active atomic.Int32
 }
 
+// Active takes the number of entry hosts that serve one name.
+func (m *Membership) Active(hosts int) { m.active.Store(int32(hosts)) }
+
+// ActiveHosts returns the number of entry hosts that serve one name, at least
+// this one.
+func (m *Membership) ActiveHosts() int { return max(int(m.active.Load()), 1) }
+
 // NewMembership returns a membership that knows no instance.
 func NewMembership(registry *Registry, suspects *poison.Book) *Membership {
 	return &Membership{registry: registry, suspects: suspects}
--- a/entry/route/aims.go
+++ b/entry/route/aims.go
@@ -10,8 +10,8 @@
 
 // Constants of requests that aim at a time for their answer.
 const (
-	aimMargin  = 1.0  // deviations beside the usual time that an answer must have left
-	brinkShare = 0.6  // of the usual time: with less to spare, the newest request goes first
+	aimMargin  = 1.0 // deviations beside the usual time that an answer must have left
+	brinkShare = 0.6 // of the usual time: with less to spare, the newest request goes first
 	// lateSpan is how long requests that missed their aim may have to wait for
 	// each other, as far as completions of late show; more are refused at once.
 	lateSpan = 600 * time.Millisecond
--- a/entry/settings/host.go
+++ b/entry/settings/host.go
@@ -12,6 +12,8 @@
 type Host struct {
 	Name             string  `toml:"name" comment:"unique name of this host"`
 	Zone             string  `toml:"zone" comment:"availability zone"`
+	Cores            float64 `toml:"cores" comment:"cores that this process may use, 0 if not known; callers are spread over more hosts by it"`
+	LinkMbps         float64 `toml:"linkMbps" comment:"bandwidth of this host's link, megabits a second, 0 if not known; callers are spread over more hosts by it"`
 	LeaveSeconds     float64 `toml:"leaveSeconds" comment:"time that a stopping host goes on taking requests, until no caller holds its address: the lifetime of address answers and 2 s for the news"`
 	StopLimitSeconds float64 `toml:"stopLimitSeconds" comment:"most time that a planned stop waits for requests in flight, 0 for no limit"`
 }
@@ -19,7 +21,33 @@
 func (h Host) check(c *setting.Checker) {
 	c.Given("host.name", h.Name, "name this host, unique among all, here or with --name")
 	c.Positive("host.leaveSeconds", h.LeaveSeconds)
+	if h.Cores < 0 || h.LinkMbps < 0 {
+		c.Fail("host.cores", "or host.linkMbps is negative", "0 means not known")
+	}
 	if h.StopLimitSeconds < 0 {
 		c.Fail("host.stopLimitSeconds", "is below 0", "0 means no limit")
 	}
 }
+
+// What a request costs an entry host, as measured on days of high load, and
+// the share of the host that requests may take so that bursts find room.
+const (
+	requestSeconds = 0.0005 // of a core, with its part of the probes
+	requestBytes   = 6000   // one way, uploads included
+	coreShare      = 0.6
+	linkShare      = 0.3
+	bytesOfMegabit = 125_000
+)
+
+// RateCapacity returns the requests a second that this host can take, 0 if its
+// resources are not known.
+func (h Host) RateCapacity() float64 {
+	capacity := 0.0
+	if h.Cores > 0 {
+		capacity = h.Cores * coreShare / requestSeconds
+	}
+	if byLink := h.LinkMbps * bytesOfMegabit * linkShare / requestBytes; byLink > 0 && (capacity == 0 || byLink < capacity) {
+		capacity = byLink
+	}
+	return capacity
+}
