--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -235,7 +235,7 @@
 }
 
 func (h *Handler) fail(c *call, problem *outcome.Problem) {
-	c.decision.Problem = string(problem.Reason())
+	c.decision.Problem, c.decision.Detail = string(problem.Reason()), problem.Detail()
 	c.decision.Status = problem.Status()
 	h.write(c, string(problem.Kind()))
 	if c.sent {
--- a/entry/decision/decision.go
+++ b/entry/decision/decision.go
@@ -30,6 +30,7 @@
 	Reported     int     `json:"reported,omitempty"`   // by the instance itself
 	KnownAgeNs   int64   `json:"knownAgeNs,omitempty"` // age of what others and the instance said
 	Score        float64 `json:"score"`
+	Speed        float64 `json:"speed,omitempty"`        // multiple of the usual time that work takes, as last told
 	LatencyNs    int64   `json:"latencyNs,omitempty"`    // service time, normalised by the requests in flight
 	LatencyAgeNs int64   `json:"latencyAgeNs,omitempty"` // age of the last answer that it was learnt from
 	WhyExcluded  string  `json:"whyExcluded,omitempty"`
@@ -55,6 +56,7 @@
 	Status     int           `json:"status,omitempty"`
 	Outcome    string        `json:"outcome,omitempty"`
 	Problem    string        `json:"problem,omitempty"`
-	Hosts      []string      `json:"hosts,omitempty"` // entry hosts of a placement
+	Detail     string        `json:"detail,omitempty"` // why, for people
+	Hosts      []string      `json:"hosts,omitempty"`  // entry hosts of a placement
 	Candidates []Candidate   `json:"candidates,omitempty"`
 }
