route: an allowance of retries beside the budget; tests of what grew

Cause: second copies of late requests were bounded by a fifth of the requests, while the platform allows 125 more in ten seconds. The allowance is divided by the hosts that serve, and half of it stays unused for hosts that take over.

--- /dev/null
+++ b/control/directory/directory_test.go
@@ -0,0 +1,61 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/control/directory"
+	"github.com/snipebeam/snipebeam/control/fleet"
+	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+const text = `
+route shop at a.example /x/: deadline 1s # Marie: why
+route pay at a.example /pay/: deadline 1s # Marie: why
+route pay=1,photos=1 at b.example /y/: deadline 1s # Marie: why
+route alone at c.example /z/: deadline 1s # Marie: why
+`
+
+func newDirectory(hosts int, rate, capacity float64) *directory.Directory {
+	m, f := state.New(), fleet.New()
+	m.Apply(&wire.Command{Body: &wire.Command_Submit{Submit: &wire.SubmitRequest{SubmissionId: "1", Number: 7, Text: text}}})
+	for n := range hosts {
+		f.Enter(&wire.HostReport{
+			Name: fmt.Sprintf("e%d", n), Role: "entry", State: "ready", Zone: fmt.Sprint("z", n%3), RateCapacity: capacity,
+			Backlog: []*wire.ServiceBacklog{{Service: "photos", ArrivalsPerS: rate / float64(hosts)}},
+		}, time.Now())
+	}
+	return directory.New(m, f)
+}
+
+func TestNamesThatShareAServiceShareTheirEntryHosts(t *testing.T) {
+	d := newDirectory(29, 10, 100)
+	first, known := d.Resolve("A.example", "z0")
+	must.True(t, known)
+	must.Len(t, 1, first)
+	second, _ := d.Resolve("b.example", "z1")
+	must.Eq(t, first[0].GetName(), second[0].GetName())
+	_, known = d.Resolve("none.example", "z0")
+	must.False(t, known)
+}
+
+func TestMoreHostsAreNamedThanOneCanTake(t *testing.T) {
+	d := newDirectory(29, 1000, 100)
+	hosts, _ := d.Resolve("a.example", "z0")
+	must.Len(t, 10, hosts)
+	must.Eq(t, 10, d.Active())
+	alone, _ := d.Resolve("c.example", "z0")
+	must.Len(t, 1, alone)
+}
+
+func TestAHostThatDoesNotPollIsNotNamed(t *testing.T) {
+	f := fleet.New()
+	_, leave := f.Enter(&wire.HostReport{Name: "e", Role: "entry", State: "ready"}, time.Now())
+	must.Len(t, 1, f.Reached(time.Now().Add(time.Hour)))
+	leave()
+	must.Len(t, 1, f.Reached(time.Now()))
+	must.SliceEmpty(t, f.Reached(time.Now().Add(2*fleet.ReachedAfter)))
+}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -138,10 +138,14 @@
 	return route.ByName(name)
 }
 
-func newRouter(cfg *settings.Settings, rates *placement.Rates, views *route.Views, policy route.Policy, table *rules.Table, node *peer.Node) *route.Router {
+func newRouter(cfg *settings.Settings, rates *placement.Rates, views *route.Views, policy route.Policy, table *rules.Table, node *peer.Node, members *registry.Membership) *route.Router {
 	where := &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, rates: rates, table: table, entries: node.Entries}
+	share := where.share
+	if cfg.Peers.Membership == settings.MembershipControl {
+		share = func(string) float64 { return 1 / float64(members.ActiveHosts()) }
+	}
 	return route.NewRouter(views, policy,
-		route.WithShare(where.share),
+		route.WithShare(share),
 		route.WithLimits(route.Limits{
 			Waiting: cfg.Route.QueueLength, Wait: seconds(cfg.Route.QueueSeconds),
 			Bypass: cfg.Route.Bypass, MaxEjected: cfg.Route.MaxEjected,
--- a/entry/route/admission.go
+++ b/entry/route/admission.go
@@ -17,6 +17,7 @@
 	inFlight atomic.Int32
 	rate     limit.Rate
 	retries  limit.Budget
+	extra    limit.Rate // retries beside the budget
 	callers  *limit.Callers[callerKey]
 }
 
@@ -100,6 +101,28 @@
 	return nil
 }
 
+// Parts of the allowance of retries that this host uses in a window. What is
+// left is for hosts that took over from one another within it, and for those
+// that callers are not told of.
+const (
+	allowanceBurst  = 0.2
+	allowanceRefill = 0.3
+)
+
+// spendRetry takes one retry from the budget, or from this host's part of the
+// allowance.
+func (d *Dispatcher) spendRetry() bool {
+	if d.limits.retries.Spend() {
+		return true
+	}
+	n, window := d.router.terms(d.service).RetryAllowance()
+	part := float64(n) * d.router.share(d.service)
+	if part < 1/allowanceBurst {
+		return false
+	}
+	return d.limits.extra.Allow(d.router.clock(), allowanceRefill*part/window.Seconds(), allowanceBurst*part)
+}
+
 // full reports whether the service has as many requests in flight as it may.
 func (a *admission) full(terms *contract.Service, share float64) bool {
 	most := terms.InFlight()
--- a/entry/route/hedge.go
+++ b/entry/route/hedge.go
@@ -37,7 +37,7 @@
 	if ticket == nil {
 		return nil
 	}
-	if !d.limits.retries.Spend() {
+	if !d.spendRetry() {
 		ticket.unused()
 		return nil
 	}
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -188,7 +188,7 @@
 // AllowRetry takes one retry from the service's budget, which its requests
 // earn, and reports whether there was one.
 func (r *Router) AllowRetry(service string) bool {
-	return r.Dispatcher(service).limits.retries.Spend()
+	return r.Dispatcher(service).spendRetry()
 }
 
 // Waiting returns how many requests of a service wait at this host and how
--- a/world/contract/service.go
+++ b/world/contract/service.go
@@ -29,6 +29,8 @@
 	policy         string
 	retryBudget    float64
 	health         string
+	allowance      int
+	window         time.Duration
 }
 
 // ServiceOption changes one term of a service.
@@ -131,3 +133,13 @@
 // Health returns the path at which an instance tells of its load, empty if it
 // has none.
 func (s *Service) Health() string { return s.health }
+
+// WithRetryAllowance adds to the retry budget so many retries in any window, of
+// all hosts together.
+func WithRetryAllowance(n int, window time.Duration) ServiceOption {
+	return func(s *Service) { s.allowance, s.window = n, window }
+}
+
+// RetryAllowance returns how many retries beside the budget's share of the
+// requests there may be in any window, 0 for none.
+func (s *Service) RetryAllowance() (n int, window time.Duration) { return s.allowance, s.window }
--- a/world/rule/term.go
+++ b/world/rule/term.go
@@ -58,6 +58,11 @@
 	"limit":  func(v *values) contract.ServiceOption { return contract.WithInFlight(v.count(maxCount)) },
 	"rate":   func(v *values) contract.ServiceOption { return contract.WithRate(v.rate()) },
 	"spread": func(v *values) contract.ServiceOption { return contract.WithSpread(v.count(maxSpread)) },
+	"retryAllowance": func(v *values) contract.ServiceOption {
+		count := v.count(maxCount)
+		v.keyword("per")
+		return contract.WithRetryAllowance(count, v.duration(maxDeadline))
+	},
 	"health": func(v *values) contract.ServiceOption { return contract.WithHealth(v.word()) },
 	"policy": func(v *values) contract.ServiceOption { return contract.WithPolicy(v.word()) },
 	"retryBudget": func(v *values) contract.ServiceOption {
