directory: named hosts divide the instances; hosts are there before rates are known

Cause: on the grown site the directory named one host until rates were known, and that host broke down within the first seconds; later some 60 hosts shared each instance and none knew what it had.

Change: for each slot there is room for half a request a second before any rate is known; each named host uses its part of the instances first and probes those alone, others while its part is busy.

--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -25,6 +25,9 @@
 // Lifetime is how long callers keep an answer.
 const Lifetime = 2 * time.Second
 
+// maxHosts is how many entry hosts one answer names at most.
+const maxHosts = 64
+
 // Directory answers from the rules in force and the entry hosts that poll this
 // control host.
 type Directory struct {
@@ -37,6 +40,9 @@
 	number uint64
 	set    *rule.Set
 	groups map[string][]string // services by host, as they were asked for
+
+	slotsAt uint64 // revision of the instances that were counted
+	slotsOf map[string]int
 }
 
 // Option changes one property.
@@ -66,7 +72,7 @@
 		return nil, false
 	}
 	entries := d.fleet.Reached(time.Now())
-	return placement.Choose(entries, services[0], zone, placement.Plan{Spread: d.active(services, entries)}).Hosts(), true
+	return placement.Choose(entries, services[0], zone, placement.Plan{Spread: min(d.active(services, entries), maxHosts)}).Hosts(), true
 }
 
 // active returns how many entry hosts carry the requests for services.
@@ -77,9 +83,56 @@
 			rate += one.GetArrivalsPerS()
 		}
 	}
+	rate = max(rate, leastSlotRate*float64(d.slots(services)))
 	return max(placement.ActiveCount(rate, d.capacity(entries)), d.least)
 }
 
+// leastSlotRate is the requests a second for which there are entry hosts
+// for each slot of the instances, before any rate is known: a share of what a
+// slot carries of requests that take a quarter of a second.
+const leastSlotRate = 0.5
+
+// slots returns the slots of the instances of services.
+func (d *Directory) slots(services []string) int {
+	revision := d.machine.InstancesRevision()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if revision != d.slotsAt || d.slotsOf == nil {
+		all, _ := d.machine.Instances(0)
+		d.slotsAt, d.slotsOf = revision, map[string]int{}
+		for _, m := range all {
+			d.slotsOf[m.GetService()] += int(m.GetSlots())
+		}
+	}
+	total := 0
+	for _, service := range services {
+		total += d.slotsOf[service]
+	}
+	return total
+}
+
+// Parts returns an entry host's parts of the services that it is named for.
+func (d *Directory) Parts(host string) []*wire.ServicePart {
+	var parts []*wire.ServicePart
+	entries := d.fleet.Reached(time.Now())
+	seen := map[string]bool{}
+	for _, services := range d.allTogether() {
+		if seen[services[0]] {
+			continue
+		}
+		seen[services[0]] = true
+		hosts := placement.Choose(entries, services[0], "", placement.Plan{Spread: min(d.active(services, entries), maxHosts)}).Hosts()
+		at := slices.IndexFunc(hosts, func(h *wire.HostReport) bool { return h.GetName() == host })
+		if at < 0 || len(hosts) < 2 {
+			continue
+		}
+		for _, service := range services {
+			parts = append(parts, &wire.ServicePart{Service: service, Part: uint32(at), Parts: uint32(len(hosts))})
+		}
+	}
+	return parts
+}
+
 // capacity returns the requests a second that each entry host can take: what
 // the weakest one reports, within the setting.
 func (d *Directory) capacity(entries []*wire.HostReport) float64 {
--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -33,7 +33,7 @@
 type Rules struct {
 	name    string
 	zone    string
-	active  func() int // entry hosts that serve one name, nil: not told
+	names   Names // nil: watchers are not told of names
 	log     agreement.Log
 	machine *state.Machine
 	fleet   *fleet.Fleet
@@ -47,9 +47,17 @@
 	return &Rules{name: name, log: log, machine: machine, fleet: hosts, shared: newConfirmer(log)}
 }
 
-// WithActive sets how watchers are told how many entry hosts serve one name.
-func (s *Rules) WithActive(active func() int) *Rules {
-	s.active = active
+// Names tells how entry hosts divide what callers of names ask for.
+type Names interface {
+	// Active returns the largest number of entry hosts that serve one name.
+	Active() int
+	// Parts returns an entry host's parts of the services that it serves.
+	Parts(host string) []*wire.ServicePart
+}
+
+// WithNames sets how watchers are told what part they have.
+func (s *Rules) WithNames(names Names) *Rules {
+	s.names = names
 	return s
 }
 
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -71,8 +71,9 @@
 		response.Seeds = s.fleet.Seeds(req.GetReport().GetName(), time.Now())
 		return
 	}
-	if s.active != nil {
-		response.ActiveHosts = uint32(s.active())
+	if s.names != nil {
+		response.ActiveHosts = uint32(s.names.Active())
+		response.Parts = s.names.Parts(req.GetReport().GetName())
 	}
 	response.Instances, response.InstancesRevision = s.machine.Instances(req.GetKnownInstances())
 	response.Suspects, response.SuspectsRevision = s.fleet.Suspects(req.GetKnownSuspects())
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -75,8 +75,9 @@
 	Take(instances []*wire.Instance, revision uint64)
 	// Suspect takes fingerprints of requests that cost instances.
 	Suspect(suspects []*wire.Suspect)
-	// Active takes the number of entry hosts that serve one name.
-	Active(hosts int)
+	// Active takes the number of entry hosts that serve one name, and this
+	// host's parts of services.
+	Active(hosts int, parts []*wire.ServicePart)
 }
 
 // WithMembership learns instances and suspects from the control hosts.
@@ -250,7 +251,7 @@
 	if primary {
 		w.members.Take(response.GetInstances(), response.GetInstancesRevision())
 		w.members.Suspect(response.GetSuspects())
-		w.members.Active(int(response.GetActiveHosts()))
+		w.members.Active(int(response.GetActiveHosts()), response.GetParts())
 		host.suspects = response.GetSuspectsRevision()
 	}
 	if !response.GetStale() {
--- a/entry/probe/planner.go
+++ b/entry/probe/planner.go
@@ -11,12 +11,12 @@
 
 // Settings of probes.
 type Settings struct {
-	Hosts  int           // entry hosts that may exist at one time
-	Active func() int    // entry hosts that probe now, if more than Hosts; nil: not known
-	Window time.Duration // over which the budget holds
-	Most   time.Duration // time that one probe may take
-	Stale  time.Duration // age from which what is known is no longer fresh
-	Least  float64       // answers a second from which a host serves a service, 0 for any
+	Hosts  int                             // entry hosts that may exist at one time
+	Part   func(service string) route.Part // of the instances that this host asks; nil: all
+	Window time.Duration                   // over which the budget holds
+	Most   time.Duration                   // time that one probe may take
+	Stale  time.Duration                   // age from which what is known is no longer fresh
+	Least  float64                         // answers a second from which a host serves a service, 0 for any
 }
 
 // Planner says which instances to probe. A host asks only about services that
@@ -56,8 +56,11 @@
 		if !p.serves(view, now) {
 			continue
 		}
-		budget := p.terms(service).ProbeBudget() * p.part()
-		for _, m := range view.Members() {
+		budget := p.terms(service).ProbeBudget()
+		for at, m := range view.Members() {
+			if p.settings.Part != nil && !p.settings.Part(service).Owns(at) {
+				continue
+			}
 			if p.fresh(m, now) || m.Instance().Draining() {
 				continue
 			}
@@ -69,19 +72,6 @@
 	return due
 }
 
-// part returns the part of the budget that this host may use when more hosts
-// probe than the ledgers are made for.
-func (p *Planner) part() float64 {
-	if p.settings.Active == nil {
-		return 1
-	}
-	active := 1
-	for active*p.settings.Hosts < p.settings.Active() {
-		active *= 2 // in steps, since each change begins a new window
-	}
-	return 1 / float64(active)
-}
-
 // prune forgets instances that are gone once their last probe is a window old.
 func (p *Planner) prune(now int64) {
 	known := map[instance.ID]bool{}
--- a/entry/registry/membership.go
+++ b/entry/registry/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/snipebeam/snipebeam/entry/poison"
+	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -19,10 +20,28 @@
 	known uint64
 
 	active atomic.Int32
+	parts  atomic.Pointer[map[string]route.Part]
 }
 
-// Active takes the number of entry hosts that serve one name.
-func (m *Membership) Active(hosts int) { m.active.Store(int32(hosts)) }
+// Active takes the number of entry hosts that serve one name, and this host's
+// parts of services.
+func (m *Membership) Active(hosts int, parts []*wire.ServicePart) {
+	m.active.Store(int32(hosts))
+	next := make(map[string]route.Part, len(parts))
+	for _, one := range parts {
+		next[one.GetService()] = route.Part{At: int(one.GetPart()), Of: int(one.GetParts())}
+	}
+	m.parts.Store(&next)
+}
+
+// Part returns this host's part of a service's instances.
+func (m *Membership) Part(service string) route.Part {
+	parts := m.parts.Load()
+	if parts == nil {
+		return route.Part{}
+	}
+	return (*parts)[service]
+}
 
 // ActiveHosts returns the number of entry hosts that serve one name, at least
 // this one.
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -89,6 +89,7 @@
 		return nil, AllBusy
 	}
 	policy := d.router.policyOf(terms)
+	q.part = d.router.part(d.service)
 	t := &Ticket{}
 	if d.router.trace {
 		t.trace = &Trace{}
--- a/entry/route/lowest.go
+++ b/entry/route/lowest.go
@@ -33,6 +33,9 @@
 
 // Choose returns the position of the member with the lowest score.
 func (p *Lowest[S]) Choose(view *View, query *Query, now int64, random Random, trace *Trace) int {
+	if best := p.own(view, query, now, random, trace); best >= 0 {
+		return best
+	}
 	sample := p.sample
 	if sample == 0 && len(view.members) > sampleAbove {
 		sample = sampleSize
@@ -55,6 +58,18 @@
 	return s.best
 }
 
+// own returns the best member of this host's part, if it has room.
+func (p *Lowest[S]) own(view *View, query *Query, now int64, random Random, trace *Trace) int {
+	if query.part.Of < 2 {
+		return NoMember
+	}
+	s := scan[S]{policy: p, view: view, query: query, now: now, random: random, trace: trace, best: NoMember}
+	for at := query.part.At; at < len(view.members); at += query.part.Of {
+		s.look(at, p.eject)
+	}
+	return s.best
+}
+
 // scan is one pass over members.
 type scan[S Scorer] struct {
 	policy *Lowest[S]
--- a/entry/route/query.go
+++ b/entry/route/query.go
@@ -14,6 +14,7 @@
 	caller   string
 	zone     string
 	exclude  []instance.ID
+	part     Part
 	aim      int64 // Unix nanoseconds, 0 for none
 	deadline int64 // Unix nanoseconds, 0 for none
 }
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -36,6 +36,7 @@
 	policies *policyTable
 	terms    func(service string) *contract.Service
 	share    func(service string) float64
+	part     func(service string) Part
 	clock    func() int64
 	random   Random
 	trace    bool
@@ -89,7 +90,7 @@
 // NewRouter returns a router over the views.
 func NewRouter(views *Views, policy Policy, opts ...Option) *Router {
 	r := &Router{
-		views: views, policy: policy, policies: newPolicyTable(ByName), terms: contractOf, share: whole, trace: true, limits: DefaultLimits(),
+		views: views, policy: policy, policies: newPolicyTable(ByName), terms: contractOf, share: whole, part: func(string) Part { return Part{} }, trace: true, limits: DefaultLimits(),
 		clock:  func() int64 { return time.Now().UnixNano() },
 		random: NewRandom(rand.Uint64),
 	}
