--- a/entry/host/probe.go
+++ b/entry/host/probe.go
@@ -49,7 +49,7 @@
 	p := &prober{table: table, links: links, router: router, o: o, cfg: cfg, logger: logger.Named("probe")}
 	p.planner = probe.NewPlanner(probe.Settings{
 		Hosts: cfg.Probe.Hosts, Window: probeWindow, Most: milliseconds(cfg.Probe.MostMs), Stale: milliseconds(cfg.Probe.StaleMs), Least: cfg.Probe.LeastRate,
-		Part: members.Part,
+		Part: members.Probed,
 	}, views, terms, time.Now().UnixNano())
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.StartStopHook(func() { go p.run(ctx) }, cancel))
--- a/entry/registry/membership.go
+++ b/entry/registry/membership.go
@@ -43,6 +43,14 @@
 	return (*parts)[service]
 }
 
+// Probed returns the part of a service's instances that this host asks for
+// their load, and whether it asks any: where several hosts serve one name, a
+// host that is not among them does not.
+func (m *Membership) Probed(service string) (route.Part, bool) {
+	part := m.Part(service)
+	return part, part.Of > 0 || m.ActiveHosts() < 2
+}
+
 // ActiveHosts returns the number of entry hosts that serve one name, at least
 // this one.
 func (m *Membership) ActiveHosts() int { return max(int(m.active.Load()), 1) }
--- /dev/null
+++ b/entry/registry/membership_test.go
@@ -0,0 +1,41 @@
+package registry_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/poison"
+	"github.com/snipebeam/snipebeam/entry/registry"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+func TestMembershipTakesEachRecordOnceInOrder(t *testing.T) {
+	views := &route.Views{}
+	m := registry.NewMembership(registry.New(views), poison.NewBook())
+	record := func(id string, revision uint64, gone bool) *wire.Instance {
+		return &wire.Instance{Id: id, Service: "shop", Address: "10.0.0.1:80", Incarnation: 1, Revision: revision, Gone: gone}
+	}
+	m.Take([]*wire.Instance{record("a", 1, false), record("b", 2, false)}, 2)
+	must.Len(t, 2, views.Load("shop").Members())
+	m.Take([]*wire.Instance{record("a", 3, true)}, 3)
+	must.Len(t, 1, views.Load("shop").Members())
+	m.Take([]*wire.Instance{record("a", 1, false)}, 2) // of a control host that is behind
+	must.Len(t, 1, views.Load("shop").Members())
+	must.Eq(t, 3, m.Known())
+}
+
+func TestOnlyHostsThatServeANameProbe(t *testing.T) {
+	m := registry.NewMembership(registry.New(&route.Views{}), poison.NewBook())
+	part, asks := m.Probed("shop")
+	must.True(t, asks)
+	must.True(t, part.Owns(7))
+	m.Active(5, nil)
+	_, asks = m.Probed("shop")
+	must.False(t, asks)
+	m.Active(5, []*wire.ServicePart{{Service: "shop", Part: 2, Parts: 5}})
+	part, asks = m.Probed("shop")
+	must.True(t, asks)
+	must.True(t, part.Owns(7))
+	must.False(t, part.Owns(8))
+}
