--- a/world/program/reload.go
+++ b/world/program/reload.go
@@ -6,6 +6,9 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/snipebeam/snipebeam/world/finding"
 )
 
 // settingsInterval is how often a settings file is looked at: it may change
@@ -31,6 +34,23 @@
 	}
 }
 
+// Reloader returns a function that reads changed settings again: nil if their
+// file has not changed, or cannot be used.
+func Reloader[T any](path string, load func(path string) (*T, finding.List), logger hclog.Logger) func() *T {
+	change := NewFileChange(path)
+	return func() *T {
+		if !change.Changed() {
+			return nil
+		}
+		next, findings := load(path)
+		if err := findings.Err(); err != nil {
+			logger.Error("the settings cannot be used, the last ones hold", "error", err)
+			return nil
+		}
+		return next
+	}
+}
+
 // FileChange tells whether a file changed since it was last asked.
 type FileChange struct {
 	path string
