entry: tests without data races of their own

The race detector found two tests that read what other goroutines write; the packages caller, route, control and registry of entry, and peer, operator and directory of control are clean under it.

--- a/entry/control/primary_test.go
+++ b/entry/control/primary_test.go
@@ -37,6 +37,12 @@
 	h.changed = make(chan struct{})
 }
 
+func (h *tellingHost) asked() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.polls
+}
+
 // Watch answers with news, at the end of the wait, or when the quorum is lost.
 func (h *tellingHost) Watch(ctx context.Context, req *wire.WatchRequest) (*wire.WatchResponse, error) {
 	timer := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
@@ -128,9 +134,9 @@
 			w.Run(ctx)
 		}()
 		time.Sleep(10 * time.Second)
-		before := g["c1"].polls
+		before := g["c1"].asked()
 		time.Sleep(30 * time.Second)
-		must.Greater(t, before, g["c1"].polls, must.Sprint("the host of the own zone tells"))
+		must.Greater(t, before, g["c1"].asked(), must.Sprint("the host of the own zone tells"))
 		for _, name := range []string{"c0", "c2", "c1"} { // each answer is one that nobody confirmed
 			g[name].set(func() { g[name].version = 2 })
 			time.Sleep(10 * time.Millisecond)
--- a/entry/route/aims_test.go
+++ b/entry/route/aims_test.go
@@ -1,6 +1,8 @@
 package route_test
 
 import (
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,19 +28,37 @@
 	return r
 }
 
+// turns are the names of requests in the order of their turns.
+type turns struct {
+	mu  sync.Mutex
+	all []string
+}
+
+func (o *turns) add(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.all = append(o.all, name)
+}
+
+func (o *turns) seen() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.all)
+}
+
 // offer queues a request and notes when its turn comes, or that it is refused.
-func offer(r *route.Router, name string, aim, deadline time.Duration, order *[]string, terms *contract.Contract) {
+func offer(r *route.Router, name string, aim, deadline time.Duration, order *turns, terms *contract.Contract) {
 	q := route.NewQuery(service, terms, "", "").Before(time.Now().Add(deadline)).Aiming(time.Now().Add(aim))
 	_, _, err := r.Offer(q, func(ticket *route.Ticket, err error) {
 		if err != nil {
-			*order = append(*order, name+" refused")
+			order.add(name + " refused")
 			return
 		}
-		*order = append(*order, name)
+		order.add(name)
 		time.AfterFunc(usual, func() { ticket.Finish(route.Report{Latency: usual}) })
 	})
 	if err != nil {
-		*order = append(*order, name+" refused at once")
+		order.add(name + " refused at once")
 	}
 }
 
@@ -47,7 +67,7 @@
 		r := taught(t)
 		busy, err := r.Acquire(t.Context(), query())
 		must.NoError(t, err)
-		var order []string
+		var order turns
 		terms := contract.New()
 		offer(r, "missed", -time.Second, 5*time.Second, &order, terms)
 		offer(r, "later", 5*time.Second, 9*time.Second, &order, terms)
@@ -55,7 +75,7 @@
 		offer(r, "urgent", 6*time.Second, 9*time.Second, &order, contract.New(contract.WithPriority(contract.PriorityHigh)))
 		busy.Finish(route.Report{Latency: usual})
 		time.Sleep(time.Minute)
-		must.Eq(t, []string{"urgent", "sooner", "later", "missed"}, order)
+		must.Eq(t, []string{"urgent", "sooner", "later", "missed"}, order.seen())
 	})
 }
 
@@ -64,12 +84,12 @@
 		r := taught(t)
 		busy, err := r.Acquire(t.Context(), query())
 		must.NoError(t, err)
-		var order []string
+		var order turns
 		offer(r, "old", usual+usual/4, time.Second, &order, contract.New())
 		offer(r, "new", usual+usual/3, time.Second, &order, contract.New())
 		busy.Finish(route.Report{Latency: usual})
 		time.Sleep(time.Minute)
-		must.Eq(t, []string{"new", "old"}, order)
+		must.Eq(t, []string{"new", "old"}, order.seen())
 	})
 }
 
@@ -78,14 +98,14 @@
 		r := taught(t)
 		_, err := r.Acquire(t.Context(), query())
 		must.NoError(t, err)
-		var order []string
+		var order turns
 		offer(r, "hopeless", usual/2, usual/2, &order, contract.New())
-		must.Eq(t, []string{"hopeless refused"}, order)
+		must.Eq(t, []string{"hopeless refused"}, order.seen())
 		// Of those that missed their aim only so many wait as are served soon.
 		for range 50 {
 			offer(r, "late", -time.Second, time.Minute, &order, contract.New())
 		}
-		must.Greater(t, 30, len(order))
+		must.Greater(t, 30, len(order.seen()))
 		n, _ := r.Waiting(service)
 		must.Positive(t, n)
 		must.LessEq(t, 12, n)
