--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -85,9 +85,10 @@
 		},
 		OnStop: func(stopCtx context.Context) error {
 			defer cancel()
-			state.draining.Store(true)
-			parts.Watch.Report(stopCtx)
-			drain(stopCtx, state, parts.Settler, logger)
+			drain(stopCtx, state, parts.Settler, stopDoors{
+				report: parts.Watch.Report,
+				refuse: func(ctx context.Context) { _ = server.Shutdown(ctx) }, // its error is that of the stop below
+			}, logger)
 			return server.Shutdown(stopCtx)
 		},
 	})
--- a/entry/host/stop.go
+++ b/entry/host/stop.go
@@ -18,17 +18,25 @@
 	settleLimit      = 30 * time.Second
 )
 
+// stopDoors are what a planned stop does to others' ways to this host.
+type stopDoors struct {
+	report func(ctx context.Context) // tells the control hosts that it drains
+	refuse func(ctx context.Context) // takes no further connections
+}
+
 // drain leaves the address answers, keeps accepting until the lifetime of the
 // last answer that any host gave has passed, and then waits for what is in
-// flight and for the claims that are not settled yet. Only the context's end,
+// flight, with no more connections taken, and for the claims that are not settled yet. Only the context's end,
 // which a setting may bring about, cuts it short.
-func drain(ctx context.Context, state *State, settler *control.Settler, logger hclog.Logger) {
+func drain(ctx context.Context, state *State, settler *control.Settler, doors stopDoors, logger hclog.Logger) {
 	signal.Ignore(syscall.SIGTERM) // a second one must not cut what the first one waits for
 	state.draining.Store(true)
+	go doors.report(ctx) // a control host that does not answer takes no time from the callers
 	logger.Info("draining", progress(state)...)
 	stopLog := logProgress(ctx, state, logger)
 	defer stopLog()
 	pause.For(ctx, seconds(state.cfg.Host.LeaveSeconds))
+	go doors.refuse(ctx)
 	for {
 		inFlight, _ := state.book.InFlight(time.Now())
 		if inFlight == 0 || !pause.For(ctx, drainPoll) {
