state: an instance that left without naming its start is not taken back

The first heartbeat of a start found no quorum, so the instance was unknown when it left with an empty body. The leave was acknowledged and remembered nothing; two seconds later the first heartbeat, held up on its way, was taken as a new start and the instance got requests.

Ruled out: entry hosts that did not hear of it (they were told of the new record as they should be).

Change: a leave that names no start is kept with the group's clock, for an unknown instance too, and any other start of that id is outdated for 15 s.

--- a/control/state/instances.go
+++ b/control/state/instances.go
@@ -14,6 +14,10 @@
 	// that its late announcements change nothing; the longest delay of a
 	// message is seconds.
 	goneWindow = 20 * time.Minute
+	// unnamedWindow is how long an instance that left without naming its start
+	// is not taken back: an announcement that was held up may be the first one
+	// of the start that left. Partitions hold messages for up to ten seconds.
+	unnamedWindow = 15 * time.Second
 	// maxGone bounds the records of ended instances.
 	maxGone = 20_000
 )
@@ -44,13 +48,16 @@
 	m := req.GetInstance()
 	old := s.byID[m.GetId()]
 	if m.GetGone() && m.GetIncarnation() == 0 {
-		if old == nil {
-			return &wire.AnnouncementResult{}
-		}
 		m = proto.Clone(m).(*wire.Instance)
 		m.Incarnation = old.GetIncarnation() // it did not say which start it is
+		m.LeftAt = max(clock, 1)
 	}
 	switch {
+	case m.GetLeftAt() != 0 && old.GetGone():
+		s.leftAgain(old, m.GetLeftAt())
+		return &wire.AnnouncementResult{}
+	case !m.GetGone() && justLeft(old, clock):
+		return &wire.AnnouncementResult{Outdated: true}
 	case m.GetSilent():
 		return s.silence(old, m)
 	case outdated(old, m) || s.overtaken(m):
@@ -70,6 +77,20 @@
 	return &wire.AnnouncementResult{Changed: true}
 }
 
+// justLeft reports whether an instance left without naming its start a short
+// time ago.
+func justLeft(old *wire.Instance, clock int64) bool {
+	return old.GetLeftAt() != 0 && clock-old.GetLeftAt() < int64(unnamedWindow)
+}
+
+// leftAgain notes that an instance whose known start has ended left: it may have
+// been a later start.
+func (s *instancesState) leftAgain(old *wire.Instance, clock int64) {
+	next := proto.Clone(old).(*wire.Instance)
+	next.LeftAt = clock
+	s.byID[next.GetId()] = next // nothing that readers use has changed
+}
+
 // outdated reports whether a message is of an earlier start, or was overtaken
 // by a later one, or comes after the instance's end.
 func outdated(old, m *wire.Instance) bool {
