rule: read lines like an earlier one without the grammar

Ruled out: the difference itself (2 ms to make, under 1 ms to apply).

Change: a route line that differs in host, prefix and comment from one that was read takes its contract over: 8 ms for the 1,776. A property test holds both ways of reading to the same rules and findings. Routes that limit callers keep a contract each.

--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -26,7 +26,7 @@
 const (
 	maxHistory   = 10_000
 	confirmLimit = time.Second
-	maxTextBytes = 1 << 20
+	maxTextBytes = rule.MaxFileBytes
 )
 
 // Rules implements the Twirp service.
@@ -38,6 +38,7 @@
 	machine *state.Machine
 	fleet   *fleet.Fleet
 	watched watched
+	whole   watched // from an empty text
 	shared  *confirmer
 	checked atomic.Pointer[rule.Set] // the last submission without errors
 }
