control, entry: compressed rules; a primary that stands still is left in a second

The primary answers a poll within 500 ms, and is left after 1.2 s without an answer.

Test: TestADrainIsKnownInTimeThoughThePrimaryStandsStill, which fails with the long wait. The two tests of whole texts read them from the difference now.

--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -159,9 +159,24 @@
 			return
 		}
 	}
+	if data := s.packed(response.GetVersion().GetNumber(), text); len(data) > 0 {
+		response.Delta, response.Whole = data, true
+		return
+	}
 	response.Text = text
 }
 
+// packBytes is the size from which a whole text is told compressed.
+const packBytes = 1 << 10
+
+// packed returns the difference from an empty text, nil for a short text.
+func (s *Rules) packed(number uint64, text string) []byte {
+	if len(text) < packBytes {
+		return nil
+	}
+	return s.whole.difference(0, number, "", text)
+}
+
 // watched keeps the last difference: most hosts know the version before.
 type watched struct {
 	mu       sync.Mutex
@@ -175,7 +190,7 @@
 	if w.from == from && w.to == to {
 		return w.data
 	}
-	if older == "" {
+	if older == "" && from > 0 {
 		return nil // no longer kept
 	}
 	data, err := delta.Make(older, newer)
--- a/control/operator/watch_test.go
+++ b/control/operator/watch_test.go
@@ -86,7 +86,7 @@
 		must.Eq(t, "", got.GetText())
 		got, err = rules.Watch(t.Context(), &wire.WatchRequest{KnownVersion: 1, Whole: true})
 		must.NoError(t, err)
-		must.Eq(t, text(2), got.GetText())
+		must.Eq(t, text(2), wholeText(t, got))
 	})
 }
 
@@ -97,7 +97,7 @@
 		got, err := rules.Watch(t.Context(), &wire.WatchRequest{WaitMs: 3000})
 		must.NoError(t, err)
 		must.False(t, got.GetStale())
-		must.Eq(t, text(1), got.GetText())
+		must.Eq(t, text(1), wholeText(t, got))
 		log.lost.Store(true)
 		got, err = rules.Watch(t.Context(), &wire.WatchRequest{KnownVersion: 1, WaitMs: 3000})
 		must.NoError(t, err)
@@ -145,3 +145,12 @@
 		must.Eq(t, confirmTime/2+confirmTime, time.Since(start))
 	})
 }
+
+// wholeText returns the text of an answer that tells it whole.
+func wholeText(t *testing.T, got *wire.WatchResponse) string {
+	t.Helper()
+	must.True(t, got.GetWhole())
+	all, err := delta.Apply("", got.GetDelta())
+	must.NoError(t, err)
+	return all
+}
--- a/entry/control/primary_test.go
+++ b/entry/control/primary_test.go
@@ -23,6 +23,7 @@
 
 	mu       sync.Mutex
 	cut      bool
+	frozen   bool // answers nothing, and refuses nothing
 	version  uint64
 	revision uint64
 	polls    int // that asked for instances
@@ -48,6 +49,11 @@
 	timer := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
 	defer timer.Stop()
 	h.mu.Lock()
+	if h.frozen {
+		h.mu.Unlock()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	defer h.mu.Unlock()
 	if req.GetInstances() {
 		h.polls++
@@ -67,6 +73,11 @@
 		case <-ctx.Done():
 		}
 		h.mu.Lock()
+		for h.frozen && ctx.Err() == nil {
+			h.mu.Unlock()
+			<-ctx.Done()
+			h.mu.Lock()
+		}
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -117,22 +128,50 @@
 
 func (*known) Active(int) {}
 
-func TestAnotherHostTellsOfInstancesOnceThePrimaryIsCutOff(t *testing.T) {
+// watchPrimary runs a watch of three hosts, of which c1 is in its zone.
+func watchPrimary(t *testing.T, k *known) (g tellingGroup, stop func()) {
+	g = tellingGroup{}
+	for name, zone := range map[string]string{"c0": "a", "c1": "b", "c2": "c"} {
+		g[name] = &tellingHost{zone: zone, version: 1, revision: 1, changed: make(chan struct{})}
+	}
+	w := control.NewWatch(func() []string { return []string{"c0", "c1", "c2"} }, &http.Client{Transport: g}, rules.NewTable(),
+		func() *wire.HostReport { return &wire.HostReport{} }, func([]*wire.GossipHost) {}, hclog.NewNullLogger(),
+		control.WithMembership(k), control.WithZone("b"))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx)
+	}()
+	return g, func() {
+		cancel()
+		<-done
+	}
+}
+
+// drainKnown is the time in which a drain must be known to every entry host.
+const drainKnown = 2 * time.Second
+
+func TestADrainIsKnownInTimeThoughThePrimaryStandsStill(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := tellingGroup{}
-		for name, zone := range map[string]string{"c0": "a", "c1": "b", "c2": "c"} {
-			g[name] = &tellingHost{zone: zone, version: 1, revision: 1, changed: make(chan struct{})}
+		var k known
+		g, stop := watchPrimary(t, &k)
+		defer stop()
+		time.Sleep(10 * time.Second)
+		g["c1"].set(func() { g["c1"].frozen = true })
+		for _, name := range []string{"c0", "c2"} { // the drain is committed without it
+			g[name].set(func() { g[name].revision = 2 })
 		}
+		time.Sleep(drainKnown - 200*time.Millisecond) // changes are gathered for 150 ms
+		must.Eq(t, 2, k.Known())
+	})
+}
+
+func TestAnotherHostTellsOfInstancesOnceThePrimaryIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		var k known
-		w := control.NewWatch(func() []string { return []string{"c0", "c1", "c2"} }, &http.Client{Transport: g}, rules.NewTable(),
-			func() *wire.HostReport { return &wire.HostReport{} }, func([]*wire.GossipHost) {}, hclog.NewNullLogger(),
-			control.WithMembership(&k), control.WithZone("b"))
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			w.Run(ctx)
-		}()
+		g, stop := watchPrimary(t, &k)
+		defer stop()
 		time.Sleep(10 * time.Second)
 		before := g["c1"].asked()
 		time.Sleep(30 * time.Second)
@@ -148,7 +187,5 @@
 		g["c2"].set(func() { g["c2"].revision = 2 })
 		time.Sleep(500 * time.Millisecond)
 		must.Eq(t, 2, k.Known())
-		cancel()
-		<-done
 	})
 }
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -20,10 +20,14 @@
 const (
 	watchWait  = 3 * time.Second
 	watchLimit = watchWait + 2*time.Second // the control host may ask its quorum for a second
-	firstWait  = 200 * time.Millisecond
-	retryFirst = 25 * time.Millisecond
-	retryLast  = 400 * time.Millisecond
-	leaveLimit = 500 * time.Millisecond
+	// The primary answers often, so that one that stands still is noticed well
+	// within the two seconds in which a drain must be known.
+	primaryWait  = 500 * time.Millisecond
+	primaryLimit = primaryWait + 700*time.Millisecond
+	firstWait    = 200 * time.Millisecond
+	retryFirst   = 25 * time.Millisecond
+	retryLast    = 400 * time.Millisecond
+	leaveLimit   = 500 * time.Millisecond
 )
 
 // errDigest means that a text is not the one that was accepted.
@@ -217,11 +221,15 @@
 }
 
 func (w *Watch) poll(ctx context.Context, host *watched) error {
-	ctx, cancel := context.WithTimeout(ctx, watchLimit)
-	defer cancel()
 	known := w.table.Current()
 	ctx, primary := w.begin(ctx, host)
-	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: w.wait().Milliseconds(), Whole: host.whole}
+	wait, limit := w.wait(), watchLimit
+	if primary && known.Number() > 0 { // the first version may take longer
+		wait, limit = min(wait, primaryWait), primaryLimit
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: wait.Milliseconds(), Whole: host.whole}
 	if primary {
 		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Known(), host.suspects
 	}
@@ -308,7 +316,11 @@
 	text := response.GetText()
 	if len(response.GetDelta()) > 0 {
 		var err error
-		if text, err = delta.Apply(known.Text(), response.GetDelta()); err != nil {
+		older := known.Text()
+		if response.GetWhole() {
+			older = ""
+		}
+		if text, err = delta.Apply(older, response.GetDelta()); err != nil {
 			return "", err
 		}
 	}
--- a/world/delta/delta.go
+++ b/world/delta/delta.go
@@ -11,7 +11,10 @@
 package delta
 
 import (
+	"bytes"
+	"compress/flate"
 	"fmt"
+	"io"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,7 +43,39 @@
 	}
 	m.flush()
 	data, err := proto.Marshal(&wire.TextDelta{BaseDigest: Digest(older), Steps: m.steps})
-	return data, errors.Wrap(err, "encode difference")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode difference")
+	}
+	return pack(data)
+}
+
+// pack compresses a difference: lines of rules are much alike.
+func pack(data []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.DefaultCompression)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress difference")
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress difference")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress difference")
+	}
+	return packed.Bytes(), nil
+}
+
+func unpack(data []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	defer r.Close()
+	all, err := io.ReadAll(io.LimitReader(r, MaxTextBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress difference")
+	}
+	if len(all) > MaxTextBytes {
+		return nil, ErrMismatch
+	}
+	return all, nil
 }
 
 // lines splits a text after each line end; joining gives it back.
@@ -100,6 +135,10 @@
 
 // Apply returns the newer text.
 func Apply(older string, data []byte) (string, error) {
+	data, err := unpack(data)
+	if err != nil {
+		return "", err
+	}
 	d := &wire.TextDelta{}
 	if err := proto.Unmarshal(data, d); err != nil {
 		return "", errors.Wrap(err, "read difference")
