route: some instances of other zones; do not wait for the last of a look

Change: a host uses 14 instances of its zone and 10 of others, those of its zone asked first; the time of a look is learnt over all services; a round without any answer ends the looks; once a good instance told, the others have 3 ms. No looks where instances are asked periodically or tell no load.

--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -11,7 +11,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/rules"
-	"github.com/snipebeam/snipebeam/world/delta"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
@@ -30,9 +29,6 @@
 	leaveLimit   = 500 * time.Millisecond
 )
 
-// errDigest means that a text is not the one that was accepted.
-var errDigest = errors.New("the text's digest is not the version's")
-
 // Watch keeps the rules table at the newest version. It polls every control
 // host at the same time: the first one that has applied a version tells it, so
 // no control host that failed, is cut off or is stale can hold it back, and
@@ -281,51 +277,3 @@
 	}
 	return watchWait
 }
-
-// take puts a newer version in force. A stale answer may bring one, since it
-// was accepted by a quorum once, but confirms nothing.
-func (w *Watch) take(response *wire.WatchResponse, known *rules.InForce) error {
-	version := response.GetVersion()
-	if version.GetNumber() > w.table.Current().Number() {
-		if err := w.advance(response, known); err != nil {
-			return err
-		}
-	}
-	if !response.GetStale() && version.GetNumber() > 0 {
-		w.table.Confirm(version.GetNumber(), time.Now().Add(-time.Duration(response.GetConfirmAgeNs())))
-	}
-	return nil
-}
-
-func (w *Watch) advance(response *wire.WatchResponse, known *rules.InForce) error {
-	text, err := textOf(response, known)
-	if err != nil {
-		return err
-	}
-	changed, err := w.table.Advance(response.GetVersion(), text)
-	if err != nil {
-		return err
-	}
-	if changed {
-		w.logger.Info("version in force", "version", response.GetVersion().GetNumber(), "author", response.GetVersion().GetAuthor(), "from", response.GetServedBy())
-	}
-	return nil
-}
-
-func textOf(response *wire.WatchResponse, known *rules.InForce) (string, error) {
-	text := response.GetText()
-	if len(response.GetDelta()) > 0 {
-		var err error
-		older := known.Text()
-		if response.GetWhole() {
-			older = ""
-		}
-		if text, err = delta.Apply(older, response.GetDelta()); err != nil {
-			return "", err
-		}
-	}
-	if delta.Digest(text) != response.GetVersion().GetDigest() {
-		return "", errDigest
-	}
-	return text, nil
-}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -145,7 +145,7 @@
 		share = func(string) float64 { return 1 / float64(members.ActiveHosts()) }
 	}
 	return route.NewRouter(views, policy,
-		route.WithShare(share), route.WithHost(cfg.Host.Name), route.WithScout(scout.ask),
+		route.WithShare(share), route.WithHost(cfg.Host.Name), scout.option(cfg),
 		route.WithLimits(route.Limits{
 			Waiting: cfg.Route.QueueLength, Wait: seconds(cfg.Route.QueueSeconds),
 			Bypass: cfg.Route.Bypass, MaxEjected: cfg.Route.MaxEjected,
--- a/entry/host/scout.go
+++ b/entry/host/scout.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/entry/upstream"
 )
 
@@ -34,6 +35,16 @@
 	return &scout{table: table, links: links, o: o, logger: logger.Named("probe")}
 }
 
+// option lets the router ask before it sends a request, unless instances are
+// asked periodically, which takes the budget of probes, or answers to probes tell
+// no load.
+func (s *scout) option(cfg *settings.Settings) route.Option {
+	if cfg.Probe.StaleMs > 0 || s.o.dialect == nil {
+		return route.WithScout(nil)
+	}
+	return route.WithScout(s.ask)
+}
+
 // ask asks one instance for its load.
 func (s *scout) ask(m route.Member) route.ProbeReport {
 	path := s.table.Current().Set().Terms(m.Instance().Service()).Health()
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -54,7 +54,6 @@
 	last    atomic.Int64
 	rate    value // answers a second, over rateSpan
 	speed   value // mean of what instances tell of their speed
-	look    value // mean time of a look, nanoseconds
 	answers samples
 	speeds  samples
 }
--- a/entry/route/look.go
+++ b/entry/route/look.go
@@ -21,7 +21,9 @@
 	firstLooks = 2                     // the same while the service's time is not known
 	lookRounds = 3                     // times that further instances are asked
 	lookFresh  = 25 * time.Millisecond // age up to which a report stands for the present
-	lookLimit  = 30 * time.Millisecond // wait for the reports of one round
+	lookLimit  = 30 * time.Millisecond // wait for the reports of one round, at least
+	lookAim    = 0.05                  // the same as a share of the time aimed at
+	lookGrace  = 3 * time.Millisecond  // wait for better ones once a good one told
 )
 
 // Look is what was asked of instances before a choice.
@@ -46,26 +48,29 @@
 	}
 	from := d.router.clock()
 	for range lookRounds {
-		now, n := d.router.clock(), min(view.norm.looks(terms, q.aimed())-look.Asked, maxLooks)
+		now, n := d.router.clock(), min(d.looks(view, terms, q)-look.Asked, maxLooks)
 		candidates := d.candidates(view, q)
 		if n <= 0 || settled(candidates, q, view, now) {
 			break
 		}
-		targets := d.unseen(candidates, q, n, now)
+		targets := d.unseen(view, candidates, q, n, now)
 		if len(targets) == 0 {
 			break
 		}
 		look.Asked += len(targets)
-		look.Told += d.ask(ctx, view, targets)
+		told := d.ask(ctx, view, targets, q)
+		look.Told += told
+		if told == 0 {
+			break // this host's own link is busy
+		}
 	}
 	look.Took = time.Duration(d.router.clock() - from)
 	return look
 }
 
-// looks returns how many instances may be asked for one request, which should
-// be answered within a time, 0 if there is none.
-func (n *Norm) looks(terms *contract.Service, aim time.Duration) int {
-	cost, work := n.look.get(), max(n.latency.get(), float64(aim)*workOfAim)
+// looks returns how many instances may be asked for one request.
+func (d *Dispatcher) looks(view *View, terms *contract.Service, q *Query) int {
+	cost, work := d.router.lookTime.get(), max(view.norm.latency.get(), float64(q.aimed())*workOfAim)
 	if cost == 0 || work == 0 {
 		return firstLooks
 	}
@@ -84,8 +89,8 @@
 )
 
 // looked learns the time of a look.
-func (n *Norm) looked(took float64) {
-	n.look.update(func(old float64) float64 {
+func (r *Router) looked(took float64) {
+	r.lookTime.update(func(old float64) float64 {
 		switch {
 		case old == 0:
 			return took
@@ -125,11 +130,18 @@
 
 // unseen returns up to n candidates of which nothing fresh is known, those first
 // that were not busy or slow when last heard of.
-func (d *Dispatcher) unseen(candidates []Member, q *Query, n int, now int64) []Member {
+func (d *Dispatcher) unseen(view *View, candidates []Member, q *Query, n int, now int64) []Member {
 	var first, rest []Member
-	start := d.router.random.IntN(len(candidates))
+	near := min(len(candidates), subsetNear)
+	if d.subset(view, q.zone) == nil {
+		near = len(candidates)
+	}
+	start := d.router.random.IntN(near)
 	for k := range candidates {
-		m := &candidates[(start+k)%len(candidates)]
+		m := &candidates[k]
+		if k < near {
+			m = &candidates[(start+k)%near]
+		}
 		if !usable(m, q, now) || m.load.fresh(now) || !m.load.claimLook(now) {
 			continue
 		}
@@ -154,21 +166,23 @@
 const slowSpeed = 1.5
 
 // ask waits for the reports of members, but not long, and returns how many came.
-func (d *Dispatcher) ask(ctx context.Context, view *View, targets []Member) int {
+// Once one of them settles the choice the others have little time left.
+func (d *Dispatcher) ask(ctx context.Context, view *View, targets []Member, q *Query) int {
 	reports := make(chan struct{}, len(targets))
 	for _, m := range targets {
 		go func() {
 			from := d.router.clock()
 			report := d.router.scout(m)
 			if report.Answered {
-				view.norm.looked(float64(d.router.clock() - from))
+				d.router.looked(float64(d.router.clock() - from))
 			}
 			d.router.Probed(m, report)
 			reports <- struct{}{}
 		}()
 	}
-	limit := time.NewTimer(lookLimit)
+	limit := time.NewTimer(max(lookLimit, time.Duration(lookAim*float64(q.aimed()))))
 	defer limit.Stop()
+	enough := false
 	for told := range targets {
 		select {
 		case <-reports:
@@ -177,6 +191,10 @@
 		case <-ctx.Done():
 			return told
 		}
+		if !enough && settled(targets, q, view, d.router.clock()) {
+			enough = true
+			limit.Reset(lookGrace)
+		}
 	}
 	return len(targets)
 }
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -38,6 +38,7 @@
 	share    func(service string) float64
 	host     string
 	scout    Scout
+	lookTime value // of a look, nanoseconds
 	clock    func() int64
 	random   Random
 	trace    bool
--- a/entry/route/subset.go
+++ b/entry/route/subset.go
@@ -7,9 +7,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// subsetSize is how many instances of a large service a host sends requests to
-// first, so that its links to them stay in use.
-const subsetSize = 16
+// A host sends requests to few instances of a large service first, so that its
+// links to them stay in use: to those of its zone, and to some of other zones for
+// times when its own is short of room.
+const (
+	subsetNear = 14
+	subsetFar  = 10
+)
 
 // WithHost names this host: each host has its own subset of the instances of a
 // large service, by rendezvous hashing, those of its zone first.
@@ -18,7 +22,7 @@
 // subset is the positions of a view's members that this host uses first.
 type subset struct {
 	view      *View
-	positions []int // nil: all
+	positions []int // nil: all; those of the host's zone first
 }
 
 // subset returns the positions of this host's subset, nil for all members.
@@ -53,9 +57,15 @@
 		}
 		return cmp.Compare(a.weight, b.weight)
 	})
-	positions := make([]int, subsetSize)
-	for n := range positions {
-		positions[n] = all[n].at
+	far := slices.IndexFunc(all, func(r ranked) bool { return r.away })
+	if far < 0 {
+		far = len(all)
+	}
+	positions := make([]int, 0, subsetNear+subsetFar)
+	for n, r := range all {
+		if n < subsetNear || n >= far && len(positions) < subsetNear+subsetFar {
+			positions = append(positions, r.at)
+		}
 	}
 	return positions
 }
