entry, world/program: a stop says when it ends and what it cuts

The host's log had one line with "inFlight" 1, which names neither the request nor its phase nor the end of the stop, and a program that exits because its stop failed says so on standard error only, apart from the log. Two of the four hypotheses could not be told apart by it.

Change: "draining" has the end of the stop and the requests by phase. The tracker keeps each request's id and phase. program.Run logs "stop failed, exiting". What a stop waits for, and until when, is as before.

Ruled out: options of Track (a closure for each request; not measured); a report at the limit itself (it races with the exit of the program).

--- a/entry/backlog/request.go
+++ b/entry/backlog/request.go
@@ -10,6 +10,8 @@
 // one list of its service at a time.
 type Request struct {
 	service      *serviceTracker
+	id           string
+	phase        Phase
 	arrivedAt    time.Time
 	responseTime time.Duration // time to first byte, 0 until the response starts
 	instance     *instanceTracker
@@ -18,6 +20,13 @@
 	previous     *Request
 }
 
+// SetID sets the ID by which the request is reported.
+func (r *Request) SetID(id string) {
+	r.service.mu.Lock()
+	defer r.service.mu.Unlock()
+	r.id = id
+}
+
 // Dispatched records that the request is sent to an instance.
 func (r *Request) Dispatched(id instance.ID, _ time.Time) {
 	r.service.mu.Lock()
@@ -28,6 +37,7 @@
 	r.detachInstance()
 	r.instance = r.service.instance(id)
 	r.instance.stats.arrive()
+	r.phase = Receiving
 	r.moveTo(&r.service.transferring)
 }
 
@@ -35,7 +45,13 @@
 func (r *Request) Sent(_ time.Time) {
 	r.service.mu.Lock()
 	defer r.service.mu.Unlock()
-	if r.list == nil || r.instance == nil || r.responseTime > 0 {
+	if r.list == nil || r.instance == nil {
+		return
+	}
+	if r.phase == Receiving {
+		r.phase = Awaiting
+	}
+	if r.responseTime > 0 {
 		return
 	}
 	r.moveTo(&r.instance.awaiting)
@@ -49,6 +65,7 @@
 		return
 	}
 	r.responseTime = max(now.Sub(r.arrivedAt), 1)
+	r.phase = Responding
 	r.moveTo(&r.service.transferring)
 }
 
@@ -60,6 +77,7 @@
 		return
 	}
 	r.detachInstance()
+	r.phase = Queued
 	r.moveTo(&r.service.queued)
 }
 
--- a/entry/backlog/tracker.go
+++ b/entry/backlog/tracker.go
@@ -6,6 +6,7 @@
 // Usage:
 //
 //	req := tracker.Track("catalogue", now)
+//	req.SetID(id)
 //	req.Dispatched("catalogue-1", now)
 //	req.Sent(now)            // the whole request is written
 //	req.ResponseStarted(now) // the first byte of the response has arrived
@@ -36,7 +37,7 @@
 // Track adds a request that has just arrived to the queue of its service.
 func (t *Tracker) Track(service string, now time.Time) *Request {
 	s := t.service(service)
-	r := &Request{service: s, arrivedAt: now}
+	r := &Request{service: s, phase: Queued, arrivedAt: now}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queued.add(r)
@@ -107,6 +108,7 @@
 
 // instanceTracker tracks the requests dispatched to one instance of a service.
 type instanceTracker struct {
+	id       instance.ID
 	awaiting requestList // fully written, the response has not started
 	stats    stats
 }
@@ -118,7 +120,7 @@
 func (t *serviceTracker) instance(id instance.ID) *instanceTracker {
 	i := t.instances[id]
 	if i == nil {
-		i = &instanceTracker{}
+		i = &instanceTracker{id: id}
 		t.instances[id] = i
 	}
 	return i
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -126,6 +126,7 @@
 	}
 	defer h.inFlight.release(c.caller)
 	c.backlogEntry = h.cfg.Backlog.Track(c.service, time.Now())
+	c.backlogEntry.SetID(c.id)
 	failed := true
 	defer func() { c.backlogEntry.End(failed, time.Now()) }()
 	problem := h.run(c)
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -85,6 +85,7 @@
 		},
 		OnStop: func(stopCtx context.Context) error {
 			defer cancel()
+			defer reportLimit(stopCtx, state, logger)()
 			drain(stopCtx, state, deps.Settler, drainHooks{
 				report:        deps.Watch.Report,
 				closeListener: func(ctx context.Context) { _ = server.Shutdown(ctx) }, // the call below returns the same error
--- a/entry/host/stop.go
+++ b/entry/host/stop.go
@@ -41,7 +41,7 @@
 	signal.Ignore(syscall.SIGTERM) // a second signal must not cut the drain short
 	state.draining.Store(true)
 	go hooks.report(ctx) // an unresponsive control host must not delay the drain
-	logger.Info("draining", progress(state)...)
+	logger.Info("draining", append(progress(state), "endsAt", endOf(ctx))...)
 	stopLog := logProgress(ctx, state, logger)
 	defer stopLog()
 	pause.For(ctx, seconds(state.cfg.Host.LeaveSeconds))
@@ -61,8 +61,7 @@
 }
 
 func progress(state *State) []any {
-	inFlight, oldest := state.requests.InFlight(time.Now())
-	return []any{"inFlight", inFlight, "oldestMs", oldest.Milliseconds()}
+	return heldFields(state.requests.Held(time.Now()))
 }
 
 // logProgress periodically logs the requests in flight until stop is called.
--- a/world/program/program.go
+++ b/world/program/program.go
@@ -55,6 +55,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	if err := app.Stop(ctx); err != nil {
+		logger.Error("stop failed, exiting", "error", err, "limitSeconds", app.StopTimeout().Seconds())
 		return fail(w, name, errors.Wrap(err, "stop"))
 	}
 	logger.Info("stopped")
--- a/world/program/program_test.go
+++ b/world/program/program_test.go
@@ -6,12 +6,14 @@
 	"net"
 	"regexp"
 	"testing"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/world/finding"
+	"github.com/snipebeam/snipebeam/world/logging"
 	"github.com/snipebeam/snipebeam/world/program"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -62,6 +64,26 @@
 	must.True(t, stopped)
 }
 
+func TestFailedStopIsLogged(t *testing.T) {
+	stuck := app(fx.StopTimeout(time.Millisecond), fx.Invoke(func(lc fx.Lifecycle, shutdowner fx.Shutdowner) {
+		lc.Append(fx.Hook{
+			OnStart: func(context.Context) error {
+				go func() { _ = shutdowner.Shutdown() }()
+				return nil
+			},
+			OnStop: func(ctx context.Context) error {
+				<-ctx.Done()
+				return ctx.Err()
+			},
+		})
+	}))
+	var out, log bytes.Buffer
+	must.Eq(t, program.ExitFailed, program.RunTo(&out, stuck, "p", logging.New("p", "info", &log)))
+	must.Eq(t, "p: stop: context deadline exceeded\n", out.String())
+	must.RegexMatch(t, regexp.MustCompile(`"@level":"error","@message":"stop failed, exiting".*"error":"context deadline exceeded","limitSeconds":0.001`), log.String())
+	must.StrNotContains(t, log.String(), `"@message":"stopped"`)
+}
+
 func TestSettingsDecideWhetherTheProgramRuns(t *testing.T) {
 	type section struct {
 		Name string `toml:"name" comment:"who"`
