--- a/bench/local/access_test.go
+++ b/bench/local/access_test.go
@@ -22,10 +22,12 @@
 const rules = "service a: owner O # w: y\nroute a: deadline 5s, maxBody 1KB # w: y"
 
 // submit submits the rules to a control host until they are accepted.
-func submit(t *testing.T, control string, client *http.Client) {
+func submit(t *testing.T, control string, client *http.Client) { submitText(t, control, client, rules) }
+
+func submitText(t *testing.T, control string, client *http.Client, text string) {
 	service := wire.NewRulesProtobufClient("http://"+control, client)
 	local.Eventually(t, "the rules are accepted", func() bool {
-		response, err := service.Submit(t.Context(), &wire.SubmitRequest{SubmissionId: "s", Text: rules, Author: "test"})
+		response, err := service.Submit(t.Context(), &wire.SubmitRequest{SubmissionId: "s", Text: text, Author: "test"})
 		return err == nil && response.GetAccepted()
 	})
 }
--- a/bench/local/local.go
+++ b/bench/local/local.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/bench/cluster"
 	controlhost "github.com/snipebeam/snipebeam/control/host"
 	controlsettings "github.com/snipebeam/snipebeam/control/settings"
@@ -55,6 +56,15 @@
 	Callers  string
 	Platform string
 	Peers    string
+
+	app *fx.App
+}
+
+// Stop stops the host as its program does on SIGTERM, within its stop timeout.
+func (e Entry) Stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), e.app.StopTimeout())
+	defer cancel()
+	return errors.Wrap(e.app.Stop(ctx), "stop")
 }
 
 // StartControl runs a control group of one host until the test ends, and returns
@@ -78,7 +88,8 @@
 		"listen.platform": e.Platform, "listen.peers": e.Peers, "listen.dns": free(t),
 	}.with(more).overrides()...)
 	usable(t, findings)
-	run(t, entryhost.New(cfg, hclog.NewNullLogger()))
+	e.app = entryhost.New(cfg, hclog.NewNullLogger())
+	run(t, e.app)
 	return e
 }
 
