bench/local: failing tests of the other ways a stopping host holds requests

Five more hold a request at the host until its limit (in the queue, small body half received, large body half streamed, key claimed through another host, claimed and sent to a silent instance); a sixth is a request that arrives on an accepted connection after the listener has closed.

Each must have a complete response when the stop returns: not run (503 with Retry-After) if nothing was sent to an instance, else unknown, with the count of requests that the instance received held to it. The late request must be refused while the stop still waits for another request, which the test releases only afterwards; no elapsed times are asserted.

Cause of the late one: the stop closes the listener by http.Server.Shutdown, after which net/http closes a connection that sends a request without a response.

The main test is as strict as before.

--- a/bench/local/access_test.go
+++ b/bench/local/access_test.go
@@ -115,7 +115,12 @@
 // announce announces an instance. It returns an unauthenticated Twirp error if the
 // key is rejected, as calls of the other endpoints do.
 func announce(ctx context.Context, c *http.Client, platform, address string) error {
-	body := fmt.Sprintf(`{"service":"a","address":%q,"incarnation":1}`, address)
+	return announceSlots(ctx, c, platform, address, 0)
+}
+
+// announceSlots is like announce for an instance that states its slots.
+func announceSlots(ctx context.Context, c *http.Client, platform, address string, slots int) error {
+	body := fmt.Sprintf(`{"service":"a","address":%q,"slots":%d,"incarnation":1}`, address, slots)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+platform+"/v1/instances/a-1", strings.NewReader(body))
 	if err != nil {
 		return err
--- a/bench/local/stop_test.go
+++ b/bench/local/stop_test.go
@@ -2,48 +2,102 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/bench/local"
 	"github.com/snipebeam/snipebeam/world/knownred"
 	"github.com/snipebeam/snipebeam/world/outcome"
+	"github.com/snipebeam/snipebeam/world/wire"
 )
 
 // stopRules has deadlines that are longer than a planned stop.
-const stopRules = "service a: owner O # w: y\nroute a: deadline 30s # w: y"
+const stopRules = `service a: owner O # w: y
+route a POST /once: deadline 30s, once Idempotency-Key # w: y
+route a: deadline 30s # w: y`
 
-// stoppingHost starts an entry host whose planned stop is short.
-func stoppingHost(t *testing.T, more local.Settings) local.Entry {
+// Sizes of a body that the host buffers before it sends it, and of one that it
+// streams.
+const (
+	bufferBytes  = 1 << 10
+	smallBytes   = bufferBytes
+	largeBytes   = 64 * bufferBytes
+	plainRequest = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"
+	onceRequest  = "POST /once HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx"
+)
+
+// stopping is an entry host whose planned stop is short, with an instance that
+// never responds.
+type stopping struct {
+	local.Entry
+	control  string
+	instance *silentInstance
+}
+
+// startStopping starts the host, and lets the test run in parallel with others.
+// The instance is announced last, because its lease is not renewed.
+func startStopping(t *testing.T, more local.Settings) *stopping {
 	control := local.StartControl(t, nil)
 	submitText(t, control, http.DefaultClient, stopRules)
-	settings := local.Settings{"host.stopLimitSeconds": "2", "host.leaveSeconds": "0.1"}
-	for key, value := range more {
-		settings[key] = value
+	settings := local.Settings{
+		"host.stopLimitSeconds": "2", "host.leaveSeconds": "0.1", "limits.bufferBytes": fmt.Sprint(bufferBytes),
+		"route.headroom": "0", // an instance with one slot takes one request
 	}
-	entry := local.StartEntry(t, control, settings)
-	local.Ready(t, entry)
-	return entry
-}
-
-// silentInstance announces an instance that accepts requests and never responds.
-// Each request is sent to the returned channel once its header has been read.
-func silentInstance(t *testing.T, entry local.Entry) <-chan *http.Request {
-	received, ended := make(chan *http.Request, 1), make(chan struct{})
-	instance := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		received <- r
-		<-ended
+	maps.Copy(settings, more)
+	h := &stopping{Entry: local.StartEntry(t, control, settings), control: control, instance: startSilent(t)}
+	local.Ready(t, h.Entry)
+	t.Parallel()
+	h.instance.announce(t, h.Entry)
+	return h
+}
+
+// waitInFlight waits until the host handles n requests.
+func (h *stopping) waitInFlight(t *testing.T, n uint32) {
+	client := wire.NewEntryProtobufClient("http://"+h.Peers, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+	local.Eventually(t, "the requests are in flight", func() bool {
+		status, err := client.HostStatus(t.Context(), &wire.HostStatusRequest{})
+		return err == nil && status.GetReport().GetInFlight() == n
+	})
+}
+
+// silentInstance is an instance with one slot that does not respond before it is
+// released.
+type silentInstance struct {
+	address  string
+	received atomic.Int32 // requests whose header has been read
+	release  func()
+}
+
+func startSilent(t *testing.T) *silentInstance {
+	released := make(chan struct{})
+	i := &silentInstance{release: sync.OnceFunc(func() { close(released) })}
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		i.received.Add(1)
+		<-released
 	}))
+	i.address = server.Listener.Addr().String()
 	t.Cleanup(func() {
-		close(ended)
-		instance.Close()
+		i.release()
+		server.Close()
 	})
-	must.NoError(t, announce(t.Context(), http.DefaultClient, entry.Platform, instance.Listener.Addr().String()))
-	return received
+	return i
+}
+
+func (i *silentInstance) announce(t *testing.T, entry local.Entry) {
+	must.NoError(t, announceSlots(t.Context(), http.DefaultClient, entry.Platform, i.address, 1))
+}
+
+func (i *silentInstance) waitReceived(t *testing.T, n int32) {
+	local.Eventually(t, "the instance has received the request", func() bool { return i.received.Load() == n })
 }
 
 // answer is what a caller received.
@@ -69,6 +123,13 @@
 	return c
 }
 
+// sendOn opens a caller's connection and sends bytes on it.
+func sendOn(t *testing.T, address, text string) *openCaller {
+	c := connect(t, address)
+	c.send(t, text)
+	return c
+}
+
 func readAnswer(conn net.Conn) answer {
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
@@ -90,21 +151,139 @@
 	return <-c.answers
 }
 
+// mustHave asserts that the caller has a complete response with an outcome.
+func (a answer) mustHave(t *testing.T, kind outcome.Kind) {
+	t.Helper()
+	must.NoError(t, a.err, must.Sprint("the caller has no complete response"))
+	must.Eq(t, string(kind), a.header.Get(outcome.Header))
+	if kind == outcome.NotRun {
+		must.Eq(t, http.StatusServiceUnavailable, a.status)
+		must.NotEq(t, "", a.header.Get("Retry-After"))
+		return
+	}
+	must.GreaterEq(t, http.StatusBadRequest, a.status)
+	must.Eq(t, "", a.header.Get("Retry-After"))
+}
+
 func TestPlannedStopAnswersARequestWhoseInstanceStaysSilent(t *testing.T) {
 	knownred.Skip(t)
-	t.Parallel()
-	entry := stoppingHost(t, nil)
-	dispatched := silentInstance(t, entry)
-	caller := connect(t, entry.Callers)
-	caller.send(t, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
-	<-dispatched
+	h := startStopping(t, nil)
+	caller := sendOn(t, h.Callers, plainRequest)
+	h.instance.waitReceived(t, 1)
 
-	stopped := entry.Stop()
+	stopped := h.Stop()
 
 	got := caller.received()
-	must.NoError(t, got.err, must.Sprint("the caller has no complete response"))
-	must.Eq(t, string(outcome.Unknown), got.header.Get(outcome.Header))
+	got.mustHave(t, outcome.Unknown)
 	must.GreaterEq(t, http.StatusInternalServerError, got.status)
-	must.Eq(t, "", got.header.Get("Retry-After"))
 	must.NoError(t, stopped)
 }
+
+// holds are the ways in which a host can hold a request. Each sends requests and
+// returns when the last of them, whose caller is returned, is held.
+var holds = []struct {
+	name       string
+	hold       func(t *testing.T, h *stopping) *openCaller
+	want       outcome.Kind
+	dispatched int32 // requests that the instance receives
+}{
+	{
+		"queued", func(t *testing.T, h *stopping) *openCaller {
+			sendOn(t, h.Callers, plainRequest)
+			h.instance.waitReceived(t, 1)
+			caller := sendOn(t, h.Callers, plainRequest)
+			h.waitInFlight(t, 2)
+			return caller
+		}, outcome.NotRun, 1,
+	},
+	{
+		"receiving a small body", func(t *testing.T, h *stopping) *openCaller {
+			caller := sendOn(t, h.Callers, halfUpload(smallBytes))
+			h.waitInFlight(t, 1)
+			return caller
+		}, outcome.NotRun, 0,
+	},
+	{
+		"streaming a large body", func(t *testing.T, h *stopping) *openCaller {
+			caller := sendOn(t, h.Callers, halfUpload(largeBytes))
+			h.instance.waitReceived(t, 1)
+			return caller
+		}, outcome.Unknown, 1,
+	},
+	{
+		"claim held by another", func(t *testing.T, h *stopping) *openCaller {
+			other := local.StartEntry(t, h.control, local.Settings{"host.name": "entry-2"})
+			local.Ready(t, other)
+			h.instance.announce(t, other)
+			sendOn(t, other.Callers, onceRequest)
+			h.instance.waitReceived(t, 1)
+			caller := sendOn(t, h.Callers, onceRequest)
+			h.waitInFlight(t, 1)
+			return caller
+		}, outcome.Unknown, 1, // the holder of the claim may have run it
+	},
+	{
+		"claimed and silent", func(t *testing.T, h *stopping) *openCaller {
+			caller := sendOn(t, h.Callers, onceRequest)
+			h.instance.waitReceived(t, 1)
+			return caller
+		}, outcome.Unknown, 1,
+	},
+}
+
+// halfUpload returns a request with half of its body.
+func halfUpload(length int) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", length) + strings.Repeat("x", length/2)
+}
+
+func TestPlannedStopAnswersEveryRequestItHolds(t *testing.T) {
+	t.Parallel()
+	for _, c := range holds {
+		t.Run(c.name, func(t *testing.T) {
+			knownred.Skip(t)
+			h := startStopping(t, nil)
+			caller := c.hold(t, h)
+
+			stopped := h.Stop()
+
+			caller.received().mustHave(t, c.want)
+			must.Eq(t, c.dispatched, h.instance.received.Load())
+			must.NoError(t, stopped)
+		})
+	}
+}
+
+// A request that arrives when the listener has closed, on a connection accepted
+// before, is refused although the host still waits for another.
+func TestPlannedStopRefusesARequestAfterTheListenerHasClosed(t *testing.T) {
+	knownred.Skip(t)
+	h := startStopping(t, local.Settings{"host.stopLimitSeconds": "20", "route.headroom": "1"})
+	held := sendOn(t, h.Callers, plainRequest)
+	h.instance.waitReceived(t, 1)
+	late := connect(t, h.Callers)
+	// Connections are accepted in order, so the response shows that late is accepted.
+	must.Eq(t, http.StatusNotFound, raw(t, h.Callers, "GET / HTTP/1.1\r\nHost: b\r\n\r\n"))
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.Stop() }()
+	local.Eventually(t, "the listener is closed", func() bool {
+		conn, err := net.Dial("tcp", h.Callers)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+
+	late.send(t, plainRequest)
+	local.Eventually(t, "the late request has an outcome", func() bool {
+		return len(late.answers) == 1 || h.instance.received.Load() > 1
+	})
+	must.Eq(t, 1, h.instance.received.Load(), must.Sprint("the late request was sent to an instance"))
+	must.Eq(t, 0, len(held.answers))
+	(<-late.answers).mustHave(t, outcome.NotRun)
+
+	h.instance.release()
+	must.NoError(t, <-stopped)
+	got := held.received()
+	must.NoError(t, got.err)
+	must.Eq(t, http.StatusOK, got.status)
+}
