entry: each held request gets its outcome before a planned stop ends

Cause: a planned stop had no end that its requests knew. drain waited for what was in flight as long as the grace time itself, so the kill came first; nothing told the handler, the router or the reader of a body that time was over. A request's own deadline (8 s) and an instance's silence could both outlast the stop.

Change: the stop has an end from its start. It is the latest deadline of every request (and what instances are told); the router refuses at once, also those that wait, what is not expected to have a response by then; at 7/8 of the limit the handler ends every request without a response: not run, 503 and Retry-After, if nothing was sent to an instance, else unknown, 502. Reading a small body is interrupted by the end of its request's context, before it lasted until the progress timeout. Responses that have begun go on until the process exits, at 19/20 of the limit. Once the listener has closed, requests on open connections are refused as not run; http.Server.Shutdown closed these connections after reading the request, so that only the listener is closed now. Retry-After is 10 ms where the dialect has fractions, as any other host can take the request.

Ending requests earlier than in the last eighth would cut instances that are at work.

--- a/bench/local/stop_test.go
+++ b/bench/local/stop_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/bench/local"
-	"github.com/snipebeam/snipebeam/world/knownred"
 	"github.com/snipebeam/snipebeam/world/outcome"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
@@ -166,7 +165,6 @@
 }
 
 func TestPlannedStopAnswersARequestWhoseInstanceStaysSilent(t *testing.T) {
-	knownred.Skip(t)
 	h := startStopping(t, nil)
 	caller := sendOn(t, h.Callers, plainRequest)
 	h.instance.waitReceived(t, 1)
@@ -240,7 +238,6 @@
 	t.Parallel()
 	for _, c := range holds {
 		t.Run(c.name, func(t *testing.T) {
-			knownred.Skip(t)
 			h := startStopping(t, nil)
 			caller := c.hold(t, h)
 
@@ -256,7 +253,6 @@
 // A request that arrives when the listener has closed, on a connection accepted
 // before, is refused although the host still waits for another.
 func TestPlannedStopRefusesARequestAfterTheListenerHasClosed(t *testing.T) {
-	knownred.Skip(t)
 	h := startStopping(t, local.Settings{"host.stopLimitSeconds": "20", "route.headroom": "1"})
 	held := sendOn(t, h.Callers, plainRequest)
 	h.instance.waitReceived(t, 1)
--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -60,7 +60,11 @@
 // "unknown" if an earlier one may have run.
 func (c *call) overall(problem *outcome.Problem) *outcome.Problem {
 	if c.dispatched && problem.Kind() == outcome.NotRun {
-		return outcome.New(outcome.Unknown, problem.Reason(), "an earlier attempt may have run; "+problem.Detail())
+		reason := problem.Reason()
+		if reason == outcome.HostStopping { // promises that the request was not run
+			reason = outcome.UpstreamLost
+		}
+		return outcome.New(outcome.Unknown, reason, "an earlier attempt may have run; "+problem.Detail())
 	}
 	return problem
 }
--- a/entry/caller/body.go
+++ b/entry/caller/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -56,6 +57,7 @@
 	if !small && !always {
 		return nil
 	}
+	defer context.AfterFunc(b.call.ctx, b.interrupt)()
 	var prefix bytes.Buffer
 	if small {
 		prefix.Grow(int(b.length))
@@ -189,9 +191,14 @@
 func (b *body) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.ended && !b.interrupted {
-		_ = b.call.controller.SetReadDeadline(time.Now().Add(lingerTimeout))
+	if b.ended || b.interrupted {
+		return
+	}
+	linger := lingerTimeout
+	if b.call.ctx.cause() == errHostStopping {
+		linger = 0
 	}
+	_ = b.call.controller.SetReadDeadline(time.Now().Add(linger))
 }
 
 func ignoreUnsupported(err error) error {
@@ -206,8 +213,11 @@
 	if errors.Is(err, errBodyTooLarge) {
 		return outcome.New(kind, outcome.BodyTooLarge, err.Error())
 	}
-	if c.ctx.cause() == errDeadline {
+	switch c.ctx.cause() {
+	case errDeadline:
 		return outcome.New(kind, outcome.DeadlineExceeded, "request body not received before the deadline")
+	case errHostStopping:
+		return c.problem(kind, outcome.UpstreamLost, "request body not received")
 	}
 	return outcome.New(kind, outcome.BodyCut, "request body is incomplete: "+err.Error())
 }
--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -94,10 +94,27 @@
 		reason = outcome.DeadlineExceeded
 	case errCallerGone:
 		reason = outcome.CallerGone
+	case errHostStopping:
+		if kind == outcome.NotRun {
+			reason = outcome.HostStopping
+		}
+		detail = "this host stopped before the response; " + detail
 	}
 	return outcome.New(kind, reason, detail)
 }
 
+// stoppingRetryAfter is short because another host can take the request at once.
+const stoppingRetryAfter = 10 * time.Millisecond
+
+// retryAfter returns the time after which the caller should try again, 0 for the
+// default of the reason.
+func retryAfter(problem *outcome.Problem) time.Duration {
+	if problem.Reason() == outcome.HostStopping {
+		return stoppingRetryAfter
+	}
+	return 0
+}
+
 // serviceOf returns the service that a request names by header, else by the
 // first label of its host.
 func serviceOf(r *http.Request, dialect *Dialect) string {
--- a/entry/caller/deadline.go
+++ b/entry/caller/deadline.go
@@ -23,7 +23,9 @@
 type deadlineContext struct {
 	context.Context // ends at the deadline, or when the caller disconnects unless detached
 	cancel          context.CancelCauseFunc
-	stopWatch       func() bool   // stops watching for the caller's disconnect
+	stopWatch       func() bool // stops watching for the caller's disconnect
+	hostStop        *stop
+	unwatchHost     func() bool   // stops watching for the end of the host's stop
 	ruleDeadline    time.Duration // from the last byte of the request
 	callerTimeout   time.Duration // sent by the caller, 0 for none
 	arrivalDeadline time.Time     // earlier of the caller's deadline and the rule's timeout, zero for none
@@ -34,9 +36,9 @@
 	disarmed bool // no deadline applies any more
 }
 
-func newDeadlineContext(r *http.Request, terms *contract.Contract, deadlineHeader string) *deadlineContext {
+func newDeadlineContext(r *http.Request, terms *contract.Contract, deadlineHeader string, host *stop) *deadlineContext {
 	ruleDeadline := terms.Deadline()
-	c := &deadlineContext{ruleDeadline: ruleDeadline}
+	c := &deadlineContext{ruleDeadline: ruleDeadline, hostStop: host}
 	now := time.Now()
 	if ms, err := strconv.ParseInt(header(r.Header, deadlineHeader), 10, 32); err == nil && ms > 0 {
 		c.callerTimeout = time.Duration(ms) * time.Millisecond
@@ -47,6 +49,7 @@
 	}
 	c.Context, c.cancel = context.WithCancelCause(context.WithoutCancel(r.Context()))
 	c.stopWatch = context.AfterFunc(r.Context(), func() { c.cancel(errCallerGone) })
+	c.unwatchHost = context.AfterFunc(host.ctx, func() { c.cancel(errHostStopping) })
 	c.deadline = c.earliest(now.Add(ruleDeadline))
 	c.timer = time.AfterFunc(c.deadline.Sub(now), c.expire)
 	return c
@@ -95,7 +98,8 @@
 func (c *deadlineContext) Deadline() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.deadline, !c.deadline.IsZero()
+	deadline := c.hostStop.earliest(c.deadline)
+	return deadline, !deadline.IsZero()
 }
 
 // remaining returns the time that the next layer may take.
@@ -112,6 +116,7 @@
 
 // disarm lifts the deadline once the response has begun.
 func (c *deadlineContext) disarm() {
+	c.unwatchHost()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.disarmed = true
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -90,6 +90,7 @@
 	inFlight *inFlightLimiter
 	shares   weightedRoundRobin
 	timeouts callerTimeouts
+	stop     *stop
 }
 
 // New returns a handler. Limits, Dialect, Logger, Suspects and Settler have
@@ -110,7 +111,7 @@
 	if cfg.Settler == nil {
 		cfg.Settler = control.NewSettler(cfg.Claims)
 	}
-	return &Handler{cfg: cfg, holder: cfg.Host + "/" + uuid.NewString(), inFlight: newInFlightLimiter(cfg.Limits.InFlight)}
+	return &Handler{cfg: cfg, holder: cfg.Host + "/" + uuid.NewString(), inFlight: newInFlightLimiter(cfg.Limits.InFlight), stop: newStop()}
 }
 
 // ServeHTTP handles one request.
@@ -158,6 +159,9 @@
 // admit matches the request to its rule, makes the checks that need no body, and
 // counts the request against the in-flight limit.
 func (h *Handler) admit(c *call) *outcome.Problem {
+	if h.stop.refusing.Load() {
+		return outcome.New(outcome.NotRun, outcome.HostStopping, "this host takes no more requests")
+	}
 	if problem := h.match(c); problem != nil {
 		return problem
 	}
@@ -216,7 +220,7 @@
 // caller.
 func (h *Handler) run(c *call) *outcome.Problem {
 	terms := c.rule.Contract()
-	c.ctx = newDeadlineContext(c.r, terms, c.dialect.Deadline)
+	c.ctx = newDeadlineContext(c.r, terms, c.dialect.Deadline, h.stop)
 	defer c.ctx.stop()
 	c.softDeadline = h.timeouts.softDeadline(c.rule, c.ctx.callerTimeout, time.Now())
 	if terms.Once() && c.r.Header.Get(terms.OnceHeader()) == "" {
@@ -251,7 +255,7 @@
 		_ = c.controller.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}
 	c.extendWriteDeadline()
-	c.dialect.WriteProblem(c.w, ErrorResponse{Problem: problem, ID: c.id})
+	c.dialect.WriteProblem(c.w, ErrorResponse{Problem: problem, ID: c.id, RetryAfter: retryAfter(problem)})
 }
 
 func (h *Handler) logDecision(c *call, result string) {
--- /dev/null
+++ b/entry/caller/stop_test.go
@@ -0,0 +1,198 @@
+package caller_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/instance"
+	"github.com/snipebeam/snipebeam/world/outcome"
+)
+
+// stopAfter is the time until a stopping host ends its requests, less than every
+// deadline of the rules.
+const stopAfter = 1500 * time.Millisecond
+
+// oneSlot returns the views of an instance that takes one request at a time.
+func oneSlot(address string) *route.Views {
+	views := &route.Views{}
+	member := route.NewMember(instance.New(instance.ID(address), "shop", address, instance.WithSlots(1)), &route.Load{})
+	views.Store(map[string]*route.View{"shop": route.NewView("shop", []route.Member{member})})
+	return views
+}
+
+func withOneSlot(address string) option {
+	return func(cfg *caller.Config) {
+		cfg.Router = route.NewRouter(oneSlot(address), route.NewAdaptive(route.WithHeadroom(0)), route.WithTerms(termsOf(cfg.Table)))
+	}
+}
+
+func withOneLink(n *network) option {
+	return func(cfg *caller.Config) {
+		cfg.Pool = upstream.NewPool(upstream.WithDial(n.dial), upstream.WithMaxLinks(1))
+	}
+}
+
+func TestEachHeldRequestGetsItsOutcomeAtTheEndOfAStop(t *testing.T) {
+	tests := map[string]struct {
+		before  string // an earlier request, which occupies what this one waits for
+		request string
+		option  func(n *network) option
+		kind    outcome.Kind
+		reason  outcome.Reason
+		status  int
+	}{
+		"silent instance": {
+			request: "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
+			kind:    outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
+		},
+		"silent instance, hedged": {
+			request: "GET /late/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
+			kind:    outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
+		},
+		"silent instance, at most once": {
+			request: "POST /pay/1 HTTP/1.1\r\nHost: shop\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\n5",
+			kind:    outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
+		},
+		"key held by another request": {
+			before:  "POST /pay/1 HTTP/1.1\r\nHost: shop\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\n5",
+			request: "POST /pay/1 HTTP/1.1\r\nHost: shop\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\n5",
+			kind:    outcome.Unknown, reason: outcome.ClaimHeld, status: http.StatusConflict,
+		},
+		"no free slot": {
+			before:  "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
+			request: "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 1\r\n\r\n5",
+			option:  func(*network) option { return withOneSlot("i:1") },
+			kind:    outcome.NotRun, reason: outcome.HostStopping, status: http.StatusServiceUnavailable,
+		},
+		"no free link": {
+			before:  "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
+			request: "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 1\r\n\r\n5",
+			option:  withOneLink,
+			kind:    outcome.NotRun, reason: outcome.HostStopping, status: http.StatusServiceUnavailable,
+		},
+		"small body incomplete": {
+			request: "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 100\r\n\r\n5",
+			kind:    outcome.NotRun, reason: outcome.HostStopping, status: http.StatusServiceUnavailable,
+		},
+		"large body incomplete": {
+			request: "POST /photos/1 HTTP/1.1\r\nHost: shop\r\nContent-Length: 100000\r\n\r\n5",
+			kind:    outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
+		},
+		"large body unread, no free slot": {
+			before:  "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
+			request: "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 100000\r\n\r\n5",
+			option:  func(*network) option { return withOneSlot("i:1") },
+			kind:    outcome.NotRun, reason: outcome.HostStopping, status: http.StatusServiceUnavailable,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				n.serve(t, "i:1", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					<-r.Context().Done()
+				}))
+				opts := []option{n.pool(t)}
+				if test.option != nil {
+					opts = append(opts, test.option(n))
+				}
+				e := newEntry(t, viewsOf("i:1"), newClaims(), opts...)
+				t.Cleanup(e.pool.Close)
+				n.serve(t, "e:1", e.handler)
+				if test.before != "" {
+					n.send(t, test.before)
+					synctest.Wait()
+				}
+				conn := n.send(t, test.request)
+				e.stopping.Store(true)
+				e.handler.EndRequestsAt(time.Now().Add(stopAfter))
+				started := time.Now()
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				must.NoError(t, err)
+				must.Eq(t, stopAfter, time.Since(started))
+				_, err = io.Copy(io.Discard, response.Body)
+				must.NoError(t, err)
+				must.Eq(t, test.status, response.StatusCode)
+				must.Eq(t, string(test.kind), response.Header.Get(outcome.Header))
+				must.Eq(t, string(test.reason), response.Header.Get(outcome.ReasonHeader))
+				must.True(t, response.Close)
+				must.Eq(t, test.kind == outcome.NotRun, response.Header.Get("Retry-After") != "")
+			})
+		})
+	}
+}
+
+// send opens a connection to the entry host, sends text and returns the connection.
+func (n *network) send(t testing.TB, text string) net.Conn {
+	conn, err := n.dial(t.Context(), "e:1")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	go func() { _, _ = io.WriteString(conn, text) }()
+	return conn
+}
+
+func TestInstancesAreToldTheShorterDeadlineOfAStoppingHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.serve(t, "i:1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, r.Header.Get(caller.DeadlineHeader))
+		}))
+		e := newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t))
+		n.serve(t, "e:1", e.handler)
+		e.handler.EndRequestsAt(time.Now().Add(stopAfter))
+		response, err := n.client(t).Do(newRequest(t, http.MethodGet, "e:1", "/plain/1", ""))
+		must.NoError(t, err)
+		data, err := io.ReadAll(response.Body)
+		must.NoError(t, err)
+		must.Eq(t, "1500", string(data))
+	})
+}
+
+func TestResponseThatHasBegunOutlivesTheEndOfRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.serve(t, "i:1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "begun ")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(2 * stopAfter)
+			_, _ = io.WriteString(w, "ended")
+		}))
+		e := newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t))
+		n.serve(t, "e:1", e.handler)
+		response, err := n.client(t).Do(newRequest(t, http.MethodGet, "e:1", "/plain/1", ""))
+		must.NoError(t, err)
+		e.handler.EndRequestsAt(time.Now().Add(stopAfter))
+		data, err := io.ReadAll(response.Body)
+		must.NoError(t, err)
+		must.Eq(t, "begun ended", string(data))
+	})
+}
+
+func TestRequestsAfterTheListenerClosedAreRefusedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, runs := newNetwork(), &counter{}
+		n.serve(t, "i:1", runs)
+		e := newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t))
+		n.serve(t, "e:1", e.handler)
+		e.stopping.Store(true)
+		e.handler.RefuseRequests()
+		response, err := n.client(t).Do(newRequest(t, http.MethodPost, "e:1", "/order", "5"))
+		must.NoError(t, err)
+		_ = response.Body.Close()
+		must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+		must.Eq(t, string(outcome.NotRun), response.Header.Get(outcome.Header))
+		must.Eq(t, string(outcome.HostStopping), response.Header.Get(outcome.ReasonHeader))
+		must.NotEq(t, "", response.Header.Get("Retry-After"))
+		must.Zero(t, runs.of(""))
+	})
+}
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -66,10 +67,11 @@
 
 func runCallers(lc fx.Lifecycle, deps callerDeps) {
 	cfg, logger, state := deps.Config, deps.Logger, deps.State
-	server := &http.Server{
-		Handler: deps.handler(), MaxHeaderBytes: cfg.Limits.HeaderBytes,
+	handler := deps.handler()
+	server := newCallerServer(&http.Server{
+		Handler: handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
 		ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
-	}
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(startCtx context.Context) error {
@@ -77,7 +79,7 @@
 			if err != nil {
 				return errors.Wrap(err, "listen for callers")
 			}
-			serve(server, caller.LimitListener(listener, cfg.Limits.Links, cfg.Limits.LinksPerCaller), "callers", logger)
+			server.start(caller.LimitListener(listener, cfg.Limits.Links, cfg.Limits.LinksPerCaller), logger)
 			go deps.Pool.Run(ctx)
 			state.bound.Store(true)
 			logger.Info("entry host started", "host", cfg.Host.Name, "callers", cfg.Listen.Callers)
@@ -87,8 +89,15 @@
 			defer cancel()
 			defer reportLimit(stopCtx, state, logger)()
 			drain(stopCtx, state, deps.Settler, drainHooks{
-				report:        deps.Watch.Report,
-				closeListener: func(ctx context.Context) { _ = server.Shutdown(ctx) }, // the call below returns the same error
+				report: deps.Watch.Report,
+				endRequestsAt: func(at time.Time) {
+					handler.EndRequestsAt(at)
+					deps.Router.CutOffAt(at)
+				},
+				closeListener: func() {
+					handler.RefuseRequests()
+					server.closeListener()
+				},
 			}, logger)
 			return server.Shutdown(stopCtx)
 		},
--- a/entry/host/inflight_test.go
+++ b/entry/host/inflight_test.go
@@ -81,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	end := reportLimit(ctx, state, logger)
-	drain(ctx, state, control.NewSettler(nil), drainHooks{report: func(context.Context) {}, closeListener: func(context.Context) {}}, logger)
+	drain(ctx, state, control.NewSettler(nil), drainHooks{report: func(context.Context) {}, closeListener: func() {}}, logger)
 	end()
 	time.Sleep(duration)
 	return out
--- a/entry/host/stop.go
+++ b/entry/host/stop.go
@@ -19,10 +19,16 @@
 	settleTimeout    = 30 * time.Second
 )
 
+// Shares of the limit of a planned stop, at whose end the process may be killed.
+const (
+	outcomeShare = 7.0 / 8   // then requests without a response get their outcome, which takes time to send
+	exitShare    = 19.0 / 20 // then the process exits
+)
+
 // stopLimit returns the maximum duration of a planned stop.
 func stopLimit(cfg *settings.Settings) time.Duration {
 	if cfg.Host.StopLimitSeconds > 0 {
-		return seconds(cfg.Host.StopLimitSeconds)
+		return seconds(cfg.Host.StopLimitSeconds * exitShare)
 	}
 	return stopTimeout
 }
@@ -30,22 +36,30 @@
 // drainHooks are called in the course of a planned stop.
 type drainHooks struct {
 	report        func(ctx context.Context) // reports the draining state to the control hosts
-	closeListener func(ctx context.Context) // stops accepting connections
+	endRequestsAt func(at time.Time)        // sets when requests without a response get their outcome
+	closeListener func()                    // stops accepting connections and refuses further requests
 }
 
 // drain takes this host out of address responses and accepts connections until
 // the TTL of the last response that any host gave has expired. It then accepts no
-// more, and waits for requests in flight and for unsettled claims. Only the end
-// of the context, whose deadline may come from a setting, cuts it short.
+// more, and waits for requests in flight and for unsettled claims. If the stop has
+// a limit, requests that have no response shortly before it get their outcome;
+// responses that have begun are cut at the end of the context.
 func drain(ctx context.Context, state *State, settler *control.Settler, hooks drainHooks, logger hclog.Logger) {
 	signal.Ignore(syscall.SIGTERM) // a second signal must not cut the drain short
 	state.draining.Store(true)
 	go hooks.report(ctx) // an unresponsive control host must not delay the drain
+	leave := seconds(state.cfg.Host.LeaveSeconds)
+	if limit := state.cfg.Host.StopLimitSeconds; limit > 0 {
+		rest := seconds(limit * outcomeShare)
+		leave = min(leave, rest)
+		hooks.endRequestsAt(time.Now().Add(rest))
+	}
 	logger.Info("draining", append(progress(state), "endsAt", endOf(ctx))...)
 	stopLog := logProgress(ctx, state, logger)
 	defer stopLog()
-	pause.For(ctx, seconds(state.cfg.Host.LeaveSeconds))
-	go hooks.closeListener(ctx)
+	pause.For(ctx, leave)
+	hooks.closeListener()
 	for {
 		inFlight, _ := state.requests.InFlight(time.Now())
 		if inFlight == 0 || !pause.For(ctx, drainPoll) {
--- a/entry/host/stop_test.go
+++ b/entry/host/stop_test.go
@@ -24,7 +24,7 @@
 	started := time.Now()
 	drain(ctx, state, control.NewSettler(nil), drainHooks{
 		report:        func(context.Context) { time.Sleep(time.Second) }, // unresponsive control hosts
-		closeListener: func(context.Context) { must.Eq(t, seconds(state.cfg.Host.LeaveSeconds), time.Since(started)) },
+		closeListener: func() { must.Eq(t, seconds(state.cfg.Host.LeaveSeconds), time.Since(started)) },
 	}, hclog.NewNullLogger())
 	must.Eq(t, "draining", state.Name())
 	return time.Since(started)
@@ -63,9 +63,32 @@
 		started, refused := time.Now(), make(chan time.Duration, 1)
 		drain(t.Context(), state, control.NewSettler(nil), drainHooks{
 			report:        func(context.Context) {},
-			closeListener: func(context.Context) { refused <- time.Since(started) },
+			closeListener: func() { refused <- time.Since(started) },
 		}, hclog.NewNullLogger())
 		must.Eq(t, seconds(state.cfg.Host.LeaveSeconds), <-refused)
 		must.GreaterEq(t, time.Minute, time.Since(started))
 	})
 }
+
+func TestRequestsEndBeforeTheProcessAndTheProcessBeforeTheLimitOfAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := settings.Default()
+		cfg.Host.LeaveSeconds, cfg.Host.StopLimitSeconds = 2, 8
+		state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker())
+		request := state.requests.Track("aftercare", time.Now())
+		started := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), stopLimit(cfg))
+		defer cancel()
+		drain(ctx, state, control.NewSettler(nil), drainHooks{
+			report: func(context.Context) {},
+			endRequestsAt: func(at time.Time) {
+				must.Zero(t, time.Since(started))
+				must.Eq(t, 7*time.Second, at.Sub(started))
+				time.AfterFunc(time.Until(at), func() { request.End(true, time.Now()) })
+			},
+			closeListener: func() { must.Eq(t, 2*time.Second, time.Since(started)) },
+		}, hclog.NewNullLogger())
+		must.Less(t, stopLimit(cfg), time.Since(started))
+		must.Less(t, 8*time.Second, stopLimit(cfg))
+	})
+}
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -30,6 +30,9 @@
 // offer returns a ticket if an instance is free, and queues the request otherwise.
 func (d *Dispatcher) offer(view *View, q Query, granted func(*Ticket, error)) (*Ticket, *Waiter, error) {
 	now := d.router.clock()
+	if d.router.beyondCutoff(now, d.responseTime(view)) {
+		return nil, nil, d.cutOffProblem()
+	}
 	terms := d.router.terms(d.service)
 	admitted, problem := d.limits.admit(&q, terms, d.share(&q, terms), now)
 	if problem != nil {
@@ -109,6 +112,7 @@
 
 // dispatch assigns free instances to waiting requests. The caller holds the lock.
 func (d *Dispatcher) dispatch(now int64) {
+	d.rejectCutOff(now)
 	if len(d.softQueue.all) > 0 {
 		d.dispatchSoftQueue(now)
 	}
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -43,6 +43,7 @@
 	random    Random
 	trace     bool
 	limits    Limits
+	cutoff    atomic.Int64 // Unix nanoseconds, 0 for none
 
 	mu          sync.Mutex
 	dispatchers atomic.Pointer[map[string]*Dispatcher]
--- a/entry/settings/host.go
+++ b/entry/settings/host.go
@@ -15,7 +15,7 @@
 	Cores            float64 `toml:"cores" comment:"cores that this process may use, 0 if not known; callers are spread over more hosts by it"`
 	LinkMbps         float64 `toml:"linkMbps" comment:"bandwidth of this host's link, megabits a second, 0 if not known; callers are spread over more hosts by it"`
 	LeaveSeconds     float64 `toml:"leaveSeconds" comment:"time that a stopping host goes on taking requests, until no caller holds its address: the lifetime of address answers and 2 s for the news"`
-	StopLimitSeconds float64 `toml:"stopLimitSeconds" comment:"most time that a planned stop waits for requests in flight, 0 for no limit"`
+	StopLimitSeconds float64 `toml:"stopLimitSeconds" comment:"time after which a stopping process may be killed, 0 for no limit; requests without an answer get their outcome in its last eighth"`
 }
 
 func (h Host) check(c *setting.Checker) {
--- a/world/outcome/outcome.go
+++ b/world/outcome/outcome.go
@@ -41,6 +41,7 @@
 	NoRule           Reason = "no-rule"
 	NoInstance       Reason = "no-instance"
 	NotReady         Reason = "not-ready"
+	HostStopping     Reason = "host-stopping"
 	Overload         Reason = "overload"
 	CallerLimit      Reason = "caller-limit"
 	DeadlineExceeded Reason = "deadline-exceeded"
@@ -71,6 +72,7 @@
 	NoRule:           {http.StatusNotFound, 0},
 	NoInstance:       {http.StatusServiceUnavailable, time.Second},
 	NotReady:         {http.StatusServiceUnavailable, time.Second},
+	HostStopping:     {http.StatusServiceUnavailable, time.Second},
 	Overload:         {http.StatusServiceUnavailable, time.Second},
 	CallerLimit:      {http.StatusTooManyRequests, time.Second},
 	DeadlineExceeded: {http.StatusGatewayTimeout, 0},
