entry/host: connections without a request do not prolong a planned stop

A connection on which nothing, or half a header, has been sent kept the stop to its limit: http.Server.Shutdown takes it for busy in its first 5 s, and afterwards while a header is incomplete. The stop then failed with "context deadline exceeded", and hooks after it did not run.

Change: connections on which no request has been read are tracked by their state and closed once nothing is in flight. A request that crosses the close has not been read.

--- a/bench/local/stop_test.go
+++ b/bench/local/stop_test.go
@@ -283,3 +283,13 @@
 	must.NoError(t, got.err)
 	must.Eq(t, http.StatusOK, got.status)
 }
+
+func TestConnectionsWithoutARequestDoNotProlongAPlannedStop(t *testing.T) {
+	h := startStopping(t, nil)
+	connect(t, h.Callers)
+	sendOn(t, h.Callers, "GET / HTTP/1.1\r\nHo")
+	// Connections are accepted in order, so the response shows that they are accepted.
+	must.Eq(t, http.StatusNotFound, raw(t, h.Callers, "GET / HTTP/1.1\r\nHost: b\r\n\r\n"))
+
+	must.NoError(t, h.Stop())
+}
--- a/entry/host/callerserver.go
+++ b/entry/host/callerserver.go
@@ -1,8 +1,10 @@
 package host
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"sync"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -12,9 +14,26 @@
 type callerServer struct {
 	*http.Server
 	listener net.Listener
+
+	mu     sync.Mutex
+	unused map[net.Conn]struct{} // no request has been read on them
+}
+
+func newCallerServer(server *http.Server) *callerServer {
+	s := &callerServer{Server: server, unused: map[net.Conn]struct{}{}}
+	server.ConnState = s.track
+	return s
 }
 
-func newCallerServer(server *http.Server) *callerServer { return &callerServer{Server: server} }
+func (s *callerServer) track(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateNew {
+		s.unused[conn] = struct{}{}
+		return
+	}
+	delete(s.unused, conn)
+}
 
 func (s *callerServer) start(listener net.Listener, logger hclog.Logger) {
 	s.listener = listener
@@ -28,3 +47,18 @@
 	}
 	s.SetKeepAlivesEnabled(false)
 }
+
+// Shutdown closes the connections on which no request has been read, and waits for
+// responses to be sent on the others.
+func (s *callerServer) Shutdown(ctx context.Context) error {
+	s.closeUnused()
+	return s.Server.Shutdown(ctx)
+}
+
+func (s *callerServer) closeUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.unused {
+		_ = conn.Close()
+	}
+}
