upstream: cut off a response header at 32 KiB

The need: an instance in trouble may send bytes that are no response, without end. The largest header that our own callers may send is 32 KiB; the limit is now the same for instances, as links.headerBytes.

Tests with in-memory links: a header line, header lines, interim responses, their lines, a status line, and bytes that are no HTTP, all without end, at once and byte by byte. Byte by byte each ended with the request's context before and now, its link closed and the request counted as written. Bytes after a complete response closed the link before and now.

--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -22,6 +22,7 @@
 func newPool(cfg *settings.Settings) *upstream.Pool {
 	return upstream.NewPool(
 		upstream.WithMaxLinks(cfg.Links.PerInstance), upstream.WithIdleLimit(seconds(cfg.Links.IdleSeconds)),
+		upstream.WithMaxHeaderBytes(cfg.Links.HeaderBytes),
 		upstream.WithProgress(seconds(cfg.Links.ProgressSeconds)), upstream.WithSilentLimit(seconds(cfg.Links.SilentSeconds)))
 }
 
--- /dev/null
+++ b/entry/upstream/endless_test.go
@@ -0,0 +1,153 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/upstream"
+)
+
+const (
+	mostNoAnswerBytes = 100 << 10 // that an instance may get rid of before its link is closed
+	tricklePause      = time.Second
+)
+
+// endlessInstance responds to each request with a start and then a piece, again
+// and again, until its link is closed.
+type endlessInstance struct {
+	start, piece string
+	trickle      bool // sends the piece byte by byte, with a pause before each
+	opened       atomic.Int32
+	taken        atomic.Int64 // bytes of pieces that were read from it
+	ended        sync.WaitGroup
+}
+
+func (i *endlessInstance) dial(context.Context, string) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	i.opened.Add(1)
+	i.ended.Go(func() { i.serve(theirs) })
+	return ours, nil
+}
+
+func (i *endlessInstance) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	readRequest(bufio.NewReader(conn))
+	if _, err := io.WriteString(conn, i.start); err != nil {
+		return
+	}
+	for at := 0; ; at++ {
+		part := i.piece
+		if i.trickle {
+			time.Sleep(tricklePause)
+			part = i.piece[at%len(i.piece):][:1]
+		}
+		n, err := io.WriteString(conn, part)
+		i.taken.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// endlessHeads never come to the end of the header of a final response.
+func endlessHeads() map[string]*endlessInstance {
+	return map[string]*endlessInstance{
+		"header line":   {start: "HTTP/1.1 200 OK\r\nA: ", piece: strings.Repeat("a", 1000)},
+		"header lines":  {start: "HTTP/1.1 200 OK\r\n", piece: "A: b\r\n"},
+		"interim":       {piece: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+		"continue":      {piece: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"interim lines": {start: "HTTP/1.1 103 Early Hints\r\n", piece: "A: b\r\n"},
+		"status line":   {start: "HTTP/1.1 200 ", piece: "O"},
+		"no status":     {piece: strings.Repeat("x", 1000)},
+		"empty lines":   {piece: "\r\n"},
+	}
+}
+
+func TestEndlessHeadIsCutOffEarly(t *testing.T) {
+	for name, instance := range endlessHeads() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer instance.ended.Wait()
+				pool := upstream.NewPool(upstream.WithDial(instance.dial))
+				_, err := fetch(t, pool, "i:1", "/")
+				must.Eq(t, upstream.Malformed, failureOf(t, err).Cause())
+				must.True(t, failureOf(t, err).Wrote())
+				instance.ended.Wait()
+				must.LessEq(t, mostNoAnswerBytes, instance.taken.Load())
+				open, _ := pool.Links("i:1")
+				must.Zero(t, open)
+			})
+		})
+	}
+}
+
+func TestTrickledHeadEndsWithTheRequest(t *testing.T) {
+	for name, instance := range endlessHeads() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				instance.trickle = true
+				defer instance.ended.Wait()
+				pool := upstream.NewPool(upstream.WithDial(instance.dial))
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				started := time.Now()
+				_, err := pool.Send(ctx, "i:1", get(t, "/"))
+				must.True(t, failureOf(t, err).Wrote())
+				must.LessEq(t, 5*time.Second, time.Since(started))
+				instance.ended.Wait()
+				open, _ := pool.Links("i:1")
+				must.Zero(t, open)
+			})
+		})
+	}
+}
+
+func TestLongHeadWithinTheLimitIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		head := "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 30<<10) + "\r\nContent-Length: 2\r\n\r\nok"
+		instance := &endlessInstance{start: head, piece: "surplus"}
+		pool := upstream.NewPool(upstream.WithDial(instance.dial))
+		body, err := fetch(t, pool, "i:1", "/")
+		must.NoError(t, err)
+		must.Eq(t, "ok", body)
+		pool.Close()
+	})
+}
+
+func TestEndlessBytesAfterTheResponseEndWithTheLink(t *testing.T) {
+	sent, ended := make(chan struct{}), make(chan struct{})
+	i := serve(t, func(n int, conn *net.TCPConn, r *bufio.Reader) {
+		readRequest(r)
+		write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		if n > 1 {
+			return
+		}
+		defer close(ended)
+		write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
+		close(sent)
+		for {
+			if _, err := conn.Write(make([]byte, 1000)); err != nil {
+				return
+			}
+		}
+	})
+	pool := upstream.NewPool()
+	body, err := fetch(t, pool, i.address(), "/")
+	must.NoError(t, err)
+	must.Eq(t, "ok", body)
+	<-sent
+	body, err = fetch(t, pool, i.address(), "/")
+	must.NoError(t, err)
+	must.Eq(t, "ok", body)
+	must.Eq(t, 2, i.opened.Load())
+	<-ended
+}
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -12,10 +12,7 @@
 	"github.com/snipebeam/snipebeam/world/link"
 )
 
-const (
-	maxHeaderBytes   = 256 << 10 // of a response header, including interim responses
-	writeBufferBytes = 16 << 10
-)
+const writeBufferBytes = 16 << 10
 
 var errHeaderTooLarge = errors.New("response header too large")
 
@@ -28,6 +25,7 @@
 	idleSince       time.Time
 	written         atomic.Int64
 	progress        time.Duration // limit on a read or write that transfers no byte
+	maxHeaderBytes  int           // of a response header, including interim responses
 	headerBytesLeft int           // bytes that the header of the current response may still take
 	inHeader        bool
 	responseStarted bool // a byte of the current response was received
@@ -35,8 +33,8 @@
 	silent          atomic.Bool // closed because it exceeded the silent limit
 }
 
-func newLink(conn net.Conn, progress time.Duration) *Link {
-	l := &Link{conn: conn, openedAt: time.Now(), progress: progress}
+func newLink(conn net.Conn, progress time.Duration, maxHeaderBytes int) *Link {
+	l := &Link{conn: conn, openedAt: time.Now(), progress: progress, maxHeaderBytes: maxHeaderBytes}
 	l.reader = bufio.NewReader(l)
 	l.writer = bufio.NewWriterSize(l, writeBufferBytes)
 	return l
@@ -78,7 +76,7 @@
 // beginHeader prepares the link for the header of the next response. No read
 // deadline applies to it except that of the request's context.
 func (l *Link) beginHeader() error {
-	l.inHeader, l.headerBytesLeft, l.responseStarted = true, maxHeaderBytes, l.reader.Buffered() > 0
+	l.inHeader, l.headerBytesLeft, l.responseStarted = true, l.maxHeaderBytes, l.reader.Buffered() > 0
 	return l.conn.SetReadDeadline(time.Time{})
 }
 
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -33,6 +33,8 @@
 	DefaultMaxLinks  = 16
 	DefaultIdleLimit = 20 * time.Second
 	DefaultProgress  = 30 * time.Second
+
+	DefaultMaxHeaderBytes = 32 << 10 // of a response, including its interim responses
 )
 
 const (
@@ -46,12 +48,13 @@
 
 // Pool holds the links to all instances.
 type Pool struct {
-	dial      Dial
-	maxLinks  int
-	idleLimit time.Duration
-	progress  time.Duration
-	silent    time.Duration
-	instances sync.Map // *instanceLinks by address
+	dial           Dial
+	maxLinks       int
+	maxHeaderBytes int
+	idleLimit      time.Duration
+	progress       time.Duration
+	silent         time.Duration
+	instances      sync.Map // *instanceLinks by address
 }
 
 // Option configures a Pool.
@@ -63,6 +66,10 @@
 // WithMaxLinks limits the number of links to one instance.
 func WithMaxLinks(n int) Option { return func(p *Pool) { p.maxLinks = n } }
 
+// WithMaxHeaderBytes limits the size of a response header, including those of
+// interim responses.
+func WithMaxHeaderBytes(n int) Option { return func(p *Pool) { p.maxHeaderBytes = n } }
+
 // WithIdleLimit limits how long an idle link is kept.
 func WithIdleLimit(d time.Duration) Option { return func(p *Pool) { p.idleLimit = d } }
 
@@ -90,7 +97,7 @@
 // NewPool returns an empty pool.
 func NewPool(opts ...Option) *Pool {
 	p := &Pool{
-		dial: dialer(link.SilentLimit), maxLinks: DefaultMaxLinks,
+		dial: dialer(link.SilentLimit), maxLinks: DefaultMaxLinks, maxHeaderBytes: DefaultMaxHeaderBytes,
 		idleLimit: DefaultIdleLimit, progress: DefaultProgress, silent: link.SilentLimit,
 	}
 	for _, opt := range opts {
@@ -172,7 +179,7 @@
 		links.remove(nil)
 		return nil, links, &Failure{cause: Unopened, err: err, address: address}
 	}
-	l := newLink(conn, p.progress)
+	l := newLink(conn, p.progress, p.maxHeaderBytes)
 	links.add(l)
 	return l, links, nil
 }
