upstream: limit what is discarded of responses to other requests

A response that echoes the identity of another request is read to its end and discarded. Its body counted as header of the awaited response, so that its limit of 1 MiB was never reached and the header's limit applied; since that is 32 KiB, a late response with a body of 50 kB failed the request that waits behind it (TestLateResponseWithALongBodyIsDiscarded failed before this change, not on 256 KiB). Past the limit of 1 MiB, the rest of the body would have been parsed as the awaited response.

The discarded responses of one request now have 64 KiB of their own in addition to the header's limit; over it the exchange fails. Tests: length, chunks, chunk extension, close-delimited, and one response after another, without end, at once and byte by byte; the body repeats a response with the awaited identity, which is never taken.

--- a/entry/upstream/endless_test.go
+++ b/entry/upstream/endless_test.go
@@ -151,3 +151,67 @@
 	must.Eq(t, 2, i.opened.Load())
 	<-ended
 }
+
+// endlessMismatches respond to another request without end.
+func endlessMismatches() map[string]*endlessInstance {
+	own := "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nContent-Length: 3\r\n\r\nown"
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: 6\r\n"
+	return map[string]*endlessInstance{
+		"length":          {start: head + "Content-Length: 1000000000000\r\n\r\n", piece: own},
+		"chunks":          {start: head + "Transfer-Encoding: chunked\r\n\r\n", piece: "3\r\nown\r\n"},
+		"chunk extension": {start: head + "Transfer-Encoding: chunked\r\n\r\n3;", piece: "a"},
+		"until closed":    {start: head + "\r\n", piece: own},
+		"one after another": {
+			piece: head + "Content-Length: 5\r\n\r\nother",
+		},
+	}
+}
+
+func TestEndlessResponseToAnotherRequestIsCutOffEarly(t *testing.T) {
+	for name, instance := range endlessMismatches() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer instance.ended.Wait()
+				pool := upstream.NewPool(upstream.WithDial(instance.dial))
+				_, err := fetchIdentified(t, pool, "i:1", upstream.WithCloseDelimited())
+				must.Eq(t, upstream.Malformed, failureOf(t, err).Cause())
+				must.True(t, failureOf(t, err).Wrote())
+				instance.ended.Wait()
+				must.LessEq(t, mostNoAnswerBytes, instance.taken.Load())
+				open, _ := pool.Links("i:1")
+				must.Zero(t, open)
+			})
+		})
+	}
+}
+
+func TestTrickledResponseToAnotherRequestEndsWithTheRequest(t *testing.T) {
+	for name, instance := range endlessMismatches() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				instance.trickle = true
+				defer instance.ended.Wait()
+				pool := upstream.NewPool(upstream.WithDial(instance.dial))
+				req := get(t, "/")
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				_, err := pool.Send(ctx, "i:1", req, upstream.WithIdentity("Request-Id", "7"))
+				must.True(t, failureOf(t, err).Wrote())
+				instance.ended.Wait()
+				open, _ := pool.Links("i:1")
+				must.Zero(t, open)
+			})
+		})
+	}
+}
+
+func TestLateResponseWithALongBodyIsDiscarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		late := "HTTP/1.1 200 OK\r\nRequest-Id: 6\r\nContent-Length: 50000\r\n\r\n" + strings.Repeat("a", 50_000)
+		own := "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nContent-Length: 3\r\n\r\nown"
+		instance := &endlessInstance{start: late + own, piece: "surplus"}
+		body, err := fetchIdentified(t, upstream.NewPool(upstream.WithDial(instance.dial)), "i:1")
+		must.NoError(t, err)
+		must.Eq(t, "own", body)
+	})
+}
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -14,7 +14,7 @@
 // Limits of an exchange.
 const (
 	maxInterimResponses = 16       // before the final response
-	maxMismatchedBytes  = 1 << 20  // of a discarded response to another request
+	maxMismatchedBytes  = 64 << 10 // of discarded responses to other requests
 	maxInlineBytes      = 16 << 10 // larger bodies are written while the response is awaited
 	unlimitedIdle       = time.Duration(math.MaxInt64)
 	retirementMargin    = time.Second // links opened up to this long after a silent one are retired with it
@@ -181,17 +181,19 @@
 	return got != "" && got != e.identity
 }
 
-// discard reads a response to another request to its end. The link is not reused
+// discard reads a response to another request to its end. Together with the
+// headers, all discarded responses are limited in size. The link is not reused
 // afterwards.
 func (e *Exchange) discard(response *http.Response) error {
 	if framedBody := response.ContentLength >= 0 || len(response.TransferEncoding) > 0; !framedBody || response.Close {
 		return errMismatched
 	}
-	e.mismatched++
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBytes)); err != nil {
-		return errors.Wrap(err, "discard response to another request")
+	if e.mismatched == 0 {
+		e.link.headerBytesLeft += maxMismatchedBytes
 	}
-	return nil
+	e.mismatched++
+	_, err := io.Copy(io.Discard, response.Body)
+	return errors.Wrap(err, "discard response to another request")
 }
 
 // checkFraming rejects a body that ends when the link is closed, unless
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -14,7 +14,7 @@
 
 const writeBufferBytes = 16 << 10
 
-var errHeaderTooLarge = errors.New("response header too large")
+var errHeaderTooLarge = errors.New("too many bytes before the end of the response header")
 
 // Link is a persistent connection to an instance.
 type Link struct {
@@ -26,7 +26,7 @@
 	written         atomic.Int64
 	progress        time.Duration // limit on a read or write that transfers no byte
 	maxHeaderBytes  int           // of a response header, including interim responses
-	headerBytesLeft int           // bytes that the header of the current response may still take
+	headerBytesLeft int           // bytes that may still precede the body of the current response
 	inHeader        bool
 	responseStarted bool // a byte of the current response was received
 	reused          bool
