upstream: chunk sizes, extensions and trailers are no progress of a body

The limit on a read of a response body without progress began anew with each byte from the link. An instance that sends the extension of a chunk, leading zeros of its size, or a trailer, one byte a second, held the request for 1 h 8 min (the 4 KiB that net/http allows for each), with a limit of 30 s; nothing else ends such a request if the caller states no deadline. Sent at once, each took less than 100 KiB from the instance (by net/http's own limits), before and now.

The deadline now starts with each read of the decoded body, and anew within that read for each KiB from the link, so that one large chunk may arrive slowly. Ruled out: a minimum rate of body bytes, which would cut slow streams.

--- a/entry/upstream/endless_test.go
+++ b/entry/upstream/endless_test.go
@@ -152,6 +152,80 @@
 	<-ended
 }
 
+func TestEndlessChunkFramingIsNoProgress(t *testing.T) {
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+	instances := map[string]*endlessInstance{
+		"extension":          {start: chunked + "2;", piece: "a"},
+		"size":               {start: chunked, piece: "0"},
+		"trailer line":       {start: chunked + "0\r\nA: ", piece: "a"},
+		"trailer lines":      {start: chunked + "0\r\n", piece: "A: b\r\n"},
+		"extension of each":  {start: chunked, piece: "1;" + strings.Repeat("a", 4000) + "\r\nx\r\n"},
+		"trickled extension": {start: chunked + "2;", piece: "a", trickle: true},
+		"trickled size":      {start: chunked, piece: "0", trickle: true},
+		"trickled trailer":   {start: chunked + "0\r\nA: ", piece: "a", trickle: true},
+	}
+	for name, instance := range instances {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer instance.ended.Wait()
+				pool := upstream.NewPool(upstream.WithDial(instance.dial), upstream.WithProgress(30*time.Second))
+				started := time.Now()
+				body, err := fetch(t, pool, "i:1", "/")
+				must.Error(t, err)
+				must.StrHasPrefix(t, "ok", body)
+				must.LessEq(t, time.Minute, time.Since(started))
+				instance.ended.Wait()
+				must.LessEq(t, mostNoAnswerBytes, instance.taken.Load())
+				open, _ := pool.Links("i:1")
+				must.Zero(t, open)
+			})
+		})
+	}
+}
+
+// slowParts is a connection whose peer writes parts with a pause before each.
+func slowParts(pause time.Duration, start string, parts ...string) upstream.Dial {
+	return func(context.Context, string) (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		go func() {
+			readRequest(bufio.NewReader(theirs))
+			_, _ = io.WriteString(theirs, start)
+			for _, part := range parts {
+				time.Sleep(pause)
+				_, _ = io.WriteString(theirs, part)
+			}
+		}()
+		return ours, nil
+	}
+}
+
+func TestSlowBodyIsReadToItsEnd(t *testing.T) {
+	part := strings.Repeat("a", 100)
+	tests := map[string]struct {
+		pause time.Duration
+		start string
+		parts []string
+	}{
+		"bytes of a length": {20 * time.Second, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", []string{"a", "a", "a", "a"}},
+		"small chunks":      {20 * time.Second, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", []string{"1\r\na\r\n", "1\r\na\r\n", "0\r\n\r\n"}},
+		"one large chunk": {
+			time.Second, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2710\r\n",
+			append(strings.Split(strings.Repeat(part+" ", 99)+part, " "), "\r\n0\r\n\r\n"),
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pool := upstream.NewPool(upstream.WithDial(slowParts(test.pause, test.start, test.parts...)), upstream.WithProgress(30*time.Second))
+				body, err := fetch(t, pool, "i:1", "/")
+				must.NoError(t, err)
+				must.Eq(t, strings.Count(strings.Join(test.parts, ""), "a"), len(body))
+				pool.Close()
+			})
+		})
+	}
+}
+
 // endlessMismatches respond to another request without end.
 func endlessMismatches() map[string]*endlessInstance {
 	own := "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nContent-Length: 3\r\n\r\nown"
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -257,8 +257,10 @@
 func (e *Exchange) Response() *http.Response { return e.response }
 
 // Read reads the response body. Any error other than io.EOF means that the body
-// was truncated.
+// was truncated. Bytes that frame the body count as progress only if there are
+// many of them.
 func (e *Exchange) Read(p []byte) (int, error) {
+	e.link.beginBodyRead()
 	n, err := e.response.Body.Read(p)
 	if errors.Is(err, io.EOF) {
 		e.complete = true
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -12,7 +12,10 @@
 	"github.com/snipebeam/snipebeam/world/link"
 )
 
-const writeBufferBytes = 16 << 10
+const (
+	writeBufferBytes = 16 << 10
+	progressBytes    = 1 << 10 // that count as progress within one read of a body
+)
 
 var errHeaderTooLarge = errors.New("too many bytes before the end of the response header")
 
@@ -24,7 +27,8 @@
 	openedAt        time.Time
 	idleSince       time.Time
 	written         atomic.Int64
-	progress        time.Duration // limit on a read or write that transfers no byte
+	progress        time.Duration // limit on a write that transfers no byte, and on a read of a body without progress
+	bytesRead       int           // of a body since the read deadline was last set
 	maxHeaderBytes  int           // of a response header, including interim responses
 	headerBytesLeft int           // bytes that may still precede the body of the current response
 	inHeader        bool
@@ -57,10 +61,19 @@
 	if l.inHeader {
 		return l.readHeader(p)
 	}
-	if err := l.conn.SetReadDeadline(time.Now().Add(l.progress)); err != nil {
-		return 0, err
+	if l.bytesRead >= progressBytes {
+		l.beginBodyRead()
 	}
-	return l.conn.Read(p)
+	n, err := l.conn.Read(p)
+	l.bytesRead += n
+	return n, err
+}
+
+// beginBodyRead sets the deadline for progress of the next read of a body.
+func (l *Link) beginBodyRead() {
+	l.bytesRead = 0
+	// An error means that the link is closed, which the read reports.
+	_ = l.conn.SetReadDeadline(time.Now().Add(l.progress))
 }
 
 func (l *Link) readHeader(p []byte) (int, error) {
