caller: an attempt after a refusal keeps the deadline

What callers saw: if an instance refused a request before it started it and the next instance never answered, the request had no end: not at the rule's deadline, its timeout, or the time that the caller had stated.

Cause: the deadline was lifted for every response, also one that is not forwarded. It is now lifted as a response is forwarded.

Evidence: TestAttemptAfterARefusalKeepsTheDeadline failed before: no response within a minute, with deadlines of 2 and 5 s, also where the contract says finish or once; now 504 and unknown at the deadline.

Ruled out by tests that passed before and now: heads without end (a line, lines, interim responses, no status; at once and trickled) end once, as unknown, within the caller's time; the ticket and the backlog entry are released, the instance's connection is closed, and the instance is ejected.

--- /dev/null
+++ b/entry/caller/endless_test.go
@@ -0,0 +1,178 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/world/instance"
+	"github.com/snipebeam/snipebeam/world/outcome"
+)
+
+const callerDeadline = 3 * time.Second
+
+// endless is a response that starts and then repeats a piece, with a pause
+// before each, until its connection is closed.
+type endless struct {
+	start, piece string
+	pause        time.Duration
+}
+
+// serve responds to one request on each connection. It returns a channel that
+// receives a value when a connection was closed.
+func (e endless) serve(t *testing.T, n *network, address string) <-chan struct{} {
+	ended := make(chan struct{}, 100)
+	l := n.listen(address)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				e.respond(conn)
+				ended <- struct{}{}
+			}()
+		}
+	}()
+	return ended
+}
+
+func (e endless) respond(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	_, err = io.WriteString(conn, e.start)
+	for err == nil {
+		if e.pause > 0 {
+			time.Sleep(e.pause)
+		}
+		_, err = io.WriteString(conn, e.piece)
+	}
+}
+
+// loadsOf returns views of one service, and the load of each instance.
+func loadsOf(addresses ...string) (*route.Views, []route.Member) {
+	var members []route.Member
+	for _, address := range addresses {
+		members = append(members, route.NewMember(instance.New(instance.ID(address), "shop", address), &route.Load{}))
+	}
+	views := &route.Views{}
+	views.Store(map[string]*route.View{"shop": route.NewView("shop", members)})
+	return views, members
+}
+
+func endlessHeads() map[string]endless {
+	return map[string]endless{
+		"header line":          {start: "HTTP/1.1 200 OK\r\nA: ", piece: "aaaaaaaaaaaaaaaaaaaa"},
+		"header lines":         {start: "HTTP/1.1 200 OK\r\n", piece: "A: b\r\n"},
+		"interim":              {piece: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+		"no status":            {piece: "xxxxxxxxxxxxxxxxxxxx"},
+		"trickled line":        {start: "HTTP/1.1 200 OK\r\nA: ", piece: "a", pause: time.Second},
+		"trickled lines":       {start: "HTTP/1.1 200 OK\r\n", piece: "A: b\r\n", pause: time.Second},
+		"trickled interim":     {piece: "HTTP/1.1 103 Early Hints\r\n\r\n", pause: time.Second},
+		"trickled status line": {piece: "x", pause: time.Second},
+	}
+}
+
+func TestEndlessHeadIsUnknownOnce(t *testing.T) {
+	for name, response := range endlessHeads() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				views, members := loadsOf("i:1")
+				ended := response.serve(t, n, "i:1")
+				e := newEntry(t, views, newClaims(), n.pool(t))
+				n.serve(t, "e:1", e.handler)
+				started := time.Now()
+				got, err := n.client(t).Do(newRequest(t, http.MethodPost, "e:1", "/x", "b", caller.DeadlineHeader, "3000"))
+				must.NoError(t, err)
+				_ = got.Body.Close()
+				must.Eq(t, string(outcome.Unknown), got.Header.Get(outcome.Header))
+				must.LessEq(t, callerDeadline, time.Since(started))
+				<-ended
+				synctest.Wait()
+				must.Zero(t, members[0].Load().InFlight())
+				inFlight, _ := e.backlog.InFlight(time.Now())
+				must.Zero(t, inFlight)
+			})
+		})
+	}
+}
+
+func TestInstanceWithEndlessResponsesIsEjected(t *testing.T) {
+	responses := endlessHeads()
+	responses["trickled body"] = endless{start: "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n", piece: "a", pause: time.Second}
+	responses["trickled chunks"] = endless{start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", piece: "1\r\na\r\n", pause: time.Second}
+	for name, response := range responses {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(time.Minute) // until the last connection is closed
+				n := newNetwork()
+				views, members := loadsOf("i:1", "i:2", "i:3")
+				ended := response.serve(t, n, "i:1")
+				for _, address := range []string{"i:2", "i:3"} {
+					n.serve(t, address, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+				}
+				n.serve(t, "e:1", newEntry(t, views, newClaims(), n.pool(t)).handler)
+				client := n.client(t)
+				for range 200 {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+					got, err := client.Do(newRequest(t, http.MethodPost, "e:1", "/x", "b", caller.DeadlineHeader, "3000").WithContext(ctx))
+					if err == nil {
+						_, _ = io.Copy(io.Discard, got.Body)
+						_ = got.Body.Close()
+					}
+					cancel()
+					if members[0].State(time.Now().UnixNano()) == route.Ejected {
+						return
+					}
+				}
+				t.Fatalf("still routed to after %d endless responses", len(ended))
+			})
+		})
+	}
+}
+
+func TestAttemptAfterARefusalKeepsTheDeadline(t *testing.T) {
+	for path, deadline := range map[string]time.Duration{"/x": 5 * time.Second, "/photos/1": 2 * time.Second, "/pay/1": 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork()
+			requests := make(chan struct{}, 2)
+			handle := func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				requests <- struct{}{}
+				if len(requests) > 1 {
+					<-r.Context().Done()
+					return
+				}
+				w.Header().Set(caller.RefusedHeader, "full")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			n.serve(t, "i:1", http.HandlerFunc(handle))
+			n.serve(t, "i:2", http.HandlerFunc(handle))
+			n.serve(t, "e:1", newEntry(t, viewsOf("i:1", "i:2"), newClaims(), n.pool(t)).handler)
+			started := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			got, err := n.client(t).Do(newRequest(t, http.MethodPost, "e:1", path, "b", keyHeader, "k").WithContext(ctx))
+			must.NoError(t, err)
+			_ = got.Body.Close()
+			must.Eq(t, string(outcome.Unknown), got.Header.Get(outcome.Header))
+			must.Eq(t, string(outcome.DeadlineExceeded), got.Header.Get(outcome.ReasonHeader))
+			must.Eq(t, deadline, time.Since(started))
+		})
+	}
+}
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -41,7 +41,6 @@
 func (d *dispatch) handleResponse(exchange *upstream.Exchange) result {
 	response, id := exchange.Response(), d.target.ID()
 	d.c.backlogEntry.ResponseStarted(time.Now())
-	d.c.ctx.disarm()
 	d.report.Failed = response.StatusCode >= http.StatusInternalServerError
 	if report, ok := d.c.dialect.Load(response.Header); ok {
 		d.report.ReportedLoad, d.report.Slowdown, d.report.HasReportedLoad = report.Requests, report.Slowdown, true
@@ -74,6 +73,7 @@
 // if the response is truncated or the caller stops reading.
 func (d *dispatch) forward(exchange *upstream.Exchange) {
 	c, response := d.c, exchange.Response()
+	c.ctx.disarm()
 	if exchange.Uploading() {
 		// Without full duplex the server reads the whole upload before it responds.
 		_ = c.controller.EnableFullDuplex()
