caller: a response body ends at the deadline that the caller sent

The need: an instance may send a body without end. Once a response had begun no deadline applied, only a limit on reads without progress, which a byte now and then begins anew; a caller that no longer reads was given 30 s for each part.

The rule's deadline and timeout still end with the first byte of the response, so that a long response may outlive them. The time left that the caller sent now remains: at its end the link to the instance is closed, a write that waits for the caller ends, and the response is cut. Callers that send none are not affected (TestLongResponseOutlivesTheDeadline). What was read together with the error that cut a body is now flushed to the caller before its connection is aborted.

A caller that stops reading: 30 s before, 3 s now. The deadline does not reach the next request on the caller's connection.

--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -86,6 +86,16 @@
 	_ = c.controller.SetWriteDeadline(time.Now().Add(c.progressTimeout))
 }
 
+// extendChunkDeadline is extendWriteDeadline up to the deadline that the caller
+// sent.
+func (c *call) extendChunkDeadline() {
+	at := time.Now().Add(c.progressTimeout)
+	if own := c.ctx.callerDeadline; !own.IsZero() && own.Before(at) {
+		at = own
+	}
+	_ = c.controller.SetWriteDeadline(at)
+}
+
 // problem returns an outcome. If the context of the call has ended, its cause
 // replaces the given reason.
 func (c *call) problem(kind outcome.Kind, reason outcome.Reason, detail string) *outcome.Problem {
--- a/entry/caller/deadline.go
+++ b/entry/caller/deadline.go
@@ -16,22 +16,23 @@
 	errCallerGone = errors.New("caller disconnected")
 )
 
-// deadlineContext is the context of a call up to the first byte of the
-// response. The rule's deadline runs from the last byte of the request, so that
-// a slow upload does not use it up; the caller's deadline and the rule's
-// timeout run from arrival.
+// deadlineContext is the context of a call. The rule's deadline runs from the
+// last byte of the request, so that a slow upload does not use it up; the
+// caller's deadline and the rule's timeout run from arrival. Only the caller's
+// applies beyond the first byte of the response.
 type deadlineContext struct {
 	context.Context // ends at the deadline, or when the caller disconnects unless detached
 	cancel          context.CancelCauseFunc
 	stopWatch       func() bool   // stops watching for the caller's disconnect
 	ruleDeadline    time.Duration // from the last byte of the request
 	callerTimeout   time.Duration // sent by the caller, 0 for none
+	callerDeadline  time.Time     // by callerTimeout, zero for none
 	arrivalDeadline time.Time     // earlier of the caller's deadline and the rule's timeout, zero for none
 
 	mu       sync.Mutex
 	deadline time.Time // zero for none while the rule's deadline is suspended
 	timer    *time.Timer
-	disarmed bool // no deadline applies any more
+	disarmed bool // only callerDeadline applies any more
 }
 
 func newDeadlineContext(r *http.Request, terms *contract.Contract, deadlineHeader string) *deadlineContext {
@@ -40,7 +41,8 @@
 	now := time.Now()
 	if ms, err := strconv.ParseInt(header(r.Header, deadlineHeader), 10, 32); err == nil && ms > 0 {
 		c.callerTimeout = time.Duration(ms) * time.Millisecond
-		c.arrivalDeadline = now.Add(c.callerTimeout)
+		c.callerDeadline = now.Add(c.callerTimeout)
+		c.arrivalDeadline = c.callerDeadline
 	}
 	if timeout := terms.Timeout(); timeout > 0 && (c.arrivalDeadline.IsZero() || now.Add(timeout).Before(c.arrivalDeadline)) {
 		c.arrivalDeadline = now.Add(timeout)
@@ -83,12 +85,18 @@
 func (c *deadlineContext) reset(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deadline = c.earliest(at)
-	if c.deadline.IsZero() || c.disarmed {
+	if !c.disarmed {
+		c.setDeadline(c.earliest(at))
+	}
+}
+
+func (c *deadlineContext) setDeadline(at time.Time) {
+	c.deadline = at
+	if at.IsZero() {
 		c.timer.Stop()
 		return
 	}
-	c.timer.Reset(time.Until(c.deadline))
+	c.timer.Reset(time.Until(at))
 }
 
 // Deadline returns the current deadline, which may still move.
@@ -110,18 +118,19 @@
 // detach keeps the context alive after the caller has disconnected.
 func (c *deadlineContext) detach() { c.stopWatch() }
 
-// disarm lifts the deadline once the response has begun.
+// disarm lifts the rule's deadline and timeout once the response has begun. The
+// deadline that the caller sent remains.
 func (c *deadlineContext) disarm() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.disarmed = true
-	c.timer.Stop()
+	c.setDeadline(c.callerDeadline)
 }
 
 func (c *deadlineContext) cause() error { return context.Cause(c.Context) }
 
 func (c *deadlineContext) stop() {
 	c.stopWatch()
-	c.disarm()
+	c.timer.Stop()
 	c.cancel(context.Canceled)
 }
--- a/entry/caller/endless_test.go
+++ b/entry/caller/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -176,3 +177,112 @@
 		})
 	}
 }
+
+func endlessBodies() map[string]endless {
+	pieces := map[string]endless{
+		"length":          {start: "Content-Length: 1000000000000\r\n\r\n", piece: "a"},
+		"chunks":          {start: "Transfer-Encoding: chunked\r\n\r\n", piece: "1\r\na\r\n"},
+		"chunk extension": {start: "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n1;", piece: "a"},
+		"trailer":         {start: "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nA: ", piece: "a"},
+		"until closed":    {start: "\r\na", piece: "a"},
+	}
+	bodies := map[string]endless{}
+	for name, body := range pieces {
+		body.start = "HTTP/1.1 200 OK\r\n" + body.start
+		body.pause = 10 * time.Millisecond
+		bodies[name] = body
+	}
+	return bodies
+}
+
+// withCloseDelimited accepts close-delimited responses.
+func withCloseDelimited(cfg *caller.Config) {
+	cfg.Dialect = &caller.Dialect{
+		Service: caller.ServiceHeader, Caller: caller.CallerHeader, Deadline: caller.DeadlineHeader, Outcomes: true, CloseDelimited: true,
+		Refused: func(int, http.Header) bool { return false },
+		Load:    func(http.Header) (caller.LoadReport, bool) { return caller.LoadReport{}, false },
+		WriteProblem: func(w http.ResponseWriter, response caller.ErrorResponse) {
+			response.Problem.Write(w, response.ID)
+		},
+	}
+}
+
+func TestEndlessBodyEndsAtTheDeadlineOfTheCallerAndIsCut(t *testing.T) {
+	for name, response := range endlessBodies() {
+		for _, path := range []string{"/x", "/photos/1", "/pay/1"} { // the others may finish, and run at most once
+			t.Run(name+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					n := newNetwork()
+					defer time.Sleep(time.Minute) // until the connection is closed
+					views, members := loadsOf("i:1")
+					ended := response.serve(t, n, "i:1")
+					e := newEntry(t, views, newClaims(), n.pool(t), withCloseDelimited)
+					n.serve(t, "e:1", e.handler)
+					started := time.Now()
+					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+					defer cancel()
+					req := newRequest(t, http.MethodPost, "e:1", path, "b", caller.DeadlineHeader, "3000", keyHeader, "k")
+					got, err := n.client(t).Do(req.WithContext(ctx))
+					if err == nil {
+						_, err = io.Copy(io.Discard, got.Body)
+						must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+					} else { // no byte of the body could be read before the deadline
+						must.ErrorIs(t, err, io.EOF)
+					}
+					must.Eq(t, callerDeadline, time.Since(started))
+					<-ended
+					waitSettled(t, e)
+					must.Zero(t, members[0].Load().InFlight())
+				})
+			})
+		}
+	}
+}
+
+func TestCallerThatStopsReadingIsLeftAtItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		views, members := loadsOf("i:1")
+		ended := endless{start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", piece: "400\r\n" + strings.Repeat("a", 1<<10) + "\r\n"}.serve(t, n, "i:1")
+		n.serve(t, "e:1", newEntry(t, views, newClaims(), n.pool(t)).handler)
+		conn, err := n.dial(t.Context(), "e:1")
+		must.NoError(t, err)
+		started := time.Now()
+		_, err = io.WriteString(conn, "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n"+caller.DeadlineHeader+": 3000\r\n\r\n")
+		must.NoError(t, err)
+		_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+		must.NoError(t, err)
+		<-ended
+		must.Eq(t, callerDeadline, time.Since(started))
+		synctest.Wait()
+		must.Zero(t, members[0].Load().InFlight())
+		_ = conn.Close()
+	})
+}
+
+func TestDeadlineOfACallerDoesNotApplyToItsNextRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.serve(t, "i:1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
+		n.serve(t, "e:1", newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t)).handler)
+		conn, err := n.dial(t.Context(), "e:1")
+		must.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for range 3 {
+			_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: shop\r\n"+caller.DeadlineHeader+": 3000\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+			must.NoError(t, err)
+			got, err := http.ReadResponse(reader, nil)
+			must.NoError(t, err)
+			must.Eq(t, http.StatusContinue, got.StatusCode)
+			_, err = io.WriteString(conn, "ok")
+			must.NoError(t, err)
+			got, err = http.ReadResponse(reader, nil)
+			must.NoError(t, err)
+			body, err := io.ReadAll(got.Body)
+			must.NoError(t, err)
+			must.Eq(t, "ok", string(body))
+			time.Sleep(2 * callerDeadline)
+		}
+	})
+}
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -120,7 +120,7 @@
 		if n > 0 {
 			rec.recordBody(buffer[:n])
 			c.backlogEntry.AddBodyBytes(n, c.rule.Contract().Bulk())
-			c.writeChunk(buffer[:n], err == nil)
+			c.writeChunk(buffer[:n], !errors.Is(err, io.EOF))
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -139,7 +139,7 @@
 	if c.callerGone {
 		return
 	}
-	c.extendWriteDeadline()
+	c.extendChunkDeadline()
 	_, err := c.w.Write(chunk)
 	if err == nil && flush {
 		err = c.controller.Flush()
