caller: a response that breaks off before its body gives an outcome

What callers saw: if an instance sent a header and then no byte of the body could be read (a chunk size that is none, an endless chunk extension or trailer), the caller's connection was closed without any response, although nothing had been sent on it.

The first part of the body is now read before the header is written. Nothing is sent later by that: the header was never flushed before the first part. If the part cannot be read, the caller gets unknown (upstream-lost, or deadline-exceeded at its deadline). The request is not sent again, as before. A claimed request is stored as cut, as before.

Evidence: TestResponseThatBreaksOffBeforeItsBodyIsUnknown, four cases, each EOF at the caller before, unknown now, and answer-lost for a resend with the same key.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -29,7 +29,7 @@
 type result struct {
 	problem  *outcome.Problem // nil: a response was sent to the caller
 	instance instance.ID      // empty: none was available
-	final    bool             // the layer below has already retried
+	final    bool             // the layer below has already retried, or a response was begun
 }
 
 // sendWithRetries sends the request until there is a response or no further
--- a/entry/caller/endless_test.go
+++ b/entry/caller/endless_test.go
@@ -286,3 +286,40 @@
 		}
 	})
 }
+
+func TestResponseThatBreaksOffBeforeItsBodyIsUnknown(t *testing.T) {
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	responses := map[string]endless{
+		"no chunk":           {start: chunked, piece: "zz\r\n"},
+		"extension":          {start: chunked + "1;", piece: "aaaaaaaaaaaaaaaaaaaa"},
+		"trickled extension": {start: chunked + "1;", piece: "a", pause: time.Second},
+		"trickled trailer":   {start: chunked + "0\r\nA: ", piece: "a", pause: time.Second},
+	}
+	for name, response := range responses {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(time.Minute) // until the connection is closed
+				n := newNetwork()
+				views, members := loadsOf("i:1")
+				response.serve(t, n, "i:1")
+				e := newEntry(t, views, newClaims(), n.pool(t))
+				n.serve(t, "e:1", e.handler)
+				client := n.client(t)
+				send := func() *http.Response {
+					got, err := client.Do(newRequest(t, http.MethodPost, "e:1", "/pay/1", "b", caller.DeadlineHeader, "3000", keyHeader, "k", caller.CallerHeader, "c"))
+					must.NoError(t, err)
+					_ = got.Body.Close()
+					return got
+				}
+				started := time.Now()
+				must.Eq(t, string(outcome.Unknown), send().Header.Get(outcome.Header))
+				must.LessEq(t, callerDeadline, time.Since(started))
+				must.Zero(t, members[0].Load().InFlight())
+				waitSettled(t, e)
+				again := send()
+				must.Eq(t, string(outcome.Unknown), again.Header.Get(outcome.Header))
+				must.Eq(t, string(outcome.AnswerLost), again.Header.Get(outcome.ReasonHeader))
+			})
+		})
+	}
+}
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -55,8 +55,7 @@
 		return result{problem: d.c.problem(outcome.NotRun, outcome.UpstreamRefused, "the instance refused the request before starting it"), instance: id}
 	}
 	if !d.c.dialect.Outcomes {
-		d.forward(exchange)
-		return result{instance: id}
+		return result{problem: d.forward(exchange), instance: id, final: true}
 	}
 	switch outcome.Kind(response.Header.Get(outcome.Header)) {
 	case outcome.NotRun:
@@ -65,15 +64,23 @@
 		return result{problem: d.c.problem(outcome.Unknown, outcome.UpstreamLost, "the layer below reported an unknown outcome"), instance: id, final: true}
 	case outcome.Answer:
 	}
-	d.forward(exchange)
-	return result{instance: id}
+	return result{problem: d.forward(exchange), instance: id, final: true}
 }
 
-// forward sends the response to the caller. It aborts the caller's connection
-// if the response is truncated or the caller stops reading.
-func (d *dispatch) forward(exchange *upstream.Exchange) {
+// forward sends the response to the caller. It returns a problem if the response
+// breaks off before the first byte of its body. Later it aborts the caller's
+// connection if the response is truncated or the caller stops reading.
+func (d *dispatch) forward(exchange *upstream.Exchange) *outcome.Problem {
 	c, response := d.c, exchange.Response()
 	c.ctx.disarm()
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(buffer)
+	n, err := exchange.Read(buffer[:])
+	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
+		d.recorder.recordHeader(response)
+		d.recordTruncated()
+		return c.problem(outcome.Unknown, outcome.UpstreamLost, "response of "+string(d.target.ID())+" without a body: "+err.Error())
+	}
 	if exchange.Uploading() {
 		// Without full duplex the server reads the whole upload before it responds.
 		_ = c.controller.EnableFullDuplex()
@@ -92,10 +99,8 @@
 	c.headerSent = true
 	c.w.WriteHeader(response.StatusCode)
 	d.recorder.recordHeader(response)
-	if err := c.streamBody(exchange, d.recorder); err != nil {
-		d.report.Failed = true
-		d.recorder.markTruncated()
-		truncatedResponses.Inc()
+	if err := c.streamBody(exchange, d.recorder, buffer[:], n, err); err != nil {
+		d.recordTruncated()
 		d.h.logDecision(c, "cut")
 		panic(http.ErrAbortHandler)
 	}
@@ -107,16 +112,21 @@
 		c.w.Header()[http.TrailerPrefix+name] = values
 	}
 	d.h.logDecision(c, string(outcome.Answer))
+	return nil
 }
 
-// streamBody copies a response body to the caller and flushes after each read.
-// It returns an error if the body is truncated. After the caller has
-// disconnected it reads on only if the contract lets the instance finish.
-func (c *call) streamBody(body io.Reader, rec *recorder) error {
-	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
-	defer copyBuffers.Put(buffer)
-	for {
-		n, err := body.Read(buffer[:])
+func (d *dispatch) recordTruncated() {
+	d.report.Failed = true
+	d.recorder.markTruncated()
+	truncatedResponses.Inc()
+}
+
+// streamBody copies a response body, of which n bytes are in the buffer, to the
+// caller and flushes after each read. It returns an error if the body is
+// truncated. After the caller has disconnected it reads on only if the contract
+// lets the instance finish.
+func (c *call) streamBody(body io.Reader, rec *recorder, buffer []byte, n int, err error) error {
+	for ; ; n, err = body.Read(buffer) {
 		if n > 0 {
 			rec.recordBody(buffer[:n])
 			c.backlogEntry.AddBodyBytes(n, c.rule.Contract().Bulk())
