caller: limit the size of a response body

The need: a response body without end, for a caller that states no deadline, had no end but the caller's own. limits.responseBytes, 4 GiB by default like limits.bodyBytes, bounds it. A body that states a greater length is not begun: the caller gets unknown. One that shows no length is cut as it passes the limit. Both count against the instance.

--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -38,6 +38,7 @@
 	r               *http.Request
 	body            *body
 	ctx             *deadlineContext
+	responseBytes   int64     // limit of the response body, 0 for none
 	softDeadline    time.Time // by which the response should arrive, zero for none
 	progressTimeout time.Duration
 	incomingAttempt int // number of the attempt by the layer above, 1 for the first
@@ -51,7 +52,7 @@
 func newCall(w http.ResponseWriter, r *http.Request, limits Limits, dialect *Dialect) *call {
 	return &call{
 		id: idOf(r, dialect), dialect: dialect, service: serviceOf(r, dialect), caller: callerOf(r, dialect), w: w, controller: http.NewResponseController(w), r: r,
-		incomingAttempt: incomingAttemptOf(r, dialect), progressTimeout: limits.ProgressTimeout,
+		incomingAttempt: incomingAttemptOf(r, dialect), progressTimeout: limits.ProgressTimeout, responseBytes: limits.ResponseBytes,
 	}
 }
 
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -72,6 +72,7 @@
 // Limits bounds the resources of requests.
 type Limits struct {
 	BodyBytes       int64         // maximum size of a request body
+	ResponseBytes   int64         // maximum size of a response body, 0 for no limit
 	BufferBytes     int64         // maximum part of a body that is buffered for a retry and a fingerprint
 	ProgressTimeout time.Duration // for a caller to send ProgressBytes, or to read the next part of a response
 	InFlight        int           // requests in the handler, 0 for no limit
@@ -80,7 +81,7 @@
 
 // DefaultLimits returns the limits that apply if Config has none.
 func DefaultLimits() Limits {
-	return Limits{BodyBytes: 4 << 30, BufferBytes: 64 << 10, ProgressTimeout: 30 * time.Second, ProgressBytes: 1 << 10}
+	return Limits{BodyBytes: 4 << 30, ResponseBytes: 4 << 30, BufferBytes: 64 << 10, ProgressTimeout: 30 * time.Second, ProgressBytes: 1 << 10}
 }
 
 // Handler is an http.Handler that serves callers.
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -15,6 +15,8 @@
 
 const copyBufferBytes = 32 << 10
 
+var errResponseTooLarge = errors.New("response body is larger than the limit")
+
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
 func (h *Handler) reachabilityContext() (context.Context, context.CancelFunc) {
@@ -75,7 +77,7 @@
 	c.ctx.disarm()
 	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buffer)
-	n, err := exchange.Read(buffer[:])
+	n, err := c.readFirst(exchange, buffer[:])
 	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
 		d.recorder.recordHeader(response)
 		d.recordTruncated()
@@ -115,6 +117,16 @@
 	return nil
 }
 
+// readFirst reads the first part of a response body, unless the length that the
+// response states exceeds the limit.
+func (c *call) readFirst(exchange *upstream.Exchange, buffer []byte) (int, error) {
+	response := exchange.Response()
+	if c.responseBytes > 0 && response.ContentLength > c.responseBytes && response.Body != http.NoBody {
+		return 0, errResponseTooLarge
+	}
+	return exchange.Read(buffer)
+}
+
 func (d *dispatch) recordTruncated() {
 	d.report.Failed = true
 	d.recorder.markTruncated()
@@ -126,7 +138,12 @@
 // truncated. After the caller has disconnected it reads on only if the contract
 // lets the instance finish.
 func (c *call) streamBody(body io.Reader, rec *recorder, buffer []byte, n int, err error) error {
+	total := int64(0)
 	for ; ; n, err = body.Read(buffer) {
+		total += int64(n)
+		if c.responseBytes > 0 && total > c.responseBytes {
+			return errResponseTooLarge
+		}
 		if n > 0 {
 			rec.recordBody(buffer[:n])
 			c.backlogEntry.AddBodyBytes(n, c.rule.Contract().Bulk())
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -59,7 +59,7 @@
 		Stopping: &d.State.draining, Logger: d.Logger.Named("caller"),
 		Dialect: d.Options.dialect,
 		Limits: caller.Limits{
-			BodyBytes: limits.BodyBytes, BufferBytes: limits.BufferBytes, ProgressTimeout: seconds(limits.ProgressSeconds),
+			BodyBytes: limits.BodyBytes, ResponseBytes: limits.ResponseBytes, BufferBytes: limits.BufferBytes, ProgressTimeout: seconds(limits.ProgressSeconds),
 			ProgressBytes: limits.ProgressBytes, InFlight: limits.InFlight,
 		},
 	})
--- a/entry/settings/limits.go
+++ b/entry/settings/limits.go
@@ -2,10 +2,12 @@
 
 import "github.com/snipebeam/snipebeam/world/setting"
 
-// Limits bounds the connections and requests of callers.
+// Limits bounds the connections and requests of callers, and the responses to
+// them.
 type Limits struct {
 	HeaderBytes          int     `toml:"headerBytes" comment:"largest request line and headers, bytes"`
 	BodyBytes            int64   `toml:"bodyBytes" comment:"largest request body, bytes"`
+	ResponseBytes        int64   `toml:"responseBytes" comment:"largest body of an instance's answer, bytes"`
 	HeaderTimeoutSeconds float64 `toml:"headerTimeoutSeconds" comment:"time to receive a request's headers"`
 	IdleTimeoutSeconds   float64 `toml:"idleTimeoutSeconds" comment:"time that a caller's idle link is kept"`
 	BufferBytes          int64   `toml:"bufferBytes" comment:"part of a request body that is kept for retries and fingerprints"`
@@ -18,7 +20,7 @@
 
 func defaultLimits() Limits {
 	return Limits{
-		HeaderBytes: 32 << 10, BodyBytes: 4 << 30, HeaderTimeoutSeconds: 10, IdleTimeoutSeconds: 60,
+		HeaderBytes: 32 << 10, BodyBytes: 4 << 30, ResponseBytes: 4 << 30, HeaderTimeoutSeconds: 10, IdleTimeoutSeconds: 60,
 		BufferBytes: 64 << 10, ProgressSeconds: 30, ProgressBytes: 1 << 10, InFlight: 4096, Links: 8192,
 	}
 }
@@ -26,6 +28,7 @@
 func (l Limits) check(c *setting.Checker) {
 	c.Positive("limits.headerBytes", float64(l.HeaderBytes))
 	c.Positive("limits.bodyBytes", float64(l.BodyBytes))
+	c.Positive("limits.responseBytes", float64(l.ResponseBytes))
 	c.Positive("limits.headerTimeoutSeconds", l.HeaderTimeoutSeconds)
 	c.Positive("limits.idleTimeoutSeconds", l.IdleTimeoutSeconds)
 	c.Positive("limits.bufferBytes", float64(l.BufferBytes))
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -19,7 +19,7 @@
 	Peers   Peers   `toml:"peers" comment:"the other entry hosts"`
 	Route   Route   `toml:"route" comment:"how instances are chosen"`
 	Probe   Probe   `toml:"probe" comment:"how instances are asked for their load"`
-	Limits  Limits  `toml:"limits" comment:"bounds of what callers may send"`
+	Limits  Limits  `toml:"limits" comment:"bounds of what callers may send, and of the answers"`
 	Links   Links   `toml:"links" comment:"links to instances"`
 	Poison  Poison  `toml:"poison" comment:"requests that cost instances"`
 	Keys    Keys    `toml:"keys" comment:"key files, each with one or two keys; set all of them or none"`
