probe: limit the body of a probe's response

A probe ended after 400 ms, but until then read a body without end as fast as it came: at 1 MB/s, 399000 bytes of one with a length and 401793 of one in chunks, per probe. A body over 16 KiB now fails the probe, which counts against the instance.

Evidence: TestProbeOfEndlessBytesFailsInTime, nine cases in virtual time, of which those two took over 50 kB before. Endless heads, close-delimited bodies and trickled ones failed within 400 ms, with their link closed, before and now. A body of 16 KiB passes.

--- a/entry/host/prober.go
+++ b/entry/host/prober.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
@@ -19,8 +20,14 @@
 	probesFailed = metrics.GetOrCreateCounter("snipebeam_probes_failed_total")
 )
 
-// probeTimeout is the time after which a probe without a response counts as failed.
-const probeTimeout = 400 * time.Millisecond
+const (
+	// probeTimeout is the time after which a probe without a response counts as failed.
+	probeTimeout = 400 * time.Millisecond
+	// maxProbeBytes limits the body of a probe's response.
+	maxProbeBytes = 16 << 10
+)
+
+var errProbeTooLarge = errors.New("response body too large for a probe")
 
 // prober requests the load of instances at their health path.
 type prober struct {
@@ -73,9 +80,13 @@
 		return report, err
 	}
 	defer exchange.Close()
-	if _, err := io.Copy(io.Discard, exchange); err != nil {
+	size, err := io.Copy(io.Discard, io.LimitReader(exchange, maxProbeBytes+1))
+	if err != nil {
 		return report, err
 	}
+	if size > maxProbeBytes {
+		return report, errProbeTooLarge
+	}
 	response := exchange.Response()
 	report.Answered = true
 	report.Healthy = response.StatusCode == http.StatusOK
