hosts: limit the time in which an instance sends an announcement

The need: an instance may also send an announcement or heartbeat without end. The body was limited in size but not in time: the listeners had a limit on headers only. Also a body that no handler reads was waited for, up to 256 KiB of it.

Platform listener of an entry host: the whole request within the header's limit and 5 s. Listeners of a control host other than that of the peers: 30 s, since they also take configurations; idle connections are kept as before. A too large body now closes the connection, so that less of the rest is read.

Ruled out: a limit on the listeners between hosts, on which no instance sends.

--- a/control/host/listener.go
+++ b/control/host/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -68,6 +69,17 @@
 	lc.Append(fx.StartStopHook(func() { go instances.Run(ctx) }, cancel))
 }
 
+const (
+	// readTimeout limits how long a client may take to send a whole request, which
+	// may be a large configuration.
+	readTimeout   = 30 * time.Second
+	noIdleTimeout = -1
+)
+
+func newListenerServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: noIdleTimeout}
+}
+
 func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, services Services, exporter *prometheus.Exporter) {
 	var all []Listener
 	if o.listeners != nil {
@@ -79,7 +91,7 @@
 		all = append(all, Listener{Name: "metrics", Address: cfg.Listen.Metrics, Handler: mux})
 	}
 	for _, l := range all {
-		server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: readHeaderTimeout}
+		server := newListenerServer(l.Handler)
 		lc.Append(fx.Hook{
 			OnStart: func(ctx context.Context) error {
 				listener, err := link.Listen(ctx, l.Address, link.MessageTimeouts)
--- a/entry/discovery/announcement.go
+++ b/entry/discovery/announcement.go
@@ -102,6 +102,7 @@
 	if err := c.ShouldBindJSON(&a); err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
+			c.Header("Connection", "close") // the rest of the body is not read
 			abort(c, TooLarge, "announcement exceeds the limit of "+strconv.Itoa(maxAnnouncementBytes)+" bytes")
 			return
 		}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -38,6 +38,10 @@
 	"go.uber.org/fx/fxevent"
 )
 
+// announcementTimeout bounds how long an instance may take to send the body of an
+// announcement.
+const announcementTimeout = 5 * time.Second
+
 // rpcTimeout bounds one call to a control host or another entry host.
 const rpcTimeout = 10 * time.Second
 
@@ -189,16 +193,20 @@
 		Host: cfg.Host.Name, Table: table, Members: node, Entries: node.Entries,
 		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: keys.upstreams, HostRate: cfg.Route.HostRate, Rate: rates.ArrivalRate,
 	})
-	server := &http.Server{
-		Handler: handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
-		ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
-	}
+	server := newPlatformServer(cfg, handler)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Platform, "platform", logger) },
 		OnStop:  server.Shutdown,
 	})
 }
 
+func newPlatformServer(cfg *settings.Settings, handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, MaxHeaderBytes: cfg.Limits.HeaderBytes, ReadTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds) + announcementTimeout,
+		ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
+	}
+}
+
 func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, requests *backlog.Tracker, decisions *decision.Log, node *peer.Node, ring *key.Ring, keys *keyRings) {
 	service := operator.New(operator.Config{
 		Host: cfg.Host.Name, Table: table, Views: views, Backlog: requests, Decisions: decisions,
