caller: a caller that leaves midway does not count against the instance

What callers saw: requests kept away from sound instances. Each caller that disconnected while it received a response, or stopped reading until its deadline, was recorded as a response cut by the instance, in the health of the instance, in snipebeam_answers_cut_total and as cut in the decision log. A few ejected it.

It is now recorded as caller-gone, if the caller disconnected or took no byte for a second. A response that breaks off while the caller is gone and the contract lets the instance finish still counts against the instance.

Evidence: TestCallerThatLeavesDoesNotCountAgainstTheInstance, three sound instances, 20 callers that leave; before, one was recovering from an ejection within them, by both ways of leaving; now all stay ready. An instance that sends a body without end to callers that read it is ejected as before (TestInstanceWithEndlessResponsesIsEjected).

--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -46,6 +46,7 @@
 	dispatched      bool // a byte may have reached an instance that may have started
 	headerSent      bool // of the response, to the caller
 	callerGone      bool // a write to the caller failed
+	callerLeft      bool // and not only because its deadline has passed
 	decision        decision.Decision
 }
 
--- a/entry/caller/endless_test.go
+++ b/entry/caller/endless_test.go
@@ -392,3 +392,44 @@
 		cfg.Limits.ResponseBytes = limit
 	}
 }
+
+func TestCallerThatLeavesDoesNotCountAgainstTheInstance(t *testing.T) {
+	leave := map[string]func(t *testing.T, conn net.Conn, r *bufio.Reader){
+		"disconnects": func(t *testing.T, conn net.Conn, r *bufio.Reader) {
+			_, err := http.ReadResponse(r, nil)
+			must.NoError(t, err)
+			must.NoError(t, conn.Close())
+		},
+		"stops reading": func(t *testing.T, conn net.Conn, r *bufio.Reader) {
+			_, err := http.ReadResponse(r, nil)
+			must.NoError(t, err)
+			time.Sleep(2 * callerDeadline)
+			must.NoError(t, conn.Close())
+		},
+	}
+	for name, leave := range leave {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				addresses := []string{"i:1", "i:2", "i:3"}
+				views, members := loadsOf(addresses...)
+				for _, address := range addresses {
+					endless{start: "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n", piece: strings.Repeat("a", 1<<10), pause: time.Millisecond}.serve(t, n, address)
+				}
+				n.serve(t, "e:1", newEntry(t, views, newClaims(), n.pool(t)).handler)
+				for range 20 {
+					conn, err := n.dial(t.Context(), "e:1")
+					must.NoError(t, err)
+					_, err = io.WriteString(conn, "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n"+caller.DeadlineHeader+": 3000\r\n\r\n")
+					must.NoError(t, err)
+					leave(t, conn, bufio.NewReader(conn))
+					time.Sleep(time.Second)
+					for _, m := range members {
+						must.Zero(t, m.Load().InFlight())
+						must.Eq(t, route.Ready, m.State(time.Now().UnixNano()))
+					}
+				}
+			})
+		})
+	}
+}
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -13,7 +14,18 @@
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
-const copyBufferBytes = 32 << 10
+const (
+	copyBufferBytes = 32 << 10
+	// stalledWrite is the time after which a caller that takes no byte of a response
+	// is considered to have stopped reading.
+	stalledWrite = time.Second
+)
+
+// Results in the decision log of responses that were begun and not completed.
+const (
+	resultCut        = "cut"
+	resultCallerGone = "caller-gone"
+)
 
 var errResponseTooLarge = errors.New("response body is larger than the limit")
 
@@ -80,7 +92,7 @@
 	n, err := c.readFirst(exchange, buffer[:])
 	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
 		d.recorder.recordHeader(response)
-		d.recordTruncated()
+		d.recordTruncated(err)
 		return c.problem(outcome.Unknown, outcome.UpstreamLost, "response of "+string(d.target.ID())+" without a body: "+err.Error())
 	}
 	if exchange.Uploading() {
@@ -102,12 +114,11 @@
 	c.w.WriteHeader(response.StatusCode)
 	d.recorder.recordHeader(response)
 	if err := c.streamBody(exchange, d.recorder, buffer[:], n, err); err != nil {
-		d.recordTruncated()
-		d.h.logDecision(c, "cut")
+		d.h.logDecision(c, d.recordTruncated(err))
 		panic(http.ErrAbortHandler)
 	}
 	if c.callerGone {
-		d.h.logDecision(c, "caller-gone")
+		d.h.logDecision(c, resultCallerGone)
 		panic(http.ErrAbortHandler)
 	}
 	for name, values := range response.Trailer {
@@ -127,10 +138,24 @@
 	return exchange.Read(buffer)
 }
 
-func (d *dispatch) recordTruncated() {
-	d.report.Failed = true
+// recordTruncated records that the response was not forwarded completely, and
+// returns the result for the decision log. It counts against the instance unless
+// the caller left.
+func (d *dispatch) recordTruncated(err error) string {
 	d.recorder.markTruncated()
+	if d.c.endedByCaller(err) {
+		return resultCallerGone
+	}
+	d.report.Failed = true
 	truncatedResponses.Inc()
+	return resultCut
+}
+
+// endedByCaller reports whether a response was not read to its end because the
+// caller disconnected, or stopped reading until its deadline.
+func (c *call) endedByCaller(err error) bool {
+	cause := c.ctx.cause()
+	return cause == errCallerGone || c.callerLeft && (cause == errDeadline || errors.Is(err, errCallerGone))
 }
 
 // streamBody copies a response body, of which n bytes are in the buffer, to the
@@ -167,12 +192,14 @@
 		return
 	}
 	c.extendChunkDeadline()
+	started := time.Now()
 	_, err := c.w.Write(chunk)
 	if err == nil && flush {
 		err = c.controller.Flush()
 	}
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		c.callerGone = true
+		c.callerLeft = !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(started) >= stalledWrite
 	}
 }
 
