caller: forwarding an interim response ends at the deadline of the caller

An instance that sends interim responses without end, to a caller that does not read, held the request for the 30 s that a caller may take for a part of a response, past the deadline that it had sent. The write now ends at that deadline, as for parts of a body.

Evidence: TestEndlessInterimResponsesToACallerThatDoesNotReadEndAtItsDeadline, at once and trickled, still held 1 ms after the deadline before, not now. Two tests that passed before too: an endless response while the caller still uploads ends at the caller's deadline, and a request is hedged while a head does not end.

--- a/entry/caller/deadline.go
+++ b/entry/caller/deadline.go
@@ -115,6 +115,10 @@
 	return time.Until(at)
 }
 
+func (c *deadlineContext) pastCallerDeadline() bool {
+	return !c.callerDeadline.IsZero() && !time.Now().Before(c.callerDeadline)
+}
+
 // detach keeps the context alive after the caller has disconnected.
 func (c *deadlineContext) detach() { c.stopWatch() }
 
--- a/entry/caller/endless_test.go
+++ b/entry/caller/endless_test.go
@@ -25,6 +25,7 @@
 type endless struct {
 	start, piece string
 	pause        time.Duration
+	early        bool // responds before it has read the body of the request
 }
 
 // serve responds to one request on each connection. It returns a channel that
@@ -54,7 +55,9 @@
 	if err != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, req.Body)
+	if !e.early {
+		_, _ = io.Copy(io.Discard, req.Body)
+	}
 	_, err = io.WriteString(conn, e.start)
 	for err == nil {
 		if e.pause > 0 {
@@ -433,3 +436,87 @@
 		})
 	}
 }
+
+func TestEndlessInterimResponsesToACallerThatDoesNotReadEndAtItsDeadline(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "trickled": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(time.Minute) // until the connection is closed
+				n := newNetwork()
+				views, members := loadsOf("i:1")
+				endless{piece: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", pause: pause}.serve(t, n, "i:1")
+				e := newEntry(t, views, newClaims(), n.pool(t))
+				n.serve(t, "e:1", e.handler)
+				conn, err := n.dial(t.Context(), "e:1")
+				must.NoError(t, err)
+				defer func() { _ = conn.Close() }()
+				_, err = io.WriteString(conn, "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n"+caller.DeadlineHeader+": 3000\r\n\r\n")
+				must.NoError(t, err)
+				time.Sleep(callerDeadline + time.Millisecond)
+				must.Zero(t, members[0].Load().InFlight())
+				inFlight, _ := e.backlog.InFlight(time.Now())
+				must.Zero(t, inFlight)
+			})
+		})
+	}
+}
+
+func TestEndlessResponseDuringAnUploadEndsAtTheDeadlineOfTheCaller(t *testing.T) {
+	responses := endlessBodies()
+	responses["header"] = endless{start: "HTTP/1.1 200 OK\r\nA: ", piece: "a", pause: time.Second}
+	for name, response := range responses {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				defer time.Sleep(time.Minute) // until the connection is closed
+				response.early = true
+				n := newNetwork()
+				views, members := loadsOf("i:1")
+				response.serve(t, n, "i:1")
+				e := newEntry(t, views, newClaims(), n.pool(t), withCloseDelimited)
+				n.serve(t, "e:1", e.handler)
+				conn, err := n.dial(t.Context(), "e:1")
+				must.NoError(t, err)
+				defer func() { _ = conn.Close() }()
+				go func() { _, _ = io.Copy(io.Discard, conn) }()
+				_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: shop\r\n"+caller.DeadlineHeader+": 3000\r\nContent-Length: 100000\r\n\r\nthe start")
+				must.NoError(t, err)
+				time.Sleep(callerDeadline + time.Millisecond)
+				must.Zero(t, members[0].Load().InFlight())
+				inFlight, _ := e.backlog.InFlight(time.Now())
+				must.Zero(t, inFlight)
+			})
+		})
+	}
+}
+
+func TestRequestIsHedgedWhileAHeadDoesNotEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		views, members := loadsOf("i:1", "i:2")
+		for _, address := range []string{"i:1", "i:2"} {
+			n.serve(t, address, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Millisecond) }))
+		}
+		e := newEntry(t, views, newClaims(), n.pool(t))
+		n.serve(t, "e:1", e.handler)
+		client := n.client(t)
+		send := func() {
+			got, err := client.Do(newRequest(t, http.MethodGet, "e:1", "/late/x", ""))
+			must.NoError(t, err)
+			_ = got.Body.Close()
+			must.Eq(t, string(outcome.Answer), got.Header.Get(outcome.Header))
+		}
+		for range 20 { // until the usual latency has been measured
+			send()
+		}
+		time.Sleep(time.Minute)
+		e.pool.Close()
+		ended := endless{start: "HTTP/1.1 200 OK\r\nA: ", piece: "a", pause: time.Second}.serve(t, n, "i:1")
+		for len(ended) == 0 {
+			started := time.Now()
+			send()
+			must.Less(t, time.Second, time.Since(started))
+			time.Sleep(time.Second)
+		}
+		must.Zero(t, members[0].Load().InFlight())
+	})
+}
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -37,14 +37,14 @@
 
 // forwardInterim forwards an interim (1xx) response.
 func (c *call) forwardInterim(code int, header http.Header) {
-	if c.headerSent || c.callerGone {
-		return
+	if c.headerSent || c.callerGone || c.ctx.pastCallerDeadline() {
+		return // past the deadline the write would fail, and the outcome after it
 	}
 	h := c.w.Header()
 	before := maps.Clone(h)
 	removeHopByHopHeaders(header)
 	maps.Copy(h, header)
-	c.extendWriteDeadline()
+	c.extendChunkDeadline()
 	c.w.WriteHeader(code)
 	clear(h)
 	maps.Copy(h, before)
