caller: a truncated response resets the connection of an HTTP/1.0 caller

A response of unknown length is passed to an HTTP/1.0 caller until the connection closes. If it was truncated, the connection was closed as after a whole one, so that it looked complete. The connection is now reset.

Evidence: TestTruncatedResponseToAnHTTP10CallerIsReset on loopback, with the listeners that production uses; the case in chunks read half of the body and a clean end before, ECONNRESET now (30 runs under the race detector). A body with a length, which shows the truncation, and a whole one are as before.

--- a/entry/caller/listener.go
+++ b/entry/caller/listener.go
@@ -71,6 +71,9 @@
 	release func()
 }
 
+// NetConn returns the connection without the limit.
+func (c *limitConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection and releases its slot, once.
 func (c *limitConn) Close() error {
 	c.release()
--- a/entry/caller/outcome_test.go
+++ b/entry/caller/outcome_test.go
@@ -7,14 +7,17 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/framing"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
@@ -69,6 +72,40 @@
 	}
 }
 
+func TestTruncatedResponseToAnHTTP10CallerIsReset(t *testing.T) {
+	for name, response := range map[string]string{
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf",
+		"whole":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := rawInstance(t, func(conn net.Conn, r *bufio.Reader) {
+				_, _ = http.ReadRequest(r)
+				_, _ = io.WriteString(conn, response)
+			})
+			server := httptest.NewUnstartedServer(newEntry(t, viewsOf(address), newClaims()).handler)
+			server.Listener = framing.Protect(server.Config, caller.LimitListener(server.Listener, 10, 0))
+			server.Start()
+			t.Cleanup(server.Close)
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			must.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "GET /plain/1 HTTP/1.0\r\nHost: shop\r\n\r\n")
+			must.NoError(t, err)
+			data, err := io.ReadAll(conn)
+			switch name {
+			case "chunks":
+				must.ErrorIs(t, err, syscall.ECONNRESET)
+			case "length":
+				must.StrContains(t, string(data), "Content-Length: 8")
+			case "whole":
+				must.NoError(t, err)
+				must.StrHasSuffix(t, "half", string(data))
+			}
+		})
+	}
+}
+
 func TestNotRunWhereNothingWasSent(t *testing.T) {
 	unreachable := deadAddress(t)
 	tests := map[string]struct {
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
@@ -115,6 +116,9 @@
 	d.recorder.recordHeader(response)
 	if err := c.streamBody(exchange, d.recorder, buffer[:], n, err); err != nil {
 		d.h.logDecision(c, d.recordTruncated(err))
+		if response.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1) {
+			c.reset()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if c.callerGone {
@@ -138,6 +142,16 @@
 	return exchange.Read(buffer)
 }
 
+// reset resets the caller's connection, which shows the truncation of a response
+// that ends with its connection.
+func (c *call) reset() {
+	conn, _, err := c.controller.Hijack()
+	if err != nil {
+		return // the server closes the connection
+	}
+	link.Reset(conn)
+}
+
 // recordTruncated records that the response was not forwarded completely, and
 // returns the result for the decision log. It counts against the instance unless
 // the caller left.
--- a/entry/framing/scanner.go
+++ b/entry/framing/scanner.go
@@ -14,6 +14,9 @@
 	scanner scanner
 }
 
+// NetConn returns the connection without the scanner.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection and scans the bytes read.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
