--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -38,6 +38,7 @@
 	r               *http.Request
 	body            *body
 	ctx             *deadlineContext
+	responseBytes   int64     // limit of the response body, 0 for none
 	softDeadline    time.Time // by which the response should arrive, zero for none
 	progressTimeout time.Duration
 	incomingAttempt int // number of the attempt by the layer above, 1 for the first
@@ -45,13 +46,14 @@
 	dispatched      bool // a byte may have reached an instance that may have started
 	headerSent      bool // of the response, to the caller
 	callerGone      bool // a write to the caller failed
+	callerLeft      bool // and not only because its deadline has passed
 	decision        decision.Decision
 }
 
 func newCall(w http.ResponseWriter, r *http.Request, limits Limits, dialect *Dialect) *call {
 	return &call{
 		id: idOf(r, dialect), dialect: dialect, service: serviceOf(r, dialect), caller: callerOf(r, dialect), w: w, controller: http.NewResponseController(w), r: r,
-		incomingAttempt: incomingAttemptOf(r, dialect), progressTimeout: limits.ProgressTimeout,
+		incomingAttempt: incomingAttemptOf(r, dialect), progressTimeout: limits.ProgressTimeout, responseBytes: limits.ResponseBytes,
 	}
 }
 
@@ -86,6 +88,16 @@
 	_ = c.controller.SetWriteDeadline(time.Now().Add(c.progressTimeout))
 }
 
+// extendChunkDeadline is extendWriteDeadline up to the deadline that the caller
+// sent.
+func (c *call) extendChunkDeadline() {
+	at := time.Now().Add(c.progressTimeout)
+	if own := c.ctx.callerDeadline; !own.IsZero() && own.Before(at) {
+		at = own
+	}
+	_ = c.controller.SetWriteDeadline(at)
+}
+
 // problem returns an outcome. If the context of the call has ended, its cause
 // replaces the given reason.
 func (c *call) problem(kind outcome.Kind, reason outcome.Reason, detail string) *outcome.Problem {
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -5,15 +5,30 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
-const copyBufferBytes = 32 << 10
+const (
+	copyBufferBytes = 32 << 10
+	// stalledWrite is the time after which a caller that takes no byte of a response
+	// is considered to have stopped reading.
+	stalledWrite = time.Second
+)
+
+// Results in the decision log of responses that were begun and not completed.
+const (
+	resultCut        = "cut"
+	resultCallerGone = "caller-gone"
+)
+
+var errResponseTooLarge = errors.New("response body is larger than the limit")
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
@@ -23,14 +38,14 @@
 
 // forwardInterim forwards an interim (1xx) response.
 func (c *call) forwardInterim(code int, header http.Header) {
-	if c.headerSent || c.callerGone {
-		return
+	if c.headerSent || c.callerGone || c.ctx.pastCallerDeadline() {
+		return // past the deadline the write would fail, and the outcome after it
 	}
 	h := c.w.Header()
 	before := maps.Clone(h)
 	removeHopByHopHeaders(header)
 	maps.Copy(h, header)
-	c.extendWriteDeadline()
+	c.extendChunkDeadline()
 	c.w.WriteHeader(code)
 	clear(h)
 	maps.Copy(h, before)
@@ -41,7 +56,6 @@
 func (d *dispatch) handleResponse(exchange *upstream.Exchange) result {
 	response, id := exchange.Response(), d.target.ID()
 	d.c.backlogEntry.ResponseStarted(time.Now())
-	d.c.ctx.disarm()
 	d.report.Failed = response.StatusCode >= http.StatusInternalServerError
 	if report, ok := d.c.dialect.Load(response.Header); ok {
 		d.report.ReportedLoad, d.report.Slowdown, d.report.HasReportedLoad = report.Requests, report.Slowdown, true
@@ -56,8 +70,7 @@
 		return result{problem: d.c.problem(outcome.NotRun, outcome.UpstreamRefused, "the instance refused the request before starting it"), instance: id}
 	}
 	if !d.c.dialect.Outcomes {
-		d.forward(exchange)
-		return result{instance: id}
+		return result{problem: d.forward(exchange), instance: id, final: true}
 	}
 	switch outcome.Kind(response.Header.Get(outcome.Header)) {
 	case outcome.NotRun:
@@ -66,14 +79,23 @@
 		return result{problem: d.c.problem(outcome.Unknown, outcome.UpstreamLost, "the layer below reported an unknown outcome"), instance: id, final: true}
 	case outcome.Answer:
 	}
-	d.forward(exchange)
-	return result{instance: id}
+	return result{problem: d.forward(exchange), instance: id, final: true}
 }
 
-// forward sends the response to the caller. It aborts the caller's connection
-// if the response is truncated or the caller stops reading.
-func (d *dispatch) forward(exchange *upstream.Exchange) {
+// forward sends the response to the caller. It returns a problem if the response
+// breaks off before the first byte of its body. Later it aborts the caller's
+// connection if the response is truncated or the caller stops reading.
+func (d *dispatch) forward(exchange *upstream.Exchange) *outcome.Problem {
 	c, response := d.c, exchange.Response()
+	c.ctx.disarm()
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(buffer)
+	n, err := c.readFirst(exchange, buffer[:])
+	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
+		d.recorder.recordHeader(response)
+		d.recordTruncated(err)
+		return c.problem(outcome.Unknown, outcome.UpstreamLost, "response of "+string(d.target.ID())+" without a body: "+err.Error())
+	}
 	if exchange.Uploading() {
 		// Without full duplex the server reads the whole upload before it responds.
 		_ = c.controller.EnableFullDuplex()
@@ -92,35 +114,79 @@
 	c.headerSent = true
 	c.w.WriteHeader(response.StatusCode)
 	d.recorder.recordHeader(response)
-	if err := c.streamBody(exchange, d.recorder); err != nil {
-		d.report.Failed = true
-		d.recorder.markTruncated()
-		truncatedResponses.Inc()
-		d.h.logDecision(c, "cut")
+	if err := c.streamBody(exchange, d.recorder, buffer[:], n, err); err != nil {
+		d.h.logDecision(c, d.recordTruncated(err))
+		if response.ContentLength < 0 && !c.r.ProtoAtLeast(1, 1) {
+			c.reset()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if c.callerGone {
-		d.h.logDecision(c, "caller-gone")
+		d.h.logDecision(c, resultCallerGone)
 		panic(http.ErrAbortHandler)
 	}
 	for name, values := range response.Trailer {
 		c.w.Header()[http.TrailerPrefix+name] = values
 	}
 	d.h.logDecision(c, string(outcome.Answer))
+	return nil
 }
 
-// streamBody copies a response body to the caller and flushes after each read.
-// It returns an error if the body is truncated. After the caller has
-// disconnected it reads on only if the contract lets the instance finish.
-func (c *call) streamBody(body io.Reader, rec *recorder) error {
-	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
-	defer copyBuffers.Put(buffer)
-	for {
-		n, err := body.Read(buffer[:])
+// readFirst reads the first part of a response body, unless the length that the
+// response states exceeds the limit.
+func (c *call) readFirst(exchange *upstream.Exchange, buffer []byte) (int, error) {
+	response := exchange.Response()
+	if c.responseBytes > 0 && response.ContentLength > c.responseBytes && response.Body != http.NoBody {
+		return 0, errResponseTooLarge
+	}
+	return exchange.Read(buffer)
+}
+
+// reset resets the caller's connection, which shows the truncation of a response
+// that ends with its connection.
+func (c *call) reset() {
+	conn, _, err := c.controller.Hijack()
+	if err != nil {
+		return // the server closes the connection
+	}
+	link.Reset(conn)
+}
+
+// recordTruncated records that the response was not forwarded completely, and
+// returns the result for the decision log. It counts against the instance unless
+// the caller left.
+func (d *dispatch) recordTruncated(err error) string {
+	d.recorder.markTruncated()
+	if d.c.endedByCaller(err) {
+		return resultCallerGone
+	}
+	d.report.Failed = true
+	truncatedResponses.Inc()
+	return resultCut
+}
+
+// endedByCaller reports whether a response was not read to its end because the
+// caller disconnected, or stopped reading until its deadline.
+func (c *call) endedByCaller(err error) bool {
+	cause := c.ctx.cause()
+	return cause == errCallerGone || c.callerLeft && (cause == errDeadline || errors.Is(err, errCallerGone))
+}
+
+// streamBody copies a response body, of which n bytes are in the buffer, to the
+// caller and flushes after each read. It returns an error if the body is
+// truncated. After the caller has disconnected it reads on only if the contract
+// lets the instance finish.
+func (c *call) streamBody(body io.Reader, rec *recorder, buffer []byte, n int, err error) error {
+	total := int64(0)
+	for ; ; n, err = body.Read(buffer) {
+		total += int64(n)
+		if c.responseBytes > 0 && total > c.responseBytes {
+			return errResponseTooLarge
+		}
 		if n > 0 {
 			rec.recordBody(buffer[:n])
 			c.backlogEntry.AddBodyBytes(n, c.rule.Contract().Bulk())
-			c.writeChunk(buffer[:n], err == nil)
+			c.writeChunk(buffer[:n], !errors.Is(err, io.EOF))
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -139,13 +205,15 @@
 	if c.callerGone {
 		return
 	}
-	c.extendWriteDeadline()
+	c.extendChunkDeadline()
+	started := time.Now()
 	_, err := c.w.Write(chunk)
 	if err == nil && flush {
 		err = c.controller.Flush()
 	}
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		c.callerGone = true
+		c.callerLeft = !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(started) >= stalledWrite
 	}
 }
 
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -23,6 +23,7 @@
 func newPool(cfg *settings.Settings) *upstream.Pool {
 	return upstream.NewPool(
 		upstream.WithMaxLinks(cfg.Links.PerInstance), upstream.WithIdleLimit(seconds(cfg.Links.IdleSeconds)),
+		upstream.WithMaxHeaderBytes(cfg.Links.HeaderBytes),
 		upstream.WithProgress(seconds(cfg.Links.ProgressSeconds)), upstream.WithSilentLimit(seconds(cfg.Links.SilentSeconds)))
 }
 
@@ -59,7 +60,7 @@
 		Stopping: &d.State.draining, Logger: d.Logger.Named("caller"),
 		Dialect: d.Options.dialect,
 		Limits: caller.Limits{
-			BodyBytes: limits.BodyBytes, BufferBytes: limits.BufferBytes, ProgressTimeout: seconds(limits.ProgressSeconds),
+			BodyBytes: limits.BodyBytes, ResponseBytes: limits.ResponseBytes, BufferBytes: limits.BufferBytes, ProgressTimeout: seconds(limits.ProgressSeconds),
 			ProgressBytes: limits.ProgressBytes, InFlight: limits.InFlight,
 		},
 	})
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	maxHeaderBytes   = 256 << 10 // of a response header, including interim responses
 	writeBufferBytes = 16 << 10
+	progressBytes    = 1 << 10 // that count as progress within one read of a body
 )
 
-var errHeaderTooLarge = errors.New("response header too large")
+var errHeaderTooLarge = errors.New("too many bytes before the end of the response header")
 
 // Link is a persistent connection to an instance.
 type Link struct {
@@ -27,16 +27,18 @@
 	openedAt        time.Time
 	idleSince       time.Time
 	written         atomic.Int64
-	progress        time.Duration // limit on a read or write that transfers no byte
-	headerBytesLeft int           // bytes that the header of the current response may still take
+	progress        time.Duration // limit on a write that transfers no byte, and on a read of a body without progress
+	bytesRead       int           // of a body since the read deadline was last set
+	maxHeaderBytes  int           // of a response header, including interim responses
+	headerBytesLeft int           // bytes that may still precede the body of the current response
 	inHeader        bool
 	responseStarted bool // a byte of the current response was received
 	reused          bool
 	silent          atomic.Bool // closed because it exceeded the silent limit
 }
 
-func newLink(conn net.Conn, progress time.Duration) *Link {
-	l := &Link{conn: conn, openedAt: time.Now(), progress: progress}
+func newLink(conn net.Conn, progress time.Duration, maxHeaderBytes int) *Link {
+	l := &Link{conn: conn, openedAt: time.Now(), progress: progress, maxHeaderBytes: maxHeaderBytes}
 	l.reader = bufio.NewReader(l)
 	l.writer = bufio.NewWriterSize(l, writeBufferBytes)
 	return l
@@ -59,10 +61,19 @@
 	if l.inHeader {
 		return l.readHeader(p)
 	}
-	if err := l.conn.SetReadDeadline(time.Now().Add(l.progress)); err != nil {
-		return 0, err
+	if l.bytesRead >= progressBytes {
+		l.beginBodyRead()
 	}
-	return l.conn.Read(p)
+	n, err := l.conn.Read(p)
+	l.bytesRead += n
+	return n, err
+}
+
+// beginBodyRead sets the deadline for progress of the next read of a body.
+func (l *Link) beginBodyRead() {
+	l.bytesRead = 0
+	// An error means that the link is closed, which the read reports.
+	_ = l.conn.SetReadDeadline(time.Now().Add(l.progress))
 }
 
 func (l *Link) readHeader(p []byte) (int, error) {
@@ -78,7 +89,7 @@
 // beginHeader prepares the link for the header of the next response. No read
 // deadline applies to it except that of the request's context.
 func (l *Link) beginHeader() error {
-	l.inHeader, l.headerBytesLeft, l.responseStarted = true, maxHeaderBytes, l.reader.Buffered() > 0
+	l.inHeader, l.headerBytesLeft, l.responseStarted = true, l.maxHeaderBytes, l.reader.Buffered() > 0
 	return l.conn.SetReadDeadline(time.Time{})
 }
 
