caller: the outcome at the end of a stop does not depend on the order of ends

A request whose instance had refused it once, or had sent a header without a body, was no longer watched for the end of the stop, since its deadlines had been lifted.

Change: a gate right before the first byte of a request is written, and the cause of an outcome, look at the host's stop itself. A call stops watching for it when the response's header is written. Connection: close is decided when a response is written, not when its request arrives, so that callers of requests in flight at SIGTERM leave too.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -181,7 +181,7 @@
 // send sends the request. If the instance closed an idle connection while the
 // request was being sent on it, a repeatable request is sent again on a new one.
 func (d *dispatch) send(attempt int) (*upstream.Exchange, error) {
-	var opts []upstream.SendOption
+	opts := []upstream.SendOption{upstream.WithGate(d.h.stop.err)}
 	if d.ctx == nil { // two exchanges cannot both forward interim responses
 		opts = append(opts, upstream.WithInterimHandler(d.c.forwardInterim))
 	}
--- a/entry/caller/deadline.go
+++ b/entry/caller/deadline.go
@@ -25,7 +25,8 @@
 	cancel          context.CancelCauseFunc
 	stopWatch       func() bool // stops watching for the caller's disconnect
 	hostStop        *stop
-	unwatchHost     func() bool   // stops watching for the end of the host's stop
+	unwatchHost     func() bool // stops watching for the end of the host's stop
+	outlivesStop    bool
 	ruleDeadline    time.Duration // from the last byte of the request
 	callerTimeout   time.Duration // sent by the caller, 0 for none
 	callerDeadline  time.Time     // by callerTimeout, zero for none
@@ -129,17 +130,29 @@
 // disarm lifts the rule's deadline and timeout once the response has begun. The
 // deadline that the caller sent remains.
 func (c *deadlineContext) disarm() {
-	c.unwatchHost()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.disarmed = true
 	c.setDeadline(c.callerDeadline)
 }
 
-func (c *deadlineContext) cause() error { return context.Cause(c.Context) }
+// outliveStop keeps the context alive at the end of the host's stop, once a byte
+// of the response was sent to the caller.
+func (c *deadlineContext) outliveStop() {
+	c.unwatchHost()
+	c.outlivesStop = true
+}
+
+func (c *deadlineContext) cause() error {
+	if cause := context.Cause(c.Context); cause != nil || c.outlivesStop {
+		return cause
+	}
+	return c.hostStop.err()
+}
 
 func (c *deadlineContext) stop() {
 	c.stopWatch()
+	c.unwatchHost()
 	c.timer.Stop()
 	c.cancel(context.Canceled)
 }
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -118,9 +118,6 @@
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(w, r, h.cfg.Limits, h.cfg.Dialect)
-	if h.cfg.Stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	defer h.recover(c)
 	if problem := h.admit(c); problem != nil {
 		h.fail(c, problem)
@@ -256,9 +253,18 @@
 		_ = c.controller.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}
 	c.extendWriteDeadline()
+	h.closeIfStopping(c)
 	c.dialect.WriteProblem(c.w, ErrorResponse{Problem: problem, ID: c.id, RetryAfter: retryAfter(problem)})
 }
 
+// closeIfStopping closes the caller's connection after the response that is about
+// to be written if this host is stopping.
+func (h *Handler) closeIfStopping(c *call) {
+	if h.cfg.Stopping.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 func (h *Handler) logDecision(c *call, result string) {
 	d := c.decision
 	d.ID, d.Kind, d.At, d.Service, d.Caller = c.id, decision.Route, time.Now(), c.service, c.caller
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -101,6 +101,7 @@
 		_ = c.controller.EnableFullDuplex()
 		c.w.Header().Set("Connection", "close")
 	}
+	d.h.closeIfStopping(c)
 	connection := c.w.Header()["Connection"]
 	copyHeader(c.w.Header(), response.Header)
 	if connection != nil {
@@ -111,6 +112,7 @@
 		c.w.Header().Set(outcome.DecisionHeader, c.id)
 	}
 	c.extendWriteDeadline()
+	c.ctx.outliveStop()
 	c.headerSent = true
 	c.w.WriteHeader(response.StatusCode)
 	d.recorder.recordHeader(response)
--- a/entry/caller/stop.go
+++ b/entry/caller/stop.go
@@ -35,6 +35,15 @@
 // RefuseRequests makes the handler refuse all further requests as not run.
 func (h *Handler) RefuseRequests() { h.stop.refusing.Store(true) }
 
+// err returns errHostStopping once requests have ended, which the contexts of
+// requests learn one after the other.
+func (s *stop) err() error {
+	if s.ctx.Err() != nil {
+		return errHostStopping
+	}
+	return nil
+}
+
 // earliest returns the earlier of a deadline, zero for none, and the time at which
 // requests end.
 func (s *stop) earliest(deadline time.Time) time.Time {
--- a/entry/caller/stop_test.go
+++ b/entry/caller/stop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,11 +42,24 @@
 	}
 }
 
+// refuseFirst refuses the first request of an instance and does nothing with others.
+func refuseFirst() http.HandlerFunc {
+	var refused atomic.Bool
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if !refused.Swap(true) {
+			w.Header().Set(caller.RefusedHeader, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+}
+
 func TestEachHeldRequestGetsItsOutcomeAtTheEndOfAStop(t *testing.T) {
 	tests := map[string]struct {
 		before  string // an earlier request, which occupies what this one waits for
 		request string
 		option  func(n *network) option
+		respond http.HandlerFunc // what the instance does first, nil for nothing
+		others  []string         // instances that do the same
 		kind    outcome.Kind
 		reason  outcome.Reason
 		status  int
@@ -54,6 +68,19 @@
 			request: "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
 			kind:    outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
 		},
+		"response without its body": {
+			request: "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
+			respond: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", "5")
+				_ = http.NewResponseController(w).Flush()
+			},
+			kind: outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
+		},
+		"silent instance after a refusal": {
+			request: "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 1\r\n\r\n5",
+			respond: refuseFirst(), others: []string{"i:2"},
+			kind: outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
+		},
 		"silent instance, hedged": {
 			request: "GET /late/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
 			kind:    outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
@@ -98,15 +125,22 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n := newNetwork()
-				n.serve(t, "i:1", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				instance := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					_, _ = io.Copy(io.Discard, r.Body)
-					<-r.Context().Done()
-				}))
+					if test.respond != nil {
+						test.respond(w, r)
+					}
+					if w.Header().Get(caller.RefusedHeader) == "" {
+						<-r.Context().Done()
+					}
+				})
+				n.serve(t, "i:1", instance)
+				n.serve(t, "i:2", instance)
 				opts := []option{n.pool(t)}
 				if test.option != nil {
 					opts = append(opts, test.option(n))
 				}
-				e := newEntry(t, viewsOf("i:1"), newClaims(), opts...)
+				e := newEntry(t, viewsOf(append(test.others, "i:1")...), newClaims(), opts...)
 				t.Cleanup(e.pool.Close)
 				n.serve(t, "e:1", e.handler)
 				if test.before != "" {
--- a/entry/host/callerserver.go
+++ b/entry/host/callerserver.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 )
 
 // callerServer is the HTTP server of callers. Unlike http.Server.Shutdown, it can
@@ -52,7 +53,10 @@
 // responses to be sent on the others.
 func (s *callerServer) Shutdown(ctx context.Context) error {
 	s.closeUnused()
-	return s.Server.Shutdown(ctx)
+	if err := s.Server.Shutdown(ctx); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil // the listener was closed before
 }
 
 func (s *callerServer) closeUnused() {
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -40,6 +40,7 @@
 	identity       string
 	closeDelimited bool // accept responses that end when their link is closed
 	maxIdle        time.Duration
+	gate           func() error // nil: none
 	mismatched     int
 	complete       bool // the response body was read to its end
 	closed         atomic.Bool
@@ -64,6 +65,10 @@
 // the link is closed. It counts as complete unless the link was reset.
 func WithCloseDelimited() SendOption { return func(e *Exchange) { e.closeDelimited = true } }
 
+// WithGate sets a function that is called right before the request is written; if
+// it returns an error, nothing is written.
+func WithGate(gate func() error) SendOption { return func(e *Exchange) { e.gate = gate } }
+
 // WithMaxIdle reuses only links that were idle for at most d; with 0 a new link
 // is opened.
 func WithMaxIdle(d time.Duration) SendOption { return func(e *Exchange) { e.maxIdle = d } }
@@ -79,6 +84,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if e.gate != nil {
+		if err := e.gate(); err != nil {
+			links.put(l)
+			return nil, &Failure{cause: Cancelled, err: err, address: address}
+		}
+	}
 	e.link, e.links = l, links
 	before := l.written.Load()
 	e.stop = context.AfterFunc(ctx, l.close)
