caller: test that the endless body of a refusal is not read

A refusal whose body does not end was handled as any refusal before and is now: its body is not read, its link is closed, and the request is not-run at once after the attempts that are allowed. The case was missing among the tests.

--- a/entry/caller/endless_test.go
+++ b/entry/caller/endless_test.go
@@ -181,6 +181,30 @@
 	}
 }
 
+func TestEndlessBodyOfARefusalIsNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		views, members := loadsOf("i:1", "i:2")
+		refusal := "HTTP/1.1 503 Service Unavailable\r\n" + caller.RefusedHeader + ": full\r\nContent-Length: 1000000000\r\n\r\n"
+		var ended []<-chan struct{}
+		for _, address := range []string{"i:1", "i:2"} {
+			ended = append(ended, endless{start: refusal, piece: "a", pause: time.Second}.serve(t, n, address))
+		}
+		e := newEntry(t, views, newClaims(), n.pool(t))
+		n.serve(t, "e:1", e.handler)
+		started := time.Now()
+		got, err := n.client(t).Do(newRequest(t, http.MethodPost, "e:1", "/x", "b"))
+		must.NoError(t, err)
+		_ = got.Body.Close()
+		must.Eq(t, string(outcome.NotRun), got.Header.Get(outcome.Header))
+		must.Zero(t, time.Since(started))
+		for n := range ended {
+			<-ended[n]
+			must.Zero(t, members[n].Load().InFlight())
+		}
+	})
+}
+
 func endlessBodies() map[string]endless {
 	pieces := map[string]endless{
 		"length":          {start: "Content-Length: 1000000000\r\n\r\n", piece: "a"},
