caller: a response ends some time after the caller has left

Where the contract says finish or once, a response is read on after the caller has disconnected, so that the instance may end its work and the response is stored. A body without end was read without end: no deadline applied to it, and nobody was left who could disconnect.

After the disconnect such a response now has the rule's deadline once more. A claimed request whose response is not whole by then is stored as cut.

Without these contracts the response ended with the caller before and now.

--- a/entry/caller/deadline.go
+++ b/entry/caller/deadline.go
@@ -23,6 +23,8 @@
 type deadlineContext struct {
 	context.Context // ends at the deadline, or when the caller disconnects unless detached
 	cancel          context.CancelCauseFunc
+	caller          context.Context // ends when the caller disconnects
+	detached        bool
 	stopWatch       func() bool   // stops watching for the caller's disconnect
 	ruleDeadline    time.Duration // from the last byte of the request
 	callerTimeout   time.Duration // sent by the caller, 0 for none
@@ -37,7 +39,7 @@
 
 func newDeadlineContext(r *http.Request, terms *contract.Contract, deadlineHeader string) *deadlineContext {
 	ruleDeadline := terms.Deadline()
-	c := &deadlineContext{ruleDeadline: ruleDeadline}
+	c := &deadlineContext{caller: r.Context(), ruleDeadline: ruleDeadline}
 	now := time.Now()
 	if ms, err := strconv.ParseInt(header(r.Header, deadlineHeader), 10, 32); err == nil && ms > 0 {
 		c.callerTimeout = time.Duration(ms) * time.Millisecond
@@ -120,7 +122,10 @@
 }
 
 // detach keeps the context alive after the caller has disconnected.
-func (c *deadlineContext) detach() { c.stopWatch() }
+func (c *deadlineContext) detach() {
+	c.stopWatch()
+	c.detached = true
+}
 
 // disarm lifts the rule's deadline and timeout once the response has begun. The
 // deadline that the caller sent remains.
@@ -129,6 +134,19 @@
 	defer c.mu.Unlock()
 	c.disarmed = true
 	c.setDeadline(c.callerDeadline)
+	if c.detached {
+		c.stopWatch = context.AfterFunc(c.caller, c.finish)
+	}
+}
+
+// finish gives the instance the rule's deadline once more to end its response
+// after the caller has disconnected.
+func (c *deadlineContext) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at := time.Now().Add(c.ruleDeadline); c.deadline.IsZero() || at.Before(c.deadline) {
+		c.setDeadline(at)
+	}
 }
 
 func (c *deadlineContext) cause() error { return context.Cause(c.Context) }
--- a/entry/caller/endless_test.go
+++ b/entry/caller/endless_test.go
@@ -544,3 +544,29 @@
 		must.Zero(t, members[0].Load().InFlight())
 	})
 }
+
+func TestEndlessBodyEndsAfterTheCallerHasLeft(t *testing.T) {
+	for path, deadline := range map[string]time.Duration{"/x": 0, "/photos/1": 2 * time.Second, "/pay/1": 5 * time.Second} {
+		for name, response := range endlessBodies() {
+			t.Run(name+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					defer time.Sleep(time.Minute) // until the connection is closed
+					n := newNetwork()
+					views, members := loadsOf("i:1")
+					response.serve(t, n, "i:1")
+					e := newEntry(t, views, newClaims(), n.pool(t), withCloseDelimited)
+					n.serve(t, "e:1", e.handler)
+					conn, err := n.dial(t.Context(), "e:1")
+					must.NoError(t, err)
+					_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: shop\r\nContent-Length: 1\r\n"+keyHeader+": k\r\n\r\nb")
+					must.NoError(t, err)
+					time.Sleep(time.Second)
+					must.NoError(t, conn.Close())
+					time.Sleep(deadline + time.Millisecond)
+					must.Zero(t, members[0].Load().InFlight())
+					waitSettled(t, e)
+				})
+			})
+		}
+	}
+}
