--- a/entry/caller/deadline.go
+++ b/entry/caller/deadline.go
@@ -23,6 +23,8 @@
 type deadlineContext struct {
 	context.Context // ends at the deadline, or when the caller disconnects unless detached
 	cancel          context.CancelCauseFunc
+	caller          context.Context // ends when the caller disconnects
+	detached        bool
 	stopWatch       func() bool // stops watching for the caller's disconnect
 	hostStop        *stop
 	unwatchHost     func() bool // stops watching for the end of the host's stop
@@ -40,7 +42,7 @@
 
 func newDeadlineContext(r *http.Request, terms *contract.Contract, deadlineHeader string, host *stop) *deadlineContext {
 	ruleDeadline := terms.Deadline()
-	c := &deadlineContext{ruleDeadline: ruleDeadline, hostStop: host}
+	c := &deadlineContext{caller: r.Context(), ruleDeadline: ruleDeadline, hostStop: host}
 	now := time.Now()
 	if ms, err := strconv.ParseInt(header(r.Header, deadlineHeader), 10, 32); err == nil && ms > 0 {
 		c.callerTimeout = time.Duration(ms) * time.Millisecond
@@ -125,7 +127,10 @@
 }
 
 // detach keeps the context alive after the caller has disconnected.
-func (c *deadlineContext) detach() { c.stopWatch() }
+func (c *deadlineContext) detach() {
+	c.stopWatch()
+	c.detached = true
+}
 
 // disarm lifts the rule's deadline and timeout once the response has begun. The
 // deadline that the caller sent remains.
@@ -134,6 +139,19 @@
 	defer c.mu.Unlock()
 	c.disarmed = true
 	c.setDeadline(c.callerDeadline)
+	if c.detached {
+		c.stopWatch = context.AfterFunc(c.caller, c.finish)
+	}
+}
+
+// finish gives the instance the rule's deadline once more to end its response
+// after the caller has disconnected.
+func (c *deadlineContext) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at := time.Now().Add(c.ruleDeadline); c.deadline.IsZero() || at.Before(c.deadline) {
+		c.setDeadline(at)
+	}
 }
 
 // outliveStop keeps the context alive at the end of the host's stop, once a byte
