peer: commands in progress at a transfer get the successor's outcome

A control host that hands its leadership over told every command that was in its log and not yet applied that its outcome is unknown, though the successor has the log and commits it a round trip later. Operators got 503 for submissions, entry hosts a failed claim, at each planned stop of a leader.

Cause: the step down failed all pending proposals, and the stop ended the replica as soon as it led no more. With three voters the successor and the leader are a quorum, so the commands are committed before the transfer and the fault does not show; it needs five voters or a slow one.

Pending proposals now stay through a transfer and end when the entry at their index is applied; the stop waits for them within the time of the transfer (three election timeouts). A step down without a transfer fails them as before.

An overwritten command is told as not taken, which the test allows.

--- a/control/peer/change.go
+++ b/control/peer/change.go
@@ -133,13 +133,18 @@
 	return &wire.TransferResponse{Done: current.leader != v.leader && current.leader != "", Leader: current.leaderName}, nil
 }
 
+// transferTo starts a transfer. The successor has the log of this replica, so that
+// pending proposals wait for the successor to commit them.
 func (n *Node) transferTo(name string) error {
-	if name == "" {
-		return n.replica.Transfer("")
+	id := ""
+	if name != "" {
+		if id = n.identityOf(&wire.Member{Name: name}, quorum.Voter); id == "" {
+			return quorum.ErrNoSuccessor
+		}
 	}
-	id := n.identityOf(&wire.Member{Name: name}, quorum.Voter)
-	if id == "" {
-		return quorum.ErrNoSuccessor
+	if err := n.replica.Transfer(id); err != nil {
+		return err
 	}
-	return n.replica.Transfer(id)
+	n.transferAt = time.Now()
+	return nil
 }
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -94,6 +94,7 @@
 	runCtx         context.Context
 	snapshots      snapshotter
 	reconciler     reconciler
+	transferAt     time.Time // start of the last transfer of the leadership by this replica
 
 	// The group clock, as advanced by this replica while it is the leader.
 	clockBase  int64
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -102,6 +102,39 @@
 	must.True(t, g.submit(g.others(old)[0], 1).GetAccepted())
 }
 
+// A stopping leader hands its log over, so the commands in it are committed by its
+// successor: their outcome is known.
+func TestCommandInProgressAtATransferIsNotUncertain(t *testing.T) {
+	g := newGroup(t, 5)
+	g.submit(g.hosts[0], 0)
+	leader := g.leader()
+	others := g.others(leader)
+	var reachable []func()
+	for _, h := range others[1:] { // the command reaches the successor only, which is no quorum
+		handler := h.handler.Swap(nil)
+		reachable = append(reachable, func() { h.handler.Store(handler) })
+	}
+	outcome := make(chan error, 1)
+	go func() {
+		_, err := leader.node.Propose(context.Background(), submission(1))
+		outcome <- err
+	}()
+	g.eventually("the command at the successor", func() bool {
+		leaderView := leader.node.Status()
+		for _, m := range leaderView.Members() {
+			if m.GetName() == others[0].name {
+				return m.GetMatchIndex() > leaderView.CommitIndex()
+			}
+		}
+		return false
+	})
+	leader.node.TransferLeadership(context.Background())
+	for _, connect := range reachable {
+		connect()
+	}
+	must.False(t, errors.Is(<-outcome, agreement.ErrUncertain)) // committed, or overwritten by another leader
+}
+
 // replace adds a host with an empty disk to the group in place of its old
 // identity.
 func (g *group) replace(h *host, old string) {
--- a/control/peer/transfer.go
+++ b/control/peer/transfer.go
@@ -12,19 +12,29 @@
 const transferTimeouts = 3
 
 // TransferLeadership transfers the leadership to another voter, if this replica is
-// the leader, and waits until it is transferred or transferTimeouts have elapsed.
+// the leader, and waits until it is transferred and the successor has committed the
+// pending proposals, or transferTimeouts have elapsed.
 func (n *Node) TransferLeadership(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeouts*n.cfg.electionTimeout())
 	defer cancel()
-	if err := n.call(ctx, func() error { return n.replica.Transfer("") }); err != nil {
+	if err := n.call(ctx, func() error { return n.transferTo("") }); err != nil {
 		return
 	}
-	for n.view.Load().isLeader && pause.For(ctx, retryInterval) {
+	for (n.view.Load().isLeader || n.hasPending(ctx)) && pause.For(ctx, retryInterval) {
 		continue
 	}
 	n.logger.Info("leadership transferred", "leader", n.view.Load().leaderName)
 }
 
+func (n *Node) hasPending(ctx context.Context) bool {
+	pending := false
+	err := n.call(ctx, func() error {
+		pending = len(n.pending) > 0
+		return nil
+	})
+	return err == nil && pending
+}
+
 // call runs a task on the goroutine of Run and waits for its error.
 func (n *Node) call(ctx context.Context, task func() error) error {
 	done := make(chan error, 1)
--- a/control/peer/view.go
+++ b/control/peer/view.go
@@ -55,7 +55,7 @@
 	if v.leader == n.replica.Leader() && v.term == n.replica.Term() && v.isLeader == isLeader {
 		return
 	}
-	if v.isLeader && !isLeader {
+	if v.isLeader && !isLeader && time.Since(n.transferAt) > n.cfg.electionTimeout() {
 		n.failPending(errUncertain)
 	}
 	if isLeader {
