peer: a command that a stopping host never took is told as not taken

A command that reached a control host while its replica ended was told as "outcome unknown" though nothing had been proposed, and retried there until three election timeouts had passed (0.9 s of the time of the stop).

Cause: a task may enter the queue of the replica's goroutine after or just before that goroutine ends; what never ran was taken for uncertain. When the goroutine has ended, each proposal that it took has an outcome, so one without an outcome was not taken. Propose and Confirm stop retrying on a host that has ended. A pending proposal whose index a later term of the same leader uses again was forgotten and waited for the call's own time-out (5 s); it ends at once as uncertain.

The overwritten proposal has no test of its own.

--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -269,6 +269,17 @@
 	return nil
 }
 
+// ended reports whether Run has ended or will end because of a failure, so that a
+// retry on this host is pointless.
+func (n *Node) ended() bool {
+	select {
+	case <-n.stopped:
+		return true
+	default:
+		return n.failure() != nil
+	}
+}
+
 func (n *Node) apply(out *quorum.Output) {
 	if s := out.Snapshot(); s != nil {
 		n.restoreSnapshot(s)
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -135,6 +135,17 @@
 	must.False(t, errors.Is(<-outcome, agreement.ErrUncertain)) // committed, or overwritten by another leader
 }
 
+// A node that has stopped takes no command, so none is uncertain.
+func TestStoppedHostTakesNoCommand(t *testing.T) {
+	g := newGroup(t, 1)
+	g.submit(g.hosts[0], 0)
+	g.hosts[0].stop()
+	for range 20 {
+		_, err := g.hosts[0].node.Propose(context.Background(), submission(1))
+		must.ErrorIs(t, err, agreement.ErrNotLeader)
+	}
+}
+
 // replace adds a host with an empty disk to the group in place of its old
 // identity.
 func (g *group) replace(h *host, old string) {
--- a/control/peer/proposal.go
+++ b/control/peer/proposal.go
@@ -47,7 +47,7 @@
 		if err == nil || errors.Is(err, errUncertain) {
 			return result, err
 		}
-		if n.failure() != nil || time.Now().After(deadline) || !pause.For(ctx, retryInterval) {
+		if n.ended() || time.Now().After(deadline) || !pause.For(ctx, retryInterval) {
 			return nil, err
 		}
 	}
@@ -95,6 +95,9 @@
 			return
 		}
 		p.term = term
+		if overwritten := n.pending[index]; overwritten != nil {
+			overwritten.finish(nil, errUncertain) // another host may still have its entry
+		}
 		n.pending[index] = p
 	})
 	if !queued {
@@ -111,7 +114,7 @@
 	case <-p.done:
 		return p.result, p.err
 	default:
-		return nil, errUncertain
+		return nil, errNotLeader // Run ended before it took the task
 	}
 }
 
--- a/control/peer/read.go
+++ b/control/peer/read.go
@@ -26,7 +26,7 @@
 		if ok {
 			return n.awaitApplied(ctx, index)
 		}
-		if n.failure() != nil || time.Now().After(deadline) || !pause.For(ctx, retryInterval) {
+		if n.ended() || time.Now().After(deadline) || !pause.For(ctx, retryInterval) {
 			return agreement.ErrNoQuorum
 		}
 	}
