peer: a read on a control host that gets no entries ends

"snipebeam claim" on a control host that the leader could no longer send to (cut in one direction, removed from the group, disk hung) waited until the operator's own time-out, and held the host's stop with it.

Cause: after the read index the host waits until it has applied that index, with no time-out of its own; Claims.Show passes the call's context on.

A confirmation now takes six election timeouts at most (1.8 s by default) and then fails as without a quorum.

--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -64,6 +64,7 @@
 	minSnapshotLogBytes = 4 << 20  // of log entries applied between two snapshots, at least
 	maxSnapshotLogBytes = 16 << 20 // and at most
 	leaderWaitTimeouts  = 3        // election timeouts that a request waits for a leader
+	confirmTimeouts     = 6        // election timeouts that a read waits for its confirmation
 	retryInterval       = 10 * time.Millisecond
 	proposeTimeout      = 5 * time.Second
 )
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/control/agreement"
@@ -146,6 +147,26 @@
 	}
 }
 
+// A host that the leader cannot send to any more gets a read index that it never
+// applies.
+func TestReadOnHostWithoutEntriesEnds(t *testing.T) {
+	g := newGroup(t, 3)
+	g.submit(g.hosts[0], 0)
+	leader := g.leader()
+	behind := g.others(leader)[0]
+	g.eventually("a confirmed read", func() bool { return behind.node.Confirm(context.Background()) == nil })
+	behind.handler.Store(nil)
+	g.submit(leader, 1)
+	outcome := make(chan error, 1)
+	go func() { outcome <- behind.node.Confirm(context.Background()) }()
+	select {
+	case err := <-outcome:
+		must.ErrorIs(t, err, agreement.ErrNoQuorum)
+	case <-time.After(testTimeout / 6):
+		must.Unreachable(t, must.Sprint("the read has no outcome"))
+	}
+}
+
 // replace adds a host with an empty disk to the group in place of its old
 // identity.
 func (g *group) replace(h *host, old string) {
--- a/control/peer/read.go
+++ b/control/peer/read.go
@@ -18,8 +18,11 @@
 }
 
 // Confirm returns nil once the applied state includes every command that was
-// committed before the call.
+// committed before the call. It waits leaderWaitTimeouts election timeouts for a
+// leader, and at most confirmTimeouts in all.
 func (n *Node) Confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeouts*n.cfg.electionTimeout())
+	defer cancel()
 	deadline := time.Now().Add(leaderWaitTimeouts * n.cfg.electionTimeout())
 	for {
 		index, ok := n.readIndex(ctx)
