control: a planned stop of a control host has an end

Need: the platform kills a control host 6 s after SIGTERM. What its clients saw until then depended on the slowest of them: - one unfinished upload of a configuration held the stop for fx's 15 s; the leadership was handed over, the log closed and "stopped" written after it, so that the kill came first and the group waited for an election; - a connection on which no request had come held it up to 5 s, on each listener in turn; - long polls of entry hosts held it for 3 s (10 s at most), on a host whose replica had ended, and told the entry hosts nothing meanwhile; - a call at the moment of the kill got a closed connection.

Cause: the hooks ran one after another, server.Shutdown waits for every request and has no end but fx's, and nothing ended requests or reads of bodies.

Now host.stopLimitSeconds (10; the platform's grace time in deploy/control.toml) bounds a stop. At its start polls end as unavailable, new calls are refused as not taken, the listeners close, and the leadership is transferred, all at the same time; requests in progress go on beside a running replica until half of the limit, then their contexts and the reads of their bodies end, each with a response. Connections left 0.5 s later are closed. Then the replica ends, then the peers listener.

Ruled out: closing the peers listener at the start of the stop (the requests in progress need the appends of the next leader).

--- a/control/host/handlers.go
+++ b/control/host/handlers.go
@@ -21,9 +21,9 @@
 
 // handleRules registers the Rules service: Watch accepts the keys between
 // hosts, all other methods accept the operators' keys.
-func handleRules(mux *http.ServeMux, peers *key.Ring, operators operatorRing, server http.Handler) {
-	mux.Handle(wire.RulesPathPrefix, operators.Authenticate(server))
-	mux.Handle(wire.RulesPathPrefix+"Watch", peers.Authenticate(server))
+func handleRules(mux *http.ServeMux, peers *key.Ring, operators operatorRing, all *servers, server http.Handler) {
+	mux.Handle(wire.RulesPathPrefix, operators.Authenticate(all.calls(server)))
+	mux.Handle(wire.RulesPathPrefix+"Watch", peers.Authenticate(all.calls(all.polls(server))))
 }
 
 // handleClaims registers the Claims service: Show and Resolve accept the
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -10,7 +10,6 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -29,9 +28,6 @@
 	"go.uber.org/fx/fxevent"
 )
 
-// readHeaderTimeout limits how long a client may take to send its headers.
-const readHeaderTimeout = 5 * time.Second
-
 // New returns the fx application of one control host.
 func New(cfg *settings.Settings, logger hclog.Logger, opts ...Option) *fx.App {
 	var o options
@@ -54,10 +50,12 @@
 			entry.NewClaims,
 			newRing,
 			newOperatorRing,
+			newServers,
 			prometheus.New,
 			newServer,
 		),
-		fx.Invoke(runNode, runInstances, runListeners, runReload),
+		fx.Invoke(runNode, runInstances, runListeners, runReload, runStop),
+		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 }
@@ -68,14 +66,14 @@
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
 
-func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, node *peer.Node, rules *operator.Rules, claims *entry.Claims, exporter *prometheus.Exporter) *http.Server {
+func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, all *servers, node *peer.Node, rules *operator.Rules, claims *entry.Claims, exporter *prometheus.Exporter) *http.Server {
 	mux := http.NewServeMux()
-	handleRules(mux, ring, operators, wire.NewRulesServer(rules))
-	handleClaims(mux, ring, operators, wire.NewClaimsServer(claims))
+	handleRules(mux, ring, operators, all, wire.NewRulesServer(rules))
+	handleClaims(mux, ring, operators, all.calls(wire.NewClaimsServer(claims)))
 	mux.Handle(wire.QuorumPathPrefix, ring.Authenticate(wire.NewQuorumServer(node.Service())))
-	handleGroup(mux, operators, wire.NewGroupServer(node.Group()))
+	handleGroup(mux, operators, all.calls(wire.NewGroupServer(node.Group())))
 	handleHealth(mux, node, exporter)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := all.server(mux)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			listener, err := net.Listen("tcp", cfg.Listen.Peers)
@@ -86,7 +84,7 @@
 			go serve(server, listener, logger)
 			return nil
 		},
-		OnStop: server.Shutdown,
+		OnStop: func(ctx context.Context) error { return shutdownSoon(ctx, server) },
 	})
 	return server
 }
--- a/control/host/listener.go
+++ b/control/host/listener.go
@@ -68,7 +68,7 @@
 	lc.Append(fx.StartStopHook(func() { go instances.Run(ctx) }, cancel))
 }
 
-func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, services Services, exporter *prometheus.Exporter) {
+func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, services Services, servers *servers, exporter *prometheus.Exporter) {
 	var all []Listener
 	if o.listeners != nil {
 		all = o.listeners(services)
@@ -79,7 +79,7 @@
 		all = append(all, Listener{Name: "metrics", Address: cfg.Listen.Metrics, Handler: mux})
 	}
 	for _, l := range all {
-		server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: readHeaderTimeout}
+		server := servers.listener(l.Handler)
 		lc.Append(fx.Hook{
 			OnStart: func(ctx context.Context) error {
 				listener, err := link.Listen(ctx, l.Address, link.MessageTimeouts)
@@ -89,7 +89,7 @@
 				go serve(server, listener, services.Logger)
 				return nil
 			},
-			OnStop: server.Shutdown,
+			OnStop: func(ctx context.Context) error { return shutdownSoon(ctx, server) },
 		})
 	}
 }
--- a/control/host/quorum.go
+++ b/control/host/quorum.go
@@ -63,8 +63,8 @@
 
 func newLog(node *peer.Node) agreement.Log { return node }
 
-// runNode starts the node after the server has started, and transfers
-// leadership and stops the node before the server stops.
+// runNode starts the node after the server has started, and stops it before the
+// server stops.
 func runNode(lc fx.Lifecycle, _ *http.Server, r *replicaStore, node *peer.Node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -76,8 +76,7 @@
 			}()
 			return nil
 		},
-		OnStop: func(stop context.Context) error {
-			node.TransferLeadership(stop)
+		OnStop: func(context.Context) error {
 			cancel()
 			<-done
 			return r.store.Close()
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -8,6 +8,7 @@
 	"github.com/snipebeam/snipebeam/world/delta"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
+	"github.com/twitchtv/twirp"
 )
 
 const (
@@ -32,7 +33,7 @@
 	defer end()
 	newer := s.await(ctx, req)
 	if ctx.Err() != nil {
-		return nil, ctx.Err()
+		return nil, twirp.NewError(twirp.Unavailable, context.Cause(ctx).Error())
 	}
 	response := &wire.WatchResponse{Stale: true, ServedBy: s.name, Zone: s.zone}
 	if req.GetKnownVersion() == 0 {
--- a/control/settings/settings.go
+++ b/control/settings/settings.go
@@ -25,7 +25,7 @@
 
 // Default returns the default settings.
 func Default() *Settings {
-	return &Settings{Listen: defaultListen(), Data: defaultData(), Quorum: defaultQuorum(), Directory: defaultDirectory(), Log: defaultLog()}
+	return &Settings{Host: defaultHost(), Listen: defaultListen(), Data: defaultData(), Quorum: defaultQuorum(), Directory: defaultDirectory(), Log: defaultLog()}
 }
 
 // Load reads and checks a file. Overrides take precedence over it. All findings
@@ -38,7 +38,7 @@
 }
 
 func (s *Settings) check(c *setting.Checker) {
-	c.Required("host.name", s.Host.Name, "name this host, unique among all, here or with --name")
+	s.Host.check(c)
 	c.OneOf("log.level", s.Log.Level, logging.Levels()...)
 	s.Data.check(c)
 	s.Quorum.check(c)
