entry/host: an unfinished request at a side listener does not hold a stop

After the drain the ready, metrics, peers and platform listeners were shut down one after another, each waiting for connections on which no request had come (5 s and more) and for requests whose client does not finish them (without end, if host.stopLimitSeconds is 0; else until the platform kills the process, before the host has reported that it left and has logged "stopped").

Each now has 0.5 s for its last responses, then its connections are closed. Their handlers answer without waiting, so nothing is lost. The callers' listener is not changed here.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -195,7 +195,7 @@
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Platform, "platform", logger) },
-		OnStop:  server.Shutdown,
+		OnStop:  shutdown(server),
 	})
 }
 
@@ -210,7 +210,7 @@
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Peers, "peers", logger) },
-		OnStop:  server.Shutdown,
+		OnStop:  shutdown(server),
 	})
 }
 
--- a/entry/host/listener.go
+++ b/entry/host/listener.go
@@ -68,7 +68,7 @@
 		server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 		lc.Append(fx.Hook{
 			OnStart: func(context.Context) error { return listen(server, l.Address, l.Name, logger) },
-			OnStop:  server.Shutdown,
+			OnStop:  shutdown(server),
 		})
 	}
 }
