control: a claim is settled though the first control hosts hang

An entry host that was to release or complete a claim while two of its control hosts did not answer (frozen, cut off) never reached the third: neither while it ran, for the ten minutes of the settler, nor in its stop, which waited 30 s or to its limit and left the claim. The caller's next attempt got "unknown".

Cause: each attempt has 1 s and starts at the host that answered last; 0.6 s for a hung host leave time for two. A host that failed stayed the first.

The next call now starts after the host that failed.

TestClaimIsSettledThoughTheFirstControlHostsHang failed before: one claim left after 30 s of virtual time.

--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -28,7 +28,7 @@
 // Client calls the control hosts one after another until one responds.
 type Client struct {
 	hosts     []endpoint
-	preferred atomic.Uint32 // index of the host that responded last
+	preferred atomic.Uint32 // index of the host to try first
 }
 
 type endpoint struct {
@@ -52,7 +52,8 @@
 const hostTimeout = 600 * time.Millisecond
 
 // callHosts tries the hosts one after another, starting with the one that
-// responded last. A call may reach several hosts; the id in each claim makes
+// responded last, or after the one that failed last: a call may have time for few of
+// them. A call may reach several hosts; the id in each claim makes
 // repeated calls idempotent.
 func callHosts[T any](ctx context.Context, c *Client, call func(ctx context.Context, e endpoint) (T, error)) (T, error) {
 	var zero T
@@ -69,6 +70,7 @@
 			return response, nil
 		}
 		lastErr = err
+		c.preferred.CompareAndSwap(at, (at+1)%uint32(len(c.hosts)))
 		if ctx.Err() != nil {
 			break
 		}
