control: claims follow the control hosts of the group and of reloaded settings

After the control hosts of an entry host's settings were replaced one by one, claims could be neither made nor settled until the entry host was started again: each request with a key failed after its 2 s, and each release was retried at addresses that are gone, in the stop too (30 s or to the limit).

Cause: the client of claims kept the addresses of the settings at the start.

TestClaimIsSettledAfterControlHostsAreReplaced failed on a client that keeps its first addresses: one claim left after 30 s of virtual time. client_test.go only follows the new parameter of NewClient.

--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -4,14 +4,15 @@
 //
 // Usage:
 //
-//	client := control.NewClient(addresses, httpClient)
+//	client := control.NewClient(watch.Hosts, httpClient)
 //	response, err := client.Claim(ctx, request)
 package control
 
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,24 +28,54 @@
 
 // Client calls the control hosts one after another until one responds.
 type Client struct {
-	hosts     []endpoint
-	preferred atomic.Uint32 // index of the host to try first
+	addresses func() []string
+	client    *http.Client
+
+	mu        sync.Mutex
+	hosts     map[string]wire.Claims // by address
+	preferred string                 // address to try first
+}
+
+// NewClient returns a client of the control hosts whose addresses the function
+// currently returns.
+func NewClient(addresses func() []string, client *http.Client) *Client {
+	return &Client{addresses: addresses, client: client, hosts: map[string]wire.Claims{}}
 }
 
-type endpoint struct {
-	claims wire.Claims
+// order returns the addresses to try, the preferred one first.
+func (c *Client) order() []string {
+	all := c.addresses()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	start := slices.Index(all, c.preferred)
+	if start < 0 {
+		start, c.preferred = 0, ""
+	}
+	return slices.Concat(all[start:], all[:start])
+}
+
+func (c *Client) prefer(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.preferred = address
+}
+
+// avoid makes calls that would start with a host start with the next one.
+func (c *Client) avoid(address, next string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.preferred == address || c.preferred == "" {
+		c.preferred = next
+	}
 }
 
-// NewClient returns a client of the control hosts at the addresses.
-func NewClient(addresses []string, client *http.Client) *Client {
-	c := &Client{}
-	for _, address := range addresses {
-		url := "http://" + address
-		c.hosts = append(c.hosts, endpoint{
-			claims: wire.NewClaimsProtobufClient(url, client),
-		})
+func (c *Client) host(address string) wire.Claims {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hosts[address] == nil {
+		c.hosts[address] = wire.NewClaimsProtobufClient("http://"+address, c.client)
 	}
-	return c
+	return c.hosts[address]
 }
 
 // hostTimeout bounds the call to one control host, so that an unresponsive one
@@ -55,22 +86,21 @@
 // responded last, or after the one that failed last: a call may have time for few of
 // them. A call may reach several hosts; the id in each claim makes
 // repeated calls idempotent.
-func callHosts[T any](ctx context.Context, c *Client, call func(ctx context.Context, e endpoint) (T, error)) (T, error) {
+func callHosts[T any](ctx context.Context, c *Client, call func(ctx context.Context, host wire.Claims) (T, error)) (T, error) {
 	var zero T
-	if len(c.hosts) == 0 {
+	order := c.order()
+	if len(order) == 0 {
 		return zero, errors.New("no control hosts configured")
 	}
-	start := c.preferred.Load()
 	var lastErr error
-	for n := range uint32(len(c.hosts)) {
-		at := (start + n) % uint32(len(c.hosts))
-		response, err := callHost(ctx, c.hosts[at], call)
+	for n, address := range order {
+		response, err := callHost(ctx, c.host(address), call)
 		if err == nil {
-			c.preferred.Store(at)
+			c.prefer(address)
 			return response, nil
 		}
 		lastErr = err
-		c.preferred.CompareAndSwap(at, (at+1)%uint32(len(c.hosts)))
+		c.avoid(address, order[(n+1)%len(order)])
 		if ctx.Err() != nil {
 			break
 		}
@@ -78,27 +108,27 @@
 	return zero, errors.Wrap(lastErr, "call control hosts")
 }
 
-func callHost[T any](ctx context.Context, e endpoint, call func(ctx context.Context, e endpoint) (T, error)) (T, error) {
+func callHost[T any](ctx context.Context, host wire.Claims, call func(ctx context.Context, host wire.Claims) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, hostTimeout)
 	defer cancel()
-	return call(ctx, e)
+	return call(ctx, host)
 }
 
 // Claim claims a key.
 func (c *Client) Claim(ctx context.Context, req *wire.ClaimRequest) (*wire.ClaimResponse, error) {
-	return callHosts(ctx, c, func(ctx context.Context, e endpoint) (*wire.ClaimResponse, error) { return e.claims.Claim(ctx, req) })
+	return callHosts(ctx, c, func(ctx context.Context, host wire.Claims) (*wire.ClaimResponse, error) { return host.Claim(ctx, req) })
 }
 
 // Complete stores the response to a claimed request.
 func (c *Client) Complete(ctx context.Context, req *wire.CompleteRequest) (*wire.CompleteResponse, error) {
-	return callHosts(ctx, c, func(ctx context.Context, e endpoint) (*wire.CompleteResponse, error) {
-		return e.claims.Complete(ctx, req)
+	return callHosts(ctx, c, func(ctx context.Context, host wire.Claims) (*wire.CompleteResponse, error) {
+		return host.Complete(ctx, req)
 	})
 }
 
 // Release releases a claim whose request was never dispatched.
 func (c *Client) Release(ctx context.Context, req *wire.ReleaseRequest) (*wire.ReleaseResponse, error) {
-	return callHosts(ctx, c, func(ctx context.Context, e endpoint) (*wire.ReleaseResponse, error) {
-		return e.claims.Release(ctx, req)
+	return callHosts(ctx, c, func(ctx context.Context, host wire.Claims) (*wire.ReleaseResponse, error) {
+		return host.Release(ctx, req)
 	})
 }
--- a/entry/control/client_test.go
+++ b/entry/control/client_test.go
@@ -25,7 +25,7 @@
 	t.Cleanup(func() { _ = unresponsive.Close() })
 	responsive := httptest.NewServer(wire.NewClaimsServer(grantingClaims{}))
 	t.Cleanup(responsive.Close)
-	client := control.NewClient([]string{unresponsive.Addr().String(), responsive.Listener.Addr().String()}, &http.Client{})
+	client := control.NewClient(addresses(unresponsive.Addr().String(), responsive.Listener.Addr().String()), &http.Client{})
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	response, err := client.Claim(ctx, &wire.ClaimRequest{})
--- a/entry/control/settle_test.go
+++ b/entry/control/settle_test.go
@@ -60,11 +60,27 @@
 	return settler.Wait(ctx)
 }
 
+func addresses(all ...string) func() []string { return func() []string { return all } }
+
+// The control hosts of the settings at the start may all be replaced.
+func TestClaimIsSettledAfterControlHostsAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := &claimHosts{}
+		current := []string{"a:1", "b:1"}
+		hosts.set("a:1", "b:1")
+		client := control.NewClient(func() []string { return current }, &http.Client{Transport: hosts})
+		must.Zero(t, settled(t, client))
+		hosts.set("e:1")
+		current = []string{"c:1", "d:1", "e:1"}
+		must.Zero(t, settled(t, client))
+	})
+}
+
 func TestClaimIsSettledThoughTheFirstControlHostsHang(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		hosts := &claimHosts{}
 		hosts.set("c:1")
-		client := control.NewClient([]string{"a:1", "b:1", "c:1"}, &http.Client{Transport: hosts})
+		client := control.NewClient(addresses("a:1", "b:1", "c:1"), &http.Client{Transport: hosts})
 		must.Zero(t, settled(t, client))
 	})
 }
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -118,7 +118,7 @@
 	ticker := time.NewTicker(hostsRefreshInterval)
 	defer ticker.Stop()
 	for {
-		wanted := w.hosts()
+		wanted := w.Hosts()
 		for address, cancel := range cancels {
 			if !slices.Contains(wanted, address) {
 				cancel()
@@ -154,9 +154,9 @@
 	return &polledHost{address: address, rules: wire.NewRulesProtobufClient("http://"+address, w.client)}
 }
 
-// hosts returns the control hosts to poll: the seeds and the members of the
+// Hosts returns the addresses of the control hosts: the seeds and the members of the
 // group.
-func (w *Watch) hosts() []string {
+func (w *Watch) Hosts() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	all := append(w.seeds(), w.group...)
@@ -211,7 +211,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, address := range w.hosts() {
+	for _, address := range w.Hosts() {
 		group.Go(func() {
 			// A control host that misses the report receives it with the next poll, or
 			// lists this host as silent.
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -57,7 +57,7 @@
 			registry.New, registry.NewMembership,
 			rules.NewTable, placement.NewRates, backlog.NewTracker, decision.NewLog,
 			newControlHosts, newPool, newSettler, newSuspects,
-			newClient, newState, newWatch, newNode, newProber, newRouter, newKeyRings, newExporter,
+			newClient, newClaims, newState, newWatch, newNode, newProber, newRouter, newKeyRings, newExporter,
 		),
 		fx.Invoke(membershipRunners(cfg)...),
 		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runCallers),
@@ -124,9 +124,12 @@
 	return []any{runNode, runPlatform, runDNS}
 }
 
-func newClient(cfg *settings.Settings, ring *key.Ring) (*control.Client, *http.Client) {
-	client := ring.Client(&http.Client{Timeout: rpcTimeout, Transport: link.Transport()})
-	return control.NewClient(cfg.Control.Addresses(), client), client
+func newClient(ring *key.Ring) *http.Client {
+	return ring.Client(&http.Client{Timeout: rpcTimeout, Transport: link.Transport()})
+}
+
+func newClaims(watch *control.Watch, client *http.Client) *control.Client {
+	return control.NewClient(watch.Hosts, client)
 }
 
 func newPolicy(cfg *settings.Settings) route.Policy { return policyNamed(cfg.Route, cfg.Route.Policy) }
