program: SIGHUP ends no program that starts, stops or has nothing to reload

A program without a reload of its settings (snipebeam-entry, snipebeam-control) died of SIGHUP at once, with every request it held and without a drain; one with a reload did so while it started and once its reload had stopped.

Cause: the default action of SIGHUP, which is in force except while WatchSettings runs. RunTo now takes the signal from before the start to its end. Between exec and RunTo, while the parts are built, the default action remains; nothing is held then.

--- a/world/program/program.go
+++ b/world/program/program.go
@@ -41,6 +41,8 @@
 func RunTo(w io.Writer, app *fx.App, name string, logger hclog.Logger) int {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	hangups := make(chan os.Signal, 1) // never read: SIGHUP must not end a program without WatchSettings
+	signal.Notify(hangups, syscall.SIGHUP)
 	if err := start(app); err != nil {
 		return fail(w, name, err)
 	}
--- a/world/program/program_test.go
+++ b/world/program/program_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"net"
+	"os"
 	"regexp"
+	"syscall"
 	"testing"
 
 	"github.com/alecthomas/kong"
@@ -62,6 +64,26 @@
 	must.True(t, stopped)
 }
 
+// SIGHUP by default ends a process, and with it the requests that it holds.
+func TestHangupDoesNotEndAProgramThatStartsOrStops(t *testing.T) {
+	hangup := func(context.Context) error { return syscall.Kill(os.Getpid(), syscall.SIGHUP) }
+	application := app(fx.Invoke(func(lc fx.Lifecycle, shutdowner fx.Shutdowner) {
+		lc.Append(fx.Hook{OnStart: hangup, OnStop: hangup})
+		ctx, cancel := context.WithCancel(context.Background())
+		lc.Append(fx.Hook{
+			OnStart: func(context.Context) error {
+				go program.WatchSettings(ctx, func() { _ = shutdowner.Shutdown() })
+				return nil
+			},
+			OnStop: func(context.Context) error {
+				cancel()
+				return nil
+			},
+		})
+	}))
+	must.Eq(t, program.ExitOK, program.RunTo(&bytes.Buffer{}, application, "p", hclog.NewNullLogger()))
+}
+
 func TestSettingsDecideWhetherTheProgramRuns(t *testing.T) {
 	type section struct {
 		Name string `toml:"name" comment:"who"`
