control: a control host that missed the report of a drain gets it at once

An entry host that stops says so to each control host once, within 0.5 s. One that did not take that call (frozen for a moment, a lossy link) went on naming the host to callers until its pending poll ended, up to 3 s later, and its answers live 2 s: beyond host.leaveSeconds (2.5 s on the platform), so that callers were sent to a listener that had closed.

A report that fails now ends the pending poll of that host; the next poll brings the report and is repeated until it is taken. The poll of the primary is left alone: it is renewed each 0.5 s, and ending it would hide that the primary hangs.

--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -213,14 +213,26 @@
 	var group sync.WaitGroup
 	for _, address := range w.Hosts() {
 		group.Go(func() {
-			// A control host that misses the report receives it with the next poll, or
-			// lists this host as silent.
-			_, _ = w.newHost(address).rules.Watch(ctx, &wire.WatchRequest{Report: w.report(), KnownVersion: w.table.Current().Number()})
+			_, err := w.newHost(address).rules.Watch(ctx, &wire.WatchRequest{Report: w.report(), KnownVersion: w.table.Current().Number()})
+			if err != nil {
+				w.repoll(address)
+			}
 		})
 	}
 	group.Wait()
 }
 
+// repoll ends the pending poll of a control host that missed a report, because the
+// next poll brings it. The primary is polled often anyway, and its poll must time out
+// if it hangs.
+func (w *Watch) repoll(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if host := w.polled[address]; host != nil && host != w.primary && host.cancel != nil {
+		host.cancel(errReportMissed)
+	}
+}
+
 func (w *Watch) poll(ctx context.Context, host *polledHost) error {
 	known := w.table.Current()
 	ctx, primary := w.beginPoll(ctx, host)
@@ -235,7 +247,7 @@
 		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Revision(), host.suspectsRevision
 	}
 	response, err := host.rules.Watch(ctx, request)
-	if errors.Is(context.Cause(ctx), errBecamePrimary) {
+	if cause := context.Cause(ctx); errors.Is(cause, errBecamePrimary) || errors.Is(cause, errReportMissed) {
 		return nil
 	}
 	if err != nil {
@@ -275,6 +287,9 @@
 	}
 }
 
+// errReportMissed cancels the pending poll of a control host that missed a report.
+var errReportMissed = errors.New("report missed")
+
 // pollWait returns the wait time of a long poll. It is short while a version
 // from a stale response is not confirmed by a quorum, since this host accepts
 // no callers before that.
