--- a/world/program/program_test.go
+++ b/world/program/program_test.go
@@ -8,12 +8,14 @@
 	"regexp"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/world/finding"
+	"github.com/snipebeam/snipebeam/world/logging"
 	"github.com/snipebeam/snipebeam/world/program"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -84,6 +86,26 @@
 	must.Eq(t, program.ExitOK, program.RunTo(&bytes.Buffer{}, application, "p", hclog.NewNullLogger()))
 }
 
+func TestFailedStopIsLogged(t *testing.T) {
+	stuck := app(fx.StopTimeout(time.Millisecond), fx.Invoke(func(lc fx.Lifecycle, shutdowner fx.Shutdowner) {
+		lc.Append(fx.Hook{
+			OnStart: func(context.Context) error {
+				go func() { _ = shutdowner.Shutdown() }()
+				return nil
+			},
+			OnStop: func(ctx context.Context) error {
+				<-ctx.Done()
+				return ctx.Err()
+			},
+		})
+	}))
+	var out, log bytes.Buffer
+	must.Eq(t, program.ExitFailed, program.RunTo(&out, stuck, "p", logging.New("p", "info", &log)))
+	must.Eq(t, "p: stop: context deadline exceeded\n", out.String())
+	must.RegexMatch(t, regexp.MustCompile(`"@level":"error","@message":"stop failed, exiting".*"error":"context deadline exceeded","limitSeconds":0.001`), log.String())
+	must.StrNotContains(t, log.String(), `"@message":"stopped"`)
+}
+
 func TestSettingsDecideWhetherTheProgramRuns(t *testing.T) {
 	type section struct {
 		Name string `toml:"name" comment:"who"`
