--- a/control/host/listener.go
+++ b/control/host/listener.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -69,18 +68,7 @@
 	lc.Append(fx.StartStopHook(func() { go instances.Run(ctx) }, cancel))
 }
 
-const (
-	// readTimeout limits how long a client may take to send a whole request, which
-	// may be a large configuration.
-	readTimeout   = 30 * time.Second
-	noIdleTimeout = -1
-)
-
-func newListenerServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: noIdleTimeout}
-}
-
-func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, services Services, exporter *prometheus.Exporter) {
+func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, services Services, servers *servers, exporter *prometheus.Exporter) {
 	var all []Listener
 	if o.listeners != nil {
 		all = o.listeners(services)
@@ -91,7 +79,7 @@
 		all = append(all, Listener{Name: "metrics", Address: cfg.Listen.Metrics, Handler: mux})
 	}
 	for _, l := range all {
-		server := newListenerServer(l.Handler)
+		server := servers.listener(l.Handler)
 		lc.Append(fx.Hook{
 			OnStart: func(ctx context.Context) error {
 				listener, err := link.Listen(ctx, l.Address, link.MessageTimeouts)
@@ -101,7 +89,7 @@
 				go serve(server, listener, services.Logger)
 				return nil
 			},
-			OnStop: server.Shutdown,
+			OnStop: func(ctx context.Context) error { return shutdownSoon(ctx, server) },
 		})
 	}
 }
--- a/control/host/listener_test.go
+++ b/control/host/listener_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 )
 
@@ -61,7 +62,7 @@
 	for _, framing := range []string{"Content-Length: 1000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n1;"} {
 		for _, reads := range []bool{true, false} {
 			synctest.Test(t, func(t *testing.T) {
-				server := newListenerServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				server := newServers(hclog.NewNullLogger()).listener(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 					if reads {
 						_, _ = io.Copy(io.Discard, r.Body)
 					}
@@ -77,7 +78,7 @@
 
 func TestIdleConnectionIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		server := newListenerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		server := newServers(hclog.NewNullLogger()).listener(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 		ours, theirs := net.Pipe()
 		listener := make(pipeListener, 1)
 		listener <- theirs
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -64,6 +64,7 @@
 	minSnapshotLogBytes = 4 << 20  // of log entries applied between two snapshots, at least
 	maxSnapshotLogBytes = 16 << 20 // and at most
 	leaderWaitTimeouts  = 3        // election timeouts that a request waits for a leader
+	confirmTimeouts     = 6        // election timeouts that a read waits for its confirmation
 	retryInterval       = 10 * time.Millisecond
 	proposeTimeout      = 5 * time.Second
 )
@@ -94,6 +95,7 @@
 	runCtx         context.Context
 	snapshots      snapshotter
 	reconciler     reconciler
+	transferAt     time.Time // start of the last transfer of the leadership by this replica
 
 	// The group clock, as advanced by this replica while it is the leader.
 	clockBase  int64
@@ -268,6 +270,17 @@
 	return nil
 }
 
+// ended reports whether Run has ended or will end because of a failure, so that a
+// retry on this host is pointless.
+func (n *Node) ended() bool {
+	select {
+	case <-n.stopped:
+		return true
+	default:
+		return n.failure() != nil
+	}
+}
+
 func (n *Node) apply(out *quorum.Output) {
 	if s := out.Snapshot(); s != nil {
 		n.restoreSnapshot(s)
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/control/agreement"
@@ -102,6 +103,70 @@
 	must.True(t, g.submit(g.others(old)[0], 1).GetAccepted())
 }
 
+// A stopping leader hands its log over, so the commands in it are committed by its
+// successor: their outcome is known.
+func TestCommandInProgressAtATransferIsNotUncertain(t *testing.T) {
+	g := newGroup(t, 5)
+	g.submit(g.hosts[0], 0)
+	leader := g.leader()
+	others := g.others(leader)
+	var reachable []func()
+	for _, h := range others[1:] { // the command reaches the successor only, which is no quorum
+		handler := h.handler.Swap(nil)
+		reachable = append(reachable, func() { h.handler.Store(handler) })
+	}
+	outcome := make(chan error, 1)
+	go func() {
+		_, err := leader.node.Propose(context.Background(), submission(1))
+		outcome <- err
+	}()
+	g.eventually("the command at the successor", func() bool {
+		leaderView := leader.node.Status()
+		for _, m := range leaderView.Members() {
+			if m.GetName() == others[0].name {
+				return m.GetMatchIndex() > leaderView.CommitIndex()
+			}
+		}
+		return false
+	})
+	leader.node.TransferLeadership(context.Background())
+	for _, connect := range reachable {
+		connect()
+	}
+	must.False(t, errors.Is(<-outcome, agreement.ErrUncertain)) // committed, or overwritten by another leader
+}
+
+// A node that has stopped takes no command, so none is uncertain.
+func TestStoppedHostTakesNoCommand(t *testing.T) {
+	g := newGroup(t, 1)
+	g.submit(g.hosts[0], 0)
+	g.hosts[0].stop()
+	for range 20 {
+		_, err := g.hosts[0].node.Propose(context.Background(), submission(1))
+		must.ErrorIs(t, err, agreement.ErrNotLeader)
+	}
+}
+
+// A host that the leader cannot send to any more gets a read index that it never
+// applies.
+func TestReadOnHostWithoutEntriesEnds(t *testing.T) {
+	g := newGroup(t, 3)
+	g.submit(g.hosts[0], 0)
+	leader := g.leader()
+	behind := g.others(leader)[0]
+	g.eventually("a confirmed read", func() bool { return behind.node.Confirm(context.Background()) == nil })
+	behind.handler.Store(nil)
+	g.submit(leader, 1)
+	outcome := make(chan error, 1)
+	go func() { outcome <- behind.node.Confirm(context.Background()) }()
+	select {
+	case err := <-outcome:
+		must.ErrorIs(t, err, agreement.ErrNoQuorum)
+	case <-time.After(testTimeout / 6):
+		must.Unreachable(t, must.Sprint("the read has no outcome"))
+	}
+}
+
 // replace adds a host with an empty disk to the group in place of its old
 // identity.
 func (g *group) replace(h *host, old string) {
