dns: with port 0 a port is found that is free for UDP and TCP

TestServerListensOnBothTransports failed in two whole runs beside other tests with "address already in use": a free port was taken for UDP, and its TCP twin was in use by another process. Start now tries up to 16 ports if the address names none.

--- a/entry/dns/dns.go
+++ b/entry/dns/dns.go
@@ -12,6 +12,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	mdns "github.com/miekg/dns"
@@ -47,14 +48,12 @@
 
 // Start listens on the address and serves until Stop.
 func (s *Server) Start(address string) (net.Addr, error) {
-	packets, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for DNS over UDP")
+	packets, listener, err := listen(address)
+	for attempt := 1; err != nil && errors.Is(err, syscall.EADDRINUSE) && hasAnyPort(address) && attempt < maxListenAttempts; attempt++ {
+		packets, listener, err = listen(address)
 	}
-	listener, err := net.Listen("tcp", packets.LocalAddr().String())
 	if err != nil {
-		_ = packets.Close()
-		return nil, errors.Wrap(err, "listen for DNS over TCP")
+		return nil, err
 	}
 	s.udp = &mdns.Server{PacketConn: packets, Handler: s}
 	s.tcp = &mdns.Server{Listener: listener, Handler: s}
@@ -63,6 +62,29 @@
 	return packets.LocalAddr(), nil
 }
 
+// maxListenAttempts bounds how many ports are tried if the address names none: a
+// port that is free for UDP may be in use for TCP.
+const maxListenAttempts = 16
+
+func hasAnyPort(address string) bool {
+	_, port, err := net.SplitHostPort(address)
+	return err == nil && port == "0"
+}
+
+// listen opens the same port for UDP and TCP.
+func listen(address string) (net.PacketConn, net.Listener, error) {
+	packets, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen for DNS over UDP")
+	}
+	listener, err := net.Listen("tcp", packets.LocalAddr().String())
+	if err != nil {
+		_ = packets.Close()
+		return nil, nil, errors.Wrap(err, "listen for DNS over TCP")
+	}
+	return packets, listener, nil
+}
+
 // serve starts the server and returns once it accepts queries, so that Stop can
 // shut it down.
 func serve(server *mdns.Server) {
--- a/entry/dns/dns_test.go
+++ b/entry/dns/dns_test.go
@@ -135,3 +135,17 @@
 	_, err = dns.New("snipebeam", time.Second, &fakeDirectory{}).Start(address.String())
 	must.ErrorContains(t, err, "address already in use")
 }
+
+func TestServerFindsAPortThatIsFreeForBothTransports(t *testing.T) {
+	for range 500 { // taken for TCP, and given out for UDP now and then
+		taken, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		defer func() { _ = taken.Close() }()
+	}
+	for range 200 {
+		server := dns.New("snipebeam", time.Second, &fakeDirectory{})
+		_, err := server.Start("127.0.0.1:0")
+		must.NoError(t, err)
+		must.NoError(t, server.Stop(t.Context()))
+	}
+}
