caller: an upload of which nothing was read can be sent by another attempt

Cause: an instance over its limit of connections resets the link; the response's reader sees it before the upload has read its first byte, and closing the body interrupted the caller's connection, though the body counted as not streamed and was given to the next attempt.

Change: closing a reader of the body that has read nothing closes that reader only.

--- a/entry/caller/body.go
+++ b/entry/caller/body.go
@@ -93,11 +93,14 @@
 type bodyReader struct {
 	body   *body
 	prefix []byte
+	closed bool
 }
 
 // Read reads the body.
 func (r *bodyReader) Read(p []byte) (int, error) {
-	r.body.streamed = true
+	if !r.begin() {
+		return 0, http.ErrBodyReadAfterClose
+	}
 	if len(r.prefix) > 0 {
 		n := copy(p, r.prefix)
 		r.prefix = r.prefix[n:]
@@ -106,9 +109,27 @@
 	return callerReader{r.body}.Read(p)
 }
 
-// Close interrupts a read that waits for the caller, unless the body has ended.
+// begin marks the body as streamed, and reports false if the reader is closed.
+func (r *bodyReader) begin() bool {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.body.streamed = true
+	return true
+}
+
+// Close interrupts a read that waits for the caller, unless the body has ended. A
+// body of which nothing was read can still be read by another attempt.
 func (r *bodyReader) Close() error {
-	r.body.interrupt()
+	r.body.mu.Lock()
+	r.closed = true
+	streamed := r.body.streamed
+	r.body.mu.Unlock()
+	if streamed {
+		r.body.interrupt()
+	}
 	return nil
 }
 
