entry/upstream: bytes that a cancelled upload still writes count as written

Need: a request that was sent, in part or whole, must not be reported as not run (503); such a promise lets callers repeat what must not run twice.

Cause: whether anything had been written was read before the upload had ended. A cancellation (a deadline, the caller's disconnect, the end of a planned stop) closes the link while the upload is in its first write; the reader of the response returns, finds no byte counted, and the write reports its bytes only then.

Change: it is read after the upload has ended, which abort waits for.

Evidence: the new test, in virtual time with a connection whose write ends after its close, failed before in the one run made and passes, also with the race detector.

Ruled out: bodies of up to 16 KB (written before the response is read) are not affected. How often it happens was not measured; the window is one write.

--- /dev/null
+++ b/entry/upstream/cancel_test.go
@@ -0,0 +1,68 @@
+package upstream_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/upstream"
+)
+
+// largeBody is sent while the response is awaited.
+const largeBody = 64 << 10
+
+// stuckConn is a connection on which nothing moves before it is closed. A write
+// that was in progress reports its bytes a little later.
+type stuckConn struct {
+	net.Conn
+	close  sync.Once
+	closed chan struct{}
+}
+
+func newStuckConn() *stuckConn { return &stuckConn{closed: make(chan struct{})} }
+
+func (c *stuckConn) Read([]byte) (int, error) {
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+func (c *stuckConn) Write(p []byte) (int, error) {
+	<-c.closed
+	time.Sleep(time.Millisecond)
+	return len(p), nil
+}
+
+func (c *stuckConn) Close() error {
+	c.close.Do(func() { close(c.closed) })
+	return nil
+}
+
+func (c *stuckConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *stuckConn) SetWriteDeadline(time.Time) error { return nil }
+
+func post(t *testing.T, body io.Reader, length int64) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://a/", body)
+	must.NoError(t, err)
+	req.ContentLength = length
+	return req
+}
+
+func TestWriteInProgressAtTheCancellationCountsAsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := upstream.NewPool(upstream.WithDial(func(context.Context, string) (net.Conn, error) { return newStuckConn(), nil }))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := pool.Send(ctx, "i:1", post(t, bytes.NewReader(make([]byte, largeBody)), largeBody))
+		failure := failureOf(t, err)
+		must.Eq(t, upstream.Cancelled, failure.Cause())
+		must.True(t, failure.Wrote())
+	})
+}
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -83,7 +83,7 @@
 	before := l.written.Load()
 	e.stop = context.AfterFunc(ctx, l.close)
 	if err := e.exchange(); err != nil {
-		return nil, e.fail(ctx, address, err, l.written.Load() > before)
+		return nil, e.fail(ctx, address, err, before)
 	}
 	return e, nil
 }
@@ -210,8 +210,11 @@
 	return nil
 }
 
-func (e *Exchange) fail(ctx context.Context, address string, err error, wrote bool) *Failure {
+// fail ends the exchange. before is the number of bytes that had been written to
+// the link when it began.
+func (e *Exchange) fail(ctx context.Context, address string, err error, before int64) *Failure {
 	sent := e.abort()
+	wrote := e.link.written.Load() > before // final, as the upload has ended
 	if sent != nil && (causeOf(sent) == Body || causeOf(sent) == Silent) {
 		err = sent
 	}
