entry/upstream: a cancelled request is not sent, and its body is no longer read

Need: a request whose context has ended (deadline, end of a planned stop, caller gone) gets its outcome at once, and nothing of it is sent from then on.

Cause: Send did not look at the context before it wrote. With an idle link it began to write while another goroutine closed the link, so that a request that got its instance at the moment of the end was sent and became unknown. A body of at most 16 KB that the caller has not sent in full, and that is not buffered (limits.bufferBytes below its length), is read in the goroutine that awaits the exchange; closing the link does not end that read, so that the request was held until the progress timeout or the process's end: a planned stop closed its connection without a response.

Change: Send writes nothing, and opens no link, once the context is done; the end of the context closes the body too.

New tests: the new row of entry/caller's states fails when the body is not closed (1 run), TestNothingIsWritten when the context is not looked at (1 run). They pass, also with the race detector.

Cause "full" with a context that is done is as before.

--- a/entry/caller/stop_test.go
+++ b/entry/caller/stop_test.go
@@ -41,6 +41,13 @@
 	}
 }
 
+func withBufferBytes(n int64) option {
+	return func(cfg *caller.Config) {
+		cfg.Limits = caller.DefaultLimits()
+		cfg.Limits.BufferBytes = n
+	}
+}
+
 func TestEachHeldRequestGetsItsOutcomeAtTheEndOfAStop(t *testing.T) {
 	tests := map[string]struct {
 		before  string // an earlier request, which occupies what this one waits for
@@ -87,6 +94,11 @@
 			request: "POST /photos/1 HTTP/1.1\r\nHost: shop\r\nContent-Length: 100000\r\n\r\n5",
 			kind:    outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
 		},
+		"body incomplete, larger than the buffer": {
+			request: "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 100\r\n\r\n5",
+			option:  func(*network) option { return withBufferBytes(10) },
+			kind:    outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
+		},
 		"large body unread, no free slot": {
 			before:  "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
 			request: "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 100000\r\n\r\n5",
--- a/entry/upstream/cancel_test.go
+++ b/entry/upstream/cancel_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -66,3 +67,60 @@
 		must.True(t, failure.Wrote())
 	})
 }
+
+// stuckBody is a body of which nothing arrives before it is closed.
+type stuckBody struct {
+	closed <-chan struct{}
+	close  context.CancelFunc
+}
+
+func newStuckBody() stuckBody {
+	ctx, cancel := context.WithCancel(context.Background())
+	return stuckBody{closed: ctx.Done(), close: cancel}
+}
+
+func (b stuckBody) Read([]byte) (int, error) {
+	<-b.closed
+	return 0, http.ErrBodyReadAfterClose
+}
+
+func (b stuckBody) Close() error {
+	b.close()
+	return nil
+}
+
+func TestCancellationEndsTheReadOfARequestBody(t *testing.T) {
+	for name, length := range map[string]int64{"small": 1, "large": largeBody, "unknown length": -1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pool := upstream.NewPool(upstream.WithDial(func(context.Context, string) (net.Conn, error) { return newStuckConn(), nil }))
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				started := time.Now()
+				_, err := pool.Send(ctx, "i:1", post(t, newStuckBody(), length))
+				must.True(t, failureOf(t, err).Wrote()) // the header
+				must.Less(t, time.Second+time.Second/2, time.Since(started))
+			})
+		})
+	}
+}
+
+func TestNothingIsWrittenAfterTheCancellation(t *testing.T) {
+	i := serve(t, func(_ int, conn *net.TCPConn, r *bufio.Reader) {
+		for readRequest(r) != "" {
+			write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	pool := upstream.NewPool()
+	t.Cleanup(pool.Close)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 20 {
+		_, err := fetch(t, pool, i.address(), "/")
+		must.NoError(t, err)
+		_, idle := pool.Links(i.address())
+		must.Eq(t, 1, idle)
+		_, err = pool.Send(ctx, i.address(), get(t, "/"))
+		must.False(t, failureOf(t, err).Wrote())
+	}
+}
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -79,9 +79,19 @@
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		links.put(l)
+		return nil, &Failure{cause: Cancelled, err: ctx.Err(), address: address}
+	}
 	e.link, e.links = l, links
 	before := l.written.Load()
-	e.stop = context.AfterFunc(ctx, l.close)
+	body := req.Body
+	e.stop = context.AfterFunc(ctx, func() {
+		l.close()
+		if body != nil {
+			_ = body.Close() // ends a read that waits for the caller
+		}
+	})
 	if err := e.exchange(); err != nil {
 		return nil, e.fail(ctx, address, err, before)
 	}
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -167,6 +167,10 @@
 			return nil, links, &Failure{cause: Full, err: errors.New("all links to the instance are in use"), address: address}
 		}
 	}
+	if ctx.Err() != nil {
+		links.remove(nil)
+		return nil, links, &Failure{cause: Cancelled, err: ctx.Err(), address: address}
+	}
 	conn, err := p.dial(ctx, address)
 	if err != nil {
 		links.remove(nil)
