entry/caller: requests that waited for others see the end of a stop with them

Need: at the end of a planned stop a request that waits for a slot or a link gets "not run" (503), as nothing of it was sent.

Cause: the end of the stop is passed to each request by a goroutine of its own. If the request that held the slot or link ended first, the one that waited took it over before its own goroutine had run, was sent and cut: unknown, which callers may not repeat. Or it was shed by the router with reason overload. The router's cutoff hides the first for slots, not for links.

Change: Err of the request's context looks at the stop itself, the cause of the end is read through it, and a link that becomes free is not taken after the end. Neither the watch nor the deadline's timer ends the context after the response has begun.

Evidence: no assertion is changed.

--- a/entry/caller/deadline.go
+++ b/entry/caller/deadline.go
@@ -49,7 +49,7 @@
 	}
 	c.Context, c.cancel = context.WithCancelCause(context.WithoutCancel(r.Context()))
 	c.stopWatch = context.AfterFunc(r.Context(), func() { c.cancel(errCallerGone) })
-	c.unwatchHost = context.AfterFunc(host.ctx, func() { c.cancel(errHostStopping) })
+	c.unwatchHost = context.AfterFunc(host.ctx, c.endWithHost)
 	c.deadline = c.earliest(now.Add(ruleDeadline))
 	c.timer = time.AfterFunc(c.deadline.Sub(now), c.expire)
 	return c
@@ -64,12 +64,31 @@
 	return at
 }
 
+// Err sees the end of the host's stop at once. The watch on it runs in a goroutine
+// of its own, and another request that ends first may hand over its instance.
+func (c *deadlineContext) Err() error {
+	if c.hostStop.ctx.Err() != nil {
+		c.endWithHost()
+	}
+	return c.Context.Err()
+}
+
+// endWithHost ends the context at the end of the host's stop, unless the response
+// has begun.
+func (c *deadlineContext) endWithHost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.disarmed {
+		c.cancel(errHostStopping)
+	}
+}
+
 // expire ends the context, or rearms the timer if the deadline was moved.
 func (c *deadlineContext) expire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch left := time.Until(c.deadline); {
-	case c.deadline.IsZero():
+	case c.deadline.IsZero(), c.disarmed:
 	case left > 0:
 		c.timer.Reset(left)
 	default:
@@ -123,7 +142,13 @@
 	c.timer.Stop()
 }
 
-func (c *deadlineContext) cause() error { return context.Cause(c.Context) }
+// cause returns why the context has ended, nil if it has not.
+func (c *deadlineContext) cause() error {
+	if c.Err() == nil {
+		return nil
+	}
+	return context.Cause(c.Context)
+}
 
 func (c *deadlineContext) stop() {
 	c.stopWatch()
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -163,6 +163,8 @@
 		select {
 		case <-wait:
 		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
 			links.cancelWait(wait)
 			return nil, links, &Failure{cause: Full, err: errors.New("all links to the instance are in use"), address: address}
 		}
