entry/caller: answers to requests from before a stop close their connections too

Cause: the handler looked at the state when the request arrived, so that one that was held when SIGTERM came was answered as if the host went on (until the listener closes, when net/http adds the header).

Change: it looks when the response is written.

A test holds the short Retry-After of a stopping host's refusals in a dialect; no test noticed when it was taken out.

--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -117,9 +117,6 @@
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(w, r, h.cfg.Limits, h.cfg.Dialect)
-	if h.cfg.Stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	defer h.recover(c)
 	if problem := h.admit(c); problem != nil {
 		h.fail(c, problem)
@@ -254,10 +251,19 @@
 	if c.body == nil && c.r.ContentLength != 0 {
 		_ = c.controller.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}
+	h.closeIfStopping(c)
 	c.extendWriteDeadline()
 	c.dialect.WriteProblem(c.w, ErrorResponse{Problem: problem, ID: c.id, RetryAfter: retryAfter(problem)})
 }
 
+// closeIfStopping makes the server close the connection after the response if this
+// host stops, also if it began to stop after the request had arrived.
+func (h *Handler) closeIfStopping(c *call) {
+	if h.cfg.Stopping.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 func (h *Handler) logDecision(c *call, result string) {
 	d := c.decision
 	d.ID, d.Kind, d.At, d.Service, d.Caller = c.id, decision.Route, time.Now(), c.service, c.caller
--- a/entry/caller/once.go
+++ b/entry/caller/once.go
@@ -128,6 +128,7 @@
 	c.w.Header().Set(outcome.Header, string(outcome.Answer))
 	c.w.Header().Set(outcome.DecisionHeader, c.id)
 	c.w.Header().Set(ReplayedHeader, "true")
+	h.closeIfStopping(c)
 	c.extendWriteDeadline()
 	c.headerSent = true
 	c.w.WriteHeader(int(answer.GetStatus()))
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -79,6 +79,7 @@
 		_ = c.controller.EnableFullDuplex()
 		c.w.Header().Set("Connection", "close")
 	}
+	d.h.closeIfStopping(c)
 	connection := c.w.Header()["Connection"]
 	copyHeader(c.w.Header(), response.Header)
 	if connection != nil {
--- a/entry/caller/stop_test.go
+++ b/entry/caller/stop_test.go
@@ -208,3 +208,41 @@
 		must.Zero(t, runs.of(""))
 	})
 }
+
+func TestRefusalOfAStoppingHostAsksForAnEarlyRetryInADialect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		refusals := make(chan caller.ErrorResponse, 1)
+		e := newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t), func(cfg *caller.Config) {
+			cfg.Dialect = &caller.Dialect{Service: caller.ServiceHeader, WriteProblem: func(w http.ResponseWriter, refusal caller.ErrorResponse) {
+				refusals <- refusal
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}}
+		})
+		n.serve(t, "e:1", e.handler)
+		e.handler.RefuseRequests()
+		response, err := n.client(t).Do(newRequest(t, http.MethodGet, "e:1", "/plain/1", ""))
+		must.NoError(t, err)
+		_ = response.Body.Close()
+		must.Between(t, time.Millisecond, (<-refusals).RetryAfter, 100*time.Millisecond)
+	})
+}
+
+func TestAnswersOfRequestsFromBeforeAStopCloseTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.serve(t, "i:1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(time.Second)
+			w.WriteHeader(http.StatusNoContent)
+		}))
+		e := newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t))
+		n.serve(t, "e:1", e.handler)
+		conn := n.send(t, "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n")
+		synctest.Wait()
+		e.stopping.Store(true)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusNoContent, response.StatusCode)
+		must.True(t, response.Close)
+	})
+}
