entry/caller: a response that begins as requests end is complete or replaced

What callers saw: a response whose header came at the very end of a planned stop (or at the deadline) was begun and then cut, "unexpected EOF" in its body.

Cause: the end of the context closes the link to the instance. If the header had been read just before, the handler forwarded it and found the link closed.

Change: if the context has ended when the response begins, and the response has not been received in full, its outcome is unknown.

Ruled out: converting all late responses; one that has been received in full is still forwarded.

--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -55,6 +55,9 @@
 		}
 		return result{problem: d.c.problem(outcome.NotRun, outcome.UpstreamRefused, "the instance refused the request before starting it"), instance: id}
 	}
+	if d.c.ctx.Err() != nil && !exchange.Received() { // the end of the context has closed the link
+		return result{problem: d.c.problem(outcome.Unknown, outcome.UpstreamLost, "the response began too late"), instance: id}
+	}
 	if !d.c.dialect.Outcomes {
 		d.forward(exchange)
 		return result{instance: id}
--- a/entry/caller/stop_test.go
+++ b/entry/caller/stop_test.go
@@ -246,3 +246,37 @@
 		must.True(t, response.Close)
 	})
 }
+
+// responseRaces is the number of responses that begin at the very end of a stop.
+const responseRaces = 200
+
+func TestResponseThatBeginsAtTheEndOfRequestsIsComplete(t *testing.T) {
+	for range responseRaces {
+		synctest.Test(t, func(t *testing.T) {
+			defer time.Sleep(2 * stopAfter) // until the instance ends
+			n := newNetwork()
+			n.serve(t, "i:1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(stopAfter)
+				_, _ = io.WriteString(w, "begun ")
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(time.Millisecond)
+				_, _ = io.WriteString(w, "ended")
+			}))
+			e := newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t))
+			t.Cleanup(e.pool.Close)
+			n.serve(t, "e:1", e.handler)
+			e.stopping.Store(true)
+			conn := n.send(t, "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n")
+			e.handler.EndRequestsAt(time.Now().Add(stopAfter))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			must.NoError(t, err)
+			data, err := io.ReadAll(response.Body)
+			must.NoError(t, err, must.Sprint("the response is truncated"))
+			if response.StatusCode == http.StatusOK {
+				must.Eq(t, "begun ended", string(data))
+			} else {
+				must.Eq(t, string(outcome.Unknown), response.Header.Get(outcome.Header))
+			}
+		})
+	}
+}
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -264,6 +264,12 @@
 	return nil
 }
 
+// Received reports whether the whole response has been received already.
+func (e *Exchange) Received() bool {
+	length := e.response.ContentLength
+	return e.response.Body == http.NoBody || length >= 0 && int64(e.link.reader.Buffered()) >= length
+}
+
 // Response returns the response header.
 func (e *Exchange) Response() *http.Response { return e.response }
 
