entry/host: callers that go on sending do not make a planned stop fail

What was seen: a stop whose last requests were uploads with more than 256 KB to come ended with "stop: context deadline exceeded" and exit code 1, and the hooks after it did not run, so that the control hosts got no report that the host had left. The callers had their responses (502).

Cause: after such a response net/http keeps the connection half closed for 500 ms; Shutdown waits for it. Between the outcomes at 7/8 and the exit at 19/20 of a limit of 6 s there are 450 ms.

Change: Shutdown waits for half of the time that is left, and then closes the connections. The requests have all had their outcomes by then.

Ruled out: an earlier time for outcomes (cuts instances that are at work).

--- a/bench/local/stop_test.go
+++ b/bench/local/stop_test.go
@@ -12,10 +12,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/bench/local"
 	"github.com/snipebeam/snipebeam/world/outcome"
+	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -34,6 +36,9 @@
 	onceRequest  = "POST /once HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx"
 )
 
+// sendInterval is the time between the bytes of a caller that goes on sending.
+const sendInterval = 5 * time.Millisecond
+
 // stopping is an entry host whose planned stop is short, with an instance that
 // never responds.
 type stopping struct {
@@ -250,6 +255,40 @@
 	}
 }
 
+// A caller that has not sent most of its body gets a response, and its connection
+// does not prolong the stop.
+func TestCallersThatGoOnSendingDoNotProlongAPlannedStop(t *testing.T) {
+	t.Parallel()
+	for name, length := range map[string]int{
+		"body that is buffered": smallBytes, "body that is streamed": largeBytes, "body larger than the server drains": 1 << 20,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := startStopping(t, nil)
+			caller := sendOn(t, h.Callers, fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", length))
+			h.waitInFlight(t, 1)
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				for sent := 1; sent < length; sent++ {
+					if _, err := caller.conn.Write([]byte("x")); err != nil || !pause.For(t.Context(), sendInterval) {
+						return
+					}
+				}
+			}()
+
+			stopped := h.Stop()
+
+			got := caller.received()
+			_ = caller.conn.Close()
+			<-ended
+			must.NoError(t, got.err, must.Sprint("the caller has no complete response"))
+			must.NotEq(t, "", got.header.Get(outcome.Header))
+			must.GreaterEq(t, http.StatusInternalServerError, got.status)
+			must.NoError(t, stopped)
+		})
+	}
+}
+
 // A request that arrives when the listener has closed, on a connection accepted
 // before, is refused although the host still waits for another.
 func TestPlannedStopRefusesARequestAfterTheListenerHasClosed(t *testing.T) {
--- a/entry/host/callerserver.go
+++ b/entry/host/callerserver.go
@@ -5,8 +5,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 )
 
 // callerServer is the HTTP server of callers. Unlike http.Server.Shutdown, it can
@@ -49,10 +51,22 @@
 }
 
 // Shutdown closes the connections on which no request has been read, and waits for
-// responses to be sent on the others.
+// responses to be sent on the others. After half of the time that the context
+// leaves it closes those too: callers that go on sending a body keep their
+// connections open after the response.
 func (s *callerServer) Shutdown(ctx context.Context) error {
 	s.closeUnused()
-	return s.Server.Shutdown(ctx)
+	waiting := ctx
+	if end, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		waiting, cancel = context.WithTimeout(ctx, time.Until(end)/2)
+		defer cancel()
+	}
+	err := s.Server.Shutdown(waiting)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	return errors.Wrap(s.Close(), "close connections")
 }
 
 func (s *callerServer) closeUnused() {
