entry/host: a connection accepted as the server stops does not prolong the stop

Need: a planned stop ends when nothing is in flight.

Cause: connections without a request are closed once. One that was accepted before the listener closed, and is handed to the server after that moment (on a busy processor), stayed: http.Server.Shutdown waits 5 s for such a connection.

Change: it is closed when it is handed over.

How often it happens was not measured.

--- a/entry/host/callerserver.go
+++ b/entry/host/callerserver.go
@@ -17,8 +17,9 @@
 	*http.Server
 	listener net.Listener
 
-	mu     sync.Mutex
-	unused map[net.Conn]struct{} // no request has been read on them
+	mu       sync.Mutex
+	stopping bool                  // unused connections are closed
+	unused   map[net.Conn]struct{} // no request has been read on them
 }
 
 func newCallerServer(server *http.Server) *callerServer {
@@ -30,11 +31,14 @@
 func (s *callerServer) track(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state == http.StateNew {
+	switch {
+	case state != http.StateNew:
+		delete(s.unused, conn)
+	case s.stopping:
+		_ = conn.Close()
+	default:
 		s.unused[conn] = struct{}{}
-		return
 	}
-	delete(s.unused, conn)
 }
 
 func (s *callerServer) start(listener net.Listener, logger hclog.Logger) {
@@ -72,6 +76,7 @@
 func (s *callerServer) closeUnused() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stopping = true
 	for conn := range s.unused {
 		_ = conn.Close()
 	}
