--- a/entry/caller/deadline.go
+++ b/entry/caller/deadline.go
@@ -27,8 +27,7 @@
 	detached        bool
 	stopWatch       func() bool // stops watching for the caller's disconnect
 	hostStop        *stop
-	unwatchHost     func() bool // stops watching for the end of the host's stop
-	outlivesStop    bool
+	unwatchHost     func() bool   // stops watching for the end of the host's stop
 	ruleDeadline    time.Duration // from the last byte of the request
 	callerTimeout   time.Duration // sent by the caller, 0 for none
 	callerDeadline  time.Time     // by callerTimeout, zero for none
@@ -38,6 +37,8 @@
 	deadline time.Time // zero for none while the rule's deadline is suspended
 	timer    *time.Timer
 	disarmed bool // only callerDeadline applies any more
+	// outlivesStop is set as the response is begun to the caller.
+	outlivesStop bool
 }
 
 func newDeadlineContext(r *http.Request, terms *contract.Contract, deadlineHeader string, host *stop) *deadlineContext {
@@ -54,7 +55,7 @@
 	}
 	c.Context, c.cancel = context.WithCancelCause(context.WithoutCancel(r.Context()))
 	c.stopWatch = context.AfterFunc(r.Context(), func() { c.cancel(errCallerGone) })
-	c.unwatchHost = context.AfterFunc(host.ctx, func() { c.cancel(errHostStopping) })
+	c.unwatchHost = context.AfterFunc(host.ctx, c.endWithHost)
 	c.deadline = c.earliest(now.Add(ruleDeadline))
 	c.timer = time.AfterFunc(c.deadline.Sub(now), c.expire)
 	return c
@@ -69,6 +70,25 @@
 	return at
 }
 
+// Err sees the end of the host's stop at once. The watch on it runs in a goroutine
+// of its own, and another request that ends first may hand over its instance.
+func (c *deadlineContext) Err() error {
+	if c.hostStop.ctx.Err() != nil {
+		c.endWithHost()
+	}
+	return c.Context.Err()
+}
+
+// endWithHost ends the context at the end of the host's stop, unless a byte of the
+// response was sent to the caller.
+func (c *deadlineContext) endWithHost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.outlivesStop {
+		c.cancel(errHostStopping)
+	}
+}
+
 // expire ends the context, or rearms the timer if the deadline was moved.
 func (c *deadlineContext) expire() {
 	c.mu.Lock()
@@ -154,18 +174,26 @@
 	}
 }
 
-// outliveStop keeps the context alive at the end of the host's stop, once a byte
-// of the response was sent to the caller.
-func (c *deadlineContext) outliveStop() {
+// outliveStop keeps the context alive at the end of the host's stop, as a byte of
+// the response is about to be sent to the caller. It reports false if the context
+// has ended.
+func (c *deadlineContext) outliveStop() bool {
 	c.unwatchHost()
+	if c.Err() != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.outlivesStop = true
+	return c.Context.Err() == nil
 }
 
+// cause returns why the context has ended, nil if it has not.
 func (c *deadlineContext) cause() error {
-	if cause := context.Cause(c.Context); cause != nil || c.outlivesStop {
-		return cause
+	if c.Err() == nil {
+		return nil
 	}
-	return c.hostStop.err()
+	return context.Cause(c.Context)
 }
 
 func (c *deadlineContext) stop() {
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -252,13 +252,13 @@
 	if c.body == nil && c.r.ContentLength != 0 {
 		_ = c.controller.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}
-	c.extendWriteDeadline()
 	h.closeIfStopping(c)
+	c.extendWriteDeadline()
 	c.dialect.WriteProblem(c.w, ErrorResponse{Problem: problem, ID: c.id, RetryAfter: retryAfter(problem)})
 }
 
-// closeIfStopping closes the caller's connection after the response that is about
-// to be written if this host is stopping.
+// closeIfStopping makes the server close the connection after the response if this
+// host stops, also if it began to stop after the request had arrived.
 func (h *Handler) closeIfStopping(c *call) {
 	if h.cfg.Stopping.Load() {
 		c.w.Header().Set("Connection", "close")
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -90,7 +90,14 @@
 	c.ctx.disarm()
 	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buffer)
+	received := exchange.Received()
 	n, err := c.readFirst(exchange, buffer[:])
+	received = received || errors.Is(err, io.EOF)
+	if !c.ctx.outliveStop() && !received { // the end of the context has closed the link
+		d.recorder.recordHeader(response)
+		d.recorder.markTruncated()
+		return c.problem(outcome.Unknown, outcome.UpstreamLost, "the response began too late")
+	}
 	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
 		d.recorder.recordHeader(response)
 		d.recordTruncated(err)
@@ -112,7 +119,6 @@
 		c.w.Header().Set(outcome.DecisionHeader, c.id)
 	}
 	c.extendWriteDeadline()
-	c.ctx.outliveStop()
 	c.headerSent = true
 	c.w.WriteHeader(response.StatusCode)
 	d.recorder.recordHeader(response)
--- a/entry/caller/stop_test.go
+++ b/entry/caller/stop_test.go
@@ -53,6 +53,13 @@
 	}
 }
 
+func withBufferBytes(n int64) option {
+	return func(cfg *caller.Config) {
+		cfg.Limits = caller.DefaultLimits()
+		cfg.Limits.BufferBytes = n
+	}
+}
+
 func TestEachHeldRequestGetsItsOutcomeAtTheEndOfAStop(t *testing.T) {
 	tests := map[string]struct {
 		before  string // an earlier request, which occupies what this one waits for
@@ -114,6 +121,11 @@
 			request: "POST /photos/1 HTTP/1.1\r\nHost: shop\r\nContent-Length: 100000\r\n\r\n5",
 			kind:    outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
 		},
+		"body incomplete, larger than the buffer": {
+			request: "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 100\r\n\r\n5",
+			option:  func(*network) option { return withBufferBytes(10) },
+			kind:    outcome.Unknown, reason: outcome.UpstreamLost, status: http.StatusBadGateway,
+		},
 		"large body unread, no free slot": {
 			before:  "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
 			request: "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 100000\r\n\r\n5",
@@ -230,3 +242,75 @@
 		must.Zero(t, runs.of(""))
 	})
 }
+
+func TestRefusalOfAStoppingHostAsksForAnEarlyRetryInADialect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		refusals := make(chan caller.ErrorResponse, 1)
+		e := newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t), func(cfg *caller.Config) {
+			cfg.Dialect = &caller.Dialect{Service: caller.ServiceHeader, WriteProblem: func(w http.ResponseWriter, refusal caller.ErrorResponse) {
+				refusals <- refusal
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}}
+		})
+		n.serve(t, "e:1", e.handler)
+		e.handler.RefuseRequests()
+		response, err := n.client(t).Do(newRequest(t, http.MethodGet, "e:1", "/plain/1", ""))
+		must.NoError(t, err)
+		_ = response.Body.Close()
+		must.Between(t, time.Millisecond, (<-refusals).RetryAfter, 100*time.Millisecond)
+	})
+}
+
+func TestAnswersOfRequestsFromBeforeAStopCloseTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.serve(t, "i:1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(time.Second)
+			w.WriteHeader(http.StatusNoContent)
+		}))
+		e := newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t))
+		n.serve(t, "e:1", e.handler)
+		conn := n.send(t, "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n")
+		synctest.Wait()
+		e.stopping.Store(true)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusNoContent, response.StatusCode)
+		must.True(t, response.Close)
+	})
+}
+
+// responseRaces is the number of responses that begin at the very end of a stop.
+const responseRaces = 200
+
+func TestResponseThatBeginsAtTheEndOfRequestsIsComplete(t *testing.T) {
+	for range responseRaces {
+		synctest.Test(t, func(t *testing.T) {
+			defer time.Sleep(2 * stopAfter) // until the instance ends
+			n := newNetwork()
+			n.serve(t, "i:1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(stopAfter)
+				_, _ = io.WriteString(w, "begun ")
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(time.Millisecond)
+				_, _ = io.WriteString(w, "ended")
+			}))
+			e := newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t))
+			t.Cleanup(e.pool.Close)
+			n.serve(t, "e:1", e.handler)
+			e.stopping.Store(true)
+			conn := n.send(t, "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n")
+			e.handler.EndRequestsAt(time.Now().Add(stopAfter))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			must.NoError(t, err)
+			data, err := io.ReadAll(response.Body)
+			must.NoError(t, err, must.Sprint("the response is truncated"))
+			if response.StatusCode == http.StatusOK {
+				must.Eq(t, "begun ended", string(data))
+			} else {
+				must.Eq(t, string(outcome.Unknown), response.Header.Get(outcome.Header))
+			}
+		})
+	}
+}
--- a/entry/host/callerserver.go
+++ b/entry/host/callerserver.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -16,8 +17,9 @@
 	*http.Server
 	listener net.Listener
 
-	mu     sync.Mutex
-	unused map[net.Conn]struct{} // no request has been read on them
+	mu       sync.Mutex
+	stopping bool                  // unused connections are closed
+	unused   map[net.Conn]struct{} // no request has been read on them
 }
 
 func newCallerServer(server *http.Server) *callerServer {
@@ -29,11 +31,14 @@
 func (s *callerServer) track(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state == http.StateNew {
+	switch {
+	case state != http.StateNew:
+		delete(s.unused, conn)
+	case s.stopping:
+		_ = conn.Close()
+	default:
 		s.unused[conn] = struct{}{}
-		return
 	}
-	delete(s.unused, conn)
 }
 
 func (s *callerServer) start(listener net.Listener, logger hclog.Logger) {
@@ -50,18 +55,31 @@
 }
 
 // Shutdown closes the connections on which no request has been read, and waits for
-// responses to be sent on the others.
+// responses to be sent on the others. After half of the time that the context
+// leaves it closes those too: callers that go on sending a body keep their
+// connections open after the response.
 func (s *callerServer) Shutdown(ctx context.Context) error {
 	s.closeUnused()
-	if err := s.Server.Shutdown(ctx); !errors.Is(err, net.ErrClosed) {
-		return err
+	waiting := ctx
+	if end, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		waiting, cancel = context.WithTimeout(ctx, time.Until(end)/2)
+		defer cancel()
+	}
+	err := s.Server.Shutdown(waiting)
+	if ctx.Err() == nil && waiting.Err() != nil {
+		err = s.Close()
+	}
+	if errors.Is(err, net.ErrClosed) {
+		return nil // the listener was closed before
 	}
-	return nil // the listener was closed before
+	return errors.Wrap(err, "close connections")
 }
 
 func (s *callerServer) closeUnused() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stopping = true
 	for conn := range s.unused {
 		_ = conn.Close()
 	}
