entry/control: a host is not confirmed by a response that was long on its way

Cause, one of the ways in which this can happen: a host that starts takes callers once a quorum has confirmed a version. The age of the confirmation was the control host's, up to the end of its question; the time on the way back (a poll lasts up to 5 s) was taken for nothing. A response that came 3 s late confirmed the version that had been in force 3 s before.

Change: a confirmation counts from the sending of its poll, the only time that is certain. The first must be younger than 1 s, else the host polls again; after 3 s of late ones it takes any, so that slow control hosts do not keep hosts away. A host that is confirmed goes on as before, also without control hosts.

--- a/entry/control/version.go
+++ b/entry/control/version.go
@@ -14,8 +14,8 @@
 
 // applyVersion puts a newer version in force. A stale response may carry one,
 // since a quorum accepted that version once, but it does not confirm that the
-// version is the newest.
-func (w *Watch) applyVersion(response *wire.WatchResponse, known *rules.InForce) error {
+// version is the newest. polledAt is when the poll was sent.
+func (w *Watch) applyVersion(response *wire.WatchResponse, known *rules.InForce, polledAt time.Time) error {
 	version := response.GetVersion()
 	if version.GetNumber() > w.table.Current().Number() {
 		if err := w.advance(response, known); err != nil {
@@ -23,11 +23,34 @@
 		}
 	}
 	if !response.GetStale() && version.GetNumber() > 0 {
-		w.table.Confirm(version.GetNumber(), time.Now().Add(-time.Duration(response.GetConfirmAgeNs())))
+		w.confirm(version.GetNumber(), polledAt)
 	}
 	return nil
 }
 
+// confirm records a confirmation by a quorum that started after polledAt. It
+// may have started at once and its response may have been on the way ever since,
+// so that no later time is certain. This host takes no callers before the first
+// one, which must be recent, because newer versions may have been accepted since.
+// After lateConfirmLimit any will do: no response is faster.
+func (w *Watch) confirm(number uint64, polledAt time.Time) {
+	if !w.table.Confirmed() && time.Since(polledAt) > maxFirstConfirmAge && !w.confirmsLate() {
+		return
+	}
+	w.table.Confirm(number, polledAt)
+}
+
+// confirmsLate reports whether confirmations have come too late for lateConfirmLimit.
+func (w *Watch) confirmsLate() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lateSince.IsZero() {
+		w.lateSince = time.Now()
+		w.logger.Info("confirmation of the rules came too late, polling again", "limit", maxFirstConfirmAge)
+	}
+	return time.Since(w.lateSince) >= lateConfirmLimit
+}
+
 func (w *Watch) advance(response *wire.WatchResponse, known *rules.InForce) error {
 	text, err := versionText(response, known)
 	if err != nil {
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -27,6 +27,10 @@
 	minRetryDelay       = 25 * time.Millisecond
 	maxRetryDelay       = 400 * time.Millisecond
 	reportTimeout       = 500 * time.Millisecond
+	// A version must be in force within two seconds of its acceptance. The other
+	// second is for the next poll.
+	maxFirstConfirmAge = time.Second
+	lateConfirmLimit   = 3 * time.Second
 )
 
 // Watch keeps the rules table at the newest version. It polls every control
@@ -52,6 +56,7 @@
 	polled       map[string]*polledHost
 	group        []string      // addresses of the control group's members, as last received
 	groupChanged chan struct{} // signals a change of the group; has room for one signal
+	lateSince    time.Time     // of the first confirmation that came too late, zero for none
 }
 
 // WatchOption changes one property of a watch.
@@ -222,7 +227,7 @@
 }
 
 func (w *Watch) poll(ctx context.Context, host *polledHost) error {
-	known := w.table.Current()
+	known, polledAt := w.table.Current(), time.Now()
 	ctx, primary := w.beginPoll(ctx, host)
 	wait, timeout := w.pollWait(), longPollTimeout
 	if primary && known.Number() > 0 { // receiving the first version may take longer
@@ -245,7 +250,7 @@
 	w.recordPoll(host, response.GetQuorum(), response.GetZone())
 	host.needsFullText = false
 	w.applyResponse(host, response, primary)
-	if err := w.applyVersion(response, known); err != nil {
+	if err := w.applyVersion(response, known, polledAt); err != nil {
 		host.needsFullText = true
 		w.logger.Error("failed to put version in force", "version", response.GetVersion().GetNumber(), "error", err)
 		return err
