--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -111,7 +111,7 @@
 
 // attempt sends the request to one instance.
 func (h *Handler) attempt(c *call, attempt int, tried []instance.ID, rec *recorder) result {
-	ticket, err := h.cfg.Router.Acquire(c.ctx, c.query(h.cfg.Zone, tried))
+	ticket, err := h.acquire(c, tried)
 	if err != nil {
 		var problem *outcome.Problem
 		if !errors.As(err, &problem) {
--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -32,6 +32,7 @@
 	caller          string
 	version         uint64
 	rule            *rule.Rule
+	rulesOutdated   bool             // on arrival, a newer version may have been in force elsewhere for maxRulesAge
 	backlogEntry    *backlog.Request // tracks the request in the backlog
 	w               http.ResponseWriter
 	controller      *http.ResponseController
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -31,6 +31,7 @@
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/outcome"
 	"github.com/snipebeam/snipebeam/world/rule"
 )
@@ -168,7 +169,7 @@
 	if problem := refuseUnsupported(c.r); problem != nil {
 		return problem
 	}
-	if limit := h.bodyLimit(c); c.r.ContentLength > limit {
+	if limit := h.bodyLimit(c.rule.Contract()); c.r.ContentLength > limit {
 		return outcome.New(outcome.NotRun, outcome.BodyTooLarge, "request body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
 	}
 	if !h.inFlight.acquire(c.caller) {
@@ -183,34 +184,41 @@
 	if !h.cfg.Table.Confirmed() {
 		return outcome.New(outcome.NotRun, outcome.NotReady, "this host has not learned the rules in force yet")
 	}
-	if host := rule.RequestHost(c.r); inForce.Set().HasHost(host) {
-		return h.matchHost(c, inForce.Set(), host)
+	c.rulesOutdated = time.Since(h.cfg.Table.ConfirmedAt()) > maxRulesAge
+	if inForce.Set().HasHost(rule.RequestHost(c.r)) {
+		c.service = "" // the rule names it
 	}
-	if !inForce.Set().HasService(c.service) {
-		return outcome.New(outcome.NotRun, outcome.UnknownService, "no rule names the service "+strconv.Quote(c.service))
-	}
-	c.rule = inForce.Set().Match(c.service, c.r.Method, c.r.URL.EscapedPath(), c.r.Header)
-	if c.rule == nil {
-		return outcome.New(outcome.NotRun, outcome.NoRule, "no rule of "+c.service+" matches "+c.r.Method+" "+c.r.URL.Path)
+	found, problem := h.find(c, inForce.Set())
+	if problem != nil {
+		return problem
 	}
+	c.rule, c.service = found, h.shares.pick(found)
 	return nil
 }
 
-// matchHost finds the rule of a request by its host name, and picks one of the
-// rule's services by weight.
-func (h *Handler) matchHost(c *call, set *rule.Set, host string) *outcome.Problem {
-	c.service = ""
-	c.rule = set.MatchHost(host, c.r.URL.EscapedPath())
-	if c.rule == nil {
-		return outcome.New(outcome.NotRun, outcome.NoRule, "no rule of "+host+" matches "+c.r.URL.Path)
-	}
-	c.service = h.shares.pick(c.rule)
-	return nil
+// find returns the rule of a request, by its host name if a rule has it and by
+// its service otherwise.
+func (h *Handler) find(c *call, set *rule.Set) (*rule.Rule, *outcome.Problem) {
+	path := c.r.URL.EscapedPath()
+	if host := rule.RequestHost(c.r); set.HasHost(host) {
+		if found := set.MatchHost(host, path); found != nil {
+			return found, nil
+		}
+		return nil, outcome.New(outcome.NotRun, outcome.NoRule, "no rule of "+host+" matches "+c.r.URL.Path)
+	}
+	service := serviceOf(c.r, c.dialect)
+	if !set.HasService(service) {
+		return nil, outcome.New(outcome.NotRun, outcome.UnknownService, "no rule names the service "+strconv.Quote(service))
+	}
+	if found := set.Match(service, c.r.Method, path, c.r.Header); found != nil {
+		return found, nil
+	}
+	return nil, outcome.New(outcome.NotRun, outcome.NoRule, "no rule of "+service+" matches "+c.r.Method+" "+c.r.URL.Path)
 }
 
-// bodyLimit returns the limit on the size of the request's body.
-func (h *Handler) bodyLimit(c *call) int64 {
-	if limit := c.rule.Contract().MaxBody(); limit > 0 {
+// bodyLimit returns the limit on the size of a request's body.
+func (h *Handler) bodyLimit(terms *contract.Contract) int64 {
+	if limit := terms.MaxBody(); limit > 0 {
 		return min(limit, h.cfg.Limits.BodyBytes)
 	}
 	return h.cfg.Limits.BodyBytes
@@ -226,14 +234,14 @@
 	if terms.Once() && c.r.Header.Get(terms.OnceHeader()) == "" {
 		return outcome.New(outcome.NotRun, outcome.KeyMissing, "the rule requires the header "+terms.OnceHeader())
 	}
-	c.body = newBody(c, h.bodyLimit(c), h.cfg.Limits)
+	c.body = newBody(c, h.bodyLimit(terms), h.cfg.Limits)
 	defer c.body.end()
 	if err := c.body.buffer(terms.Once()); err != nil {
 		return c.bodyProblem(outcome.NotRun, err)
 	}
 	c.fingerprint = h.poisonFingerprint(c)
-	if until, refused := h.cfg.Suspects.Refused(c.fingerprint, time.Now()); refused {
-		return outcome.New(outcome.NotRun, outcome.Poison, "instances failed while running this request; it is refused until "+until.UTC().Format(time.RFC3339))
+	if problem := h.refusePoison(c); problem != nil {
+		return problem
 	}
 	if terms.Once() {
 		return h.runAtMostOnce(c)
@@ -244,6 +252,15 @@
 	return h.sendWithRetries(c, nil)
 }
 
+// refusePoison refuses a request that instances have failed on.
+func (h *Handler) refusePoison(c *call) *outcome.Problem {
+	until, refused := h.cfg.Suspects.Refused(c.fingerprint, time.Now())
+	if !refused {
+		return nil
+	}
+	return outcome.New(outcome.NotRun, outcome.Poison, "instances failed while running this request; it is refused until "+until.UTC().Format(time.RFC3339))
+}
+
 func (h *Handler) fail(c *call, problem *outcome.Problem) {
 	c.decision.Problem, c.decision.Detail = string(problem.Reason()), problem.Detail()
 	c.decision.Status = problem.Status()
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -163,8 +163,13 @@
 
 // finish records the result of an attempt and dispatches waiting requests.
 func (d *Dispatcher) finish(t *Ticket, report Report) {
+	d.recordAttempt(t, report, d.router.clock())
+	d.release(t)
+}
+
+// release frees the slots of a ticket and dispatches waiting requests.
+func (d *Dispatcher) release(t *Ticket) {
 	now := d.router.clock()
-	d.recordAttempt(t, report, now)
 	t.member.load.inFlight.Add(-1)
 	d.limits.inFlight.Add(-1)
 	t.permit.release()
--- a/entry/route/queue_test.go
+++ b/entry/route/queue_test.go
@@ -193,3 +193,27 @@
 	}
 	must.Eq(t, 3, retries) // a new budget has 3; four requests earned less than one
 }
+
+// Guards against a slot that stays occupied, or an instance that counts as failed,
+// after a request was not sent.
+func TestReleasedTicketFreesItsSlotAndIsNoResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := realTimeRouter(1, 0)
+		for range 20 {
+			ticket, err := r.Acquire(t.Context(), query())
+			must.NoError(t, err)
+			waited := make(chan error, 1)
+			go func() {
+				next, err := r.Acquire(t.Context(), query())
+				if err == nil {
+					next.Release()
+				}
+				waited <- err
+			}()
+			synctest.Wait()
+			ticket.Release()
+			must.NoError(t, <-waited)
+		}
+		must.Zero(t, r.HedgeDelay(service, 0))
+	})
+}
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -88,5 +88,9 @@
 	return line
 }
 
-// Finish ends the attempt and records its result. It must be called exactly once.
+// Release gives up a ticket with which nothing was sent, instead of Finish.
+func (t *Ticket) Release() { t.dispatcher.release(t) }
+
+// Finish ends the attempt and records its result. Either it or Release must be
+// called exactly once.
 func (t *Ticket) Finish(report Report) { t.dispatcher.finish(t, report) }
