entry/control: versions in quick succession are sent together

Cause: every control host sends each version to every entry host, and every response brings the next poll. With seven control hosts a version costs 7 x 190 responses, whatever its size.

Change: a host polls again 100 ms after a new version, and 100 to 200 ms after one that another control host had sent before. Not before its first confirmation.

Result: in a burst a version may come up to 100 ms later than before, 200 ms if the control host that was first fails just then; changes of instances likewise.

--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -26,7 +26,11 @@
 	unconfirmedPollWait = 200 * time.Millisecond
 	minRetryDelay       = 25 * time.Millisecond
 	maxRetryDelay       = 400 * time.Millisecond
-	reportTimeout       = 500 * time.Millisecond
+	// versionDelay is the time from a new version to the next poll, so that versions
+	// in quick succession are sent together and not by every control host. Control
+	// hosts must see polls more often than the grace that they give between two.
+	versionDelay  = 100 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
 	// A version must be in force within two seconds of its acceptance. The other
 	// second is for the next poll.
 	maxFirstConfirmAge = time.Second
@@ -97,6 +101,7 @@
 	needsFullText    bool   // the next poll requests the full rules text, not a delta
 	zone             string
 	healthy          bool                    // the last poll succeeded and it has a quorum
+	news             news                    // what the last poll brought
 	cancel           context.CancelCauseFunc // cancels the pending poll; guarded by the watch's lock
 }
 
@@ -203,6 +208,7 @@
 		}
 		if err == nil {
 			delay = minRetryDelay
+			pause.For(ctx, host.nextPollDelay())
 			continue
 		}
 		pause.For(ctx, delay+rand.N(delay))
@@ -228,6 +234,7 @@
 
 func (w *Watch) poll(ctx context.Context, host *polledHost) error {
 	known, polledAt := w.table.Current(), time.Now()
+	host.news = noVersion
 	ctx, primary := w.beginPoll(ctx, host)
 	wait, timeout := w.pollWait(), longPollTimeout
 	if primary && known.Number() > 0 { // receiving the first version may take longer
@@ -249,6 +256,7 @@
 	}
 	w.recordPoll(host, response.GetQuorum(), response.GetZone())
 	host.needsFullText = false
+	host.news = w.newsOf(response, known)
 	w.applyResponse(host, response, primary)
 	if err := w.applyVersion(response, known, polledAt); err != nil {
 		host.needsFullText = true
@@ -258,6 +266,40 @@
 	return nil
 }
 
+// news is what a response brought beyond the known version.
+type news int
+
+const (
+	noVersion       news = iota
+	newVersion           // that no other control host had sent
+	repeatedVersion      // that another control host had sent meanwhile
+)
+
+// newsOf classifies a response. Until a version is confirmed every response counts
+// as noVersion, so that the next poll is sent at once.
+func (w *Watch) newsOf(response *wire.WatchResponse, known *rules.InForce) news {
+	number := response.GetVersion().GetNumber()
+	switch {
+	case !w.table.Confirmed() || number <= known.Number():
+		return noVersion
+	case number <= w.table.Current().Number():
+		return repeatedVersion
+	}
+	return newVersion
+}
+
+// nextPollDelay returns the time to the next poll after a successful one. The
+// control hosts that repeat a version are polled later and not in step.
+func (h *polledHost) nextPollDelay() time.Duration {
+	switch h.news {
+	case newVersion:
+		return versionDelay
+	case repeatedVersion:
+		return versionDelay + rand.N(versionDelay)
+	}
+	return 0
+}
+
 // applyResponse applies everything in a response except the rules.
 func (w *Watch) applyResponse(host *polledHost, response *wire.WatchResponse, primary bool) {
 	w.join(response.GetSeeds())
