entry/control: a new primary's pending poll is not cancelled

Cause: when the primary fails, the next control host is elected and its pending poll was cancelled, so that it polls for instances. The cancellation closes a connection that works; the next poll needs a new one.

Change: the pending poll goes on and its response counts; the poll for instances is sent beside it. Its health does not come from a poll that was replaced.

Not found: why new connections of that host time out after its start while requests of callers reach it.

--- a/entry/control/primary.go
+++ b/entry/control/primary.go
@@ -1,21 +1,16 @@
 package control
 
 import (
-	"context"
 	"slices"
 	"strings"
 
-	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/world/wire"
 )
 
 // Only one control host, the primary, sends changes of instances, so that each
 // change is received once. Another control host becomes the primary as soon as
 // the current one fails to respond or has no quorum.
 
-// errBecamePrimary cancels the pending poll of a control host that was elected
-// primary.
-var errBecamePrimary = errors.New("control host elected primary")
-
 // WithZone prefers a primary in this host's availability zone.
 func WithZone(zone string) WatchOption { return func(w *Watch) { w.zone = zone } }
 
@@ -35,26 +30,44 @@
 	w.electPrimary()
 }
 
-// beginPoll returns the context of a poll, and whether the poll requests
-// instances.
-func (w *Watch) beginPoll(ctx context.Context, host *polledHost) (context.Context, bool) {
+// pendingPoll is one poll of a control host.
+type pendingPoll struct {
+	number        uint64 // of the host's polls
+	primary       bool   // requests instances
+	whole         bool   // requests the full rules text, not a delta
+	knownSuspects uint64
+}
+
+func (w *Watch) beginPoll(host *polledHost) pendingPoll {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	ctx, cancel := context.WithCancelCause(ctx)
-	host.cancel = cancel
-	return ctx, w.members != nil && w.primary == host
+	select {
+	case <-host.promoted: // this poll requests instances already
+	default:
+	}
+	host.polls++
+	return pendingPoll{
+		number: host.polls, primary: w.members != nil && w.primary == host,
+		whole: host.needsFullText, knownSuspects: host.suspectsRevision,
+	}
 }
 
-// recordPoll records the health of a control host as seen by a poll, and elects
-// a primary if needed.
-func (w *Watch) recordPoll(host *polledHost, healthy bool, zone string) {
+// recordPoll records a response, nil for none, and elects a primary if needed. A
+// poll that a later one has replaced says nothing about the control host's health.
+func (w *Watch) recordPoll(host *polledHost, poll pendingPoll, response *wire.WatchResponse) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	host.cancel(nil)
+	zone, healthy := response.GetZone(), response.GetQuorum()
+	if response != nil {
+		host.needsFullText = false
+		if poll.primary {
+			host.suspectsRevision = response.GetSuspectsRevision()
+		}
+	}
 	if zone != "" {
 		host.zone = zone
 	}
-	if host.healthy == healthy && w.primary != nil && (zone == "" || w.primary.zone != "") {
+	if poll.number != host.polls || host.healthy == healthy && w.primary != nil && (zone == "" || w.primary.zone != "") {
 		return
 	}
 	host.healthy = healthy
@@ -85,8 +98,12 @@
 		return
 	}
 	w.primary = best
-	if best != nil && best.cancel != nil {
-		best.cancel(errBecamePrimary) // its next poll requests instances
+	if best == nil {
+		return
+	}
+	select {
+	case best.promoted <- struct{}{}:
+	default:
 	}
 }
 
--- a/entry/control/primary_test.go
+++ b/entry/control/primary_test.go
@@ -132,11 +132,17 @@
 
 // watchPrimary runs a watch of three hosts, of which c1 is in the watch's zone.
 func watchPrimary(t *testing.T, m *fakeMembership) (g fakePrimaries, stop func()) {
-	g = fakePrimaries{}
+	g, _, stop = watchPrimaryOver(t, m, func(next http.RoundTripper) http.RoundTripper { return next })
+	return g, stop
+}
+
+// watchPrimaryOver is watchPrimary with a transport of its own.
+func watchPrimaryOver(t *testing.T, m *fakeMembership, transport func(next http.RoundTripper) http.RoundTripper) (g fakePrimaries, table *rules.Table, stop func()) {
+	g, table = fakePrimaries{}, rules.NewTable()
 	for name, zone := range map[string]string{"c0": "a", "c1": "b", "c2": "c"} {
 		g[name] = &fakePrimary{zone: zone, version: 1, revision: 1, changed: make(chan struct{})}
 	}
-	w := control.NewWatch(func() []string { return []string{"c0", "c1", "c2"} }, &http.Client{Transport: g}, rules.NewTable(),
+	w := control.NewWatch(func() []string { return []string{"c0", "c1", "c2"} }, &http.Client{Transport: transport(g)}, table,
 		func() *wire.HostReport { return &wire.HostReport{} }, func([]*wire.GossipHost) {}, hclog.NewNullLogger(),
 		control.WithMembership(m), control.WithZone("b"))
 	ctx, cancel := context.WithCancel(t.Context())
@@ -145,7 +151,7 @@
 		defer close(done)
 		w.Run(ctx)
 	}()
-	return g, func() {
+	return g, table, func() {
 		cancel()
 		<-done
 	}
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -100,9 +99,9 @@
 	suspectsRevision uint64 // revision of the suspects last received from it
 	needsFullText    bool   // the next poll requests the full rules text, not a delta
 	zone             string
-	healthy          bool                    // the last poll succeeded and it has a quorum
-	news             news                    // what the last poll brought
-	cancel           context.CancelCauseFunc // cancels the pending poll; guarded by the watch's lock
+	healthy          bool          // the last poll succeeded and it has a quorum
+	polls            uint64        // polls so far
+	promoted         chan struct{} // signals that it was elected primary; has room for one signal
 }
 
 // NewWatch returns a watch of the control hosts that seeds currently returns,
@@ -161,7 +160,7 @@
 }
 
 func (w *Watch) newHost(address string) *polledHost {
-	return &polledHost{address: address, rules: wire.NewRulesProtobufClient("http://"+address, w.client)}
+	return &polledHost{address: address, promoted: make(chan struct{}, 1), rules: wire.NewRulesProtobufClient("http://"+address, w.client)}
 }
 
 // hosts returns the control hosts to poll: the seeds and the members of the
@@ -194,21 +193,34 @@
 	}
 }
 
-// pollLoop polls one control host until the context ends.
+// pollLoop polls one control host until the context ends. A host that becomes the
+// primary is polled again at once for instances. The poll that is pending then goes
+// on, since it may bring a version on a connection that works while no other can be
+// opened.
 func (w *Watch) pollLoop(ctx context.Context, host *polledHost) {
+	var pending sync.WaitGroup
+	defer pending.Wait()
 	failing, delay := false, minRetryDelay
 	for ctx.Err() == nil {
-		err := w.poll(ctx, host)
+		poll := w.beginPoll(host)
+		results := make(chan pollResult, 1)
+		pending.Go(func() { results <- w.poll(ctx, host, poll) })
+		var result pollResult
+		select {
+		case <-host.promoted:
+			continue
+		case result = <-results:
+		}
 		if ctx.Err() != nil {
 			return
 		}
-		if (err != nil) != failing {
+		if err := result.err; (err != nil) != failing {
 			failing = err != nil
 			w.logger.Info("control host", "address", host.address, "answers", !failing, "error", err)
 		}
-		if err == nil {
+		if result.err == nil {
 			delay = minRetryDelay
-			pause.For(ctx, host.nextPollDelay())
+			pause.For(ctx, result.news.delay())
 			continue
 		}
 		pause.For(ctx, delay+rand.N(delay))
@@ -216,6 +228,12 @@
 	}
 }
 
+// pollResult is the end of one poll.
+type pollResult struct {
+	news news
+	err  error
+}
+
 // Report sends this host's state to every control host immediately, without
 // waiting for the next poll.
 func (w *Watch) Report(ctx context.Context) {
@@ -232,38 +250,36 @@
 	group.Wait()
 }
 
-func (w *Watch) poll(ctx context.Context, host *polledHost) error {
+func (w *Watch) poll(ctx context.Context, host *polledHost, poll pendingPoll) pollResult {
 	known, polledAt := w.table.Current(), time.Now()
-	host.news = noVersion
-	ctx, primary := w.beginPoll(ctx, host)
 	wait, timeout := w.pollWait(), longPollTimeout
-	if primary && known.Number() > 0 { // receiving the first version may take longer
+	if poll.primary && known.Number() > 0 { // receiving the first version may take longer
 		wait, timeout = min(wait, primaryPollWait), primaryPollTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: wait.Milliseconds(), Whole: host.needsFullText}
-	if primary {
-		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Revision(), host.suspectsRevision
+	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: wait.Milliseconds(), Whole: poll.whole}
+	if poll.primary {
+		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Revision(), poll.knownSuspects
 	}
 	response, err := host.rules.Watch(ctx, request)
-	if errors.Is(context.Cause(ctx), errBecamePrimary) {
-		return nil
-	}
+	w.recordPoll(host, poll, response)
 	if err != nil {
-		w.recordPoll(host, false, "")
-		return err
+		return pollResult{err: err}
 	}
-	w.recordPoll(host, response.GetQuorum(), response.GetZone())
-	host.needsFullText = false
-	host.news = w.newsOf(response, known)
-	w.applyResponse(host, response, primary)
-	if err := w.applyVersion(response, known, polledAt); err != nil {
-		host.needsFullText = true
-		w.logger.Error("failed to put version in force", "version", response.GetVersion().GetNumber(), "error", err)
-		return err
+	result := pollResult{news: w.newsOf(response, known)}
+	w.applyResponse(response, poll.primary)
+	if result.err = w.applyVersion(response, known, polledAt); result.err != nil {
+		w.requestFullText(host)
+		w.logger.Error("failed to put version in force", "version", response.GetVersion().GetNumber(), "error", result.err)
 	}
-	return nil
+	return result
+}
+
+func (w *Watch) requestFullText(host *polledHost) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	host.needsFullText = true
 }
 
 // news is what a response brought beyond the known version.
@@ -288,10 +304,10 @@
 	return newVersion
 }
 
-// nextPollDelay returns the time to the next poll after a successful one. The
-// control hosts that repeat a version are polled later and not in step.
-func (h *polledHost) nextPollDelay() time.Duration {
-	switch h.news {
+// delay returns the time to the next poll after a successful one. The control
+// hosts that repeat a version are polled later and not in step.
+func (n news) delay() time.Duration {
+	switch n {
 	case newVersion:
 		return versionDelay
 	case repeatedVersion:
@@ -301,13 +317,12 @@
 }
 
 // applyResponse applies everything in a response except the rules.
-func (w *Watch) applyResponse(host *polledHost, response *wire.WatchResponse, primary bool) {
+func (w *Watch) applyResponse(response *wire.WatchResponse, primary bool) {
 	w.join(response.GetSeeds())
 	if primary {
 		w.members.Apply(response.GetInstances(), response.GetInstancesRevision())
 		w.members.AddSuspects(response.GetSuspects())
 		w.members.SetActiveHosts(int(response.GetActiveHosts()))
-		host.suspectsRevision = response.GetSuspectsRevision()
 	}
 	if !response.GetStale() {
 		w.updateGroup(response.GetControlHosts())
