entry/control: failing test of a superseded version while every response is late

Not mended: refusing callers while the confirmation is older than a bound would refuse them during an outage of the control hosts too, and service is to go on then.

--- a/entry/control/late_test.go
+++ b/entry/control/late_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/world/knownred"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -104,3 +105,21 @@
 		must.True(t, w.table.Confirmed())
 	})
 }
+
+// Guards against a confirmed host that goes on with a version superseded longer ago
+// than applyBound, because the responses of all control hosts are late.
+func TestHostWithLateResponsesDoesNotServeASupersededVersion(t *testing.T) {
+	knownred.Skip(t)
+	synctest.Test(t, func(t *testing.T) {
+		g := &lateGroup{group: newGroup()}
+		g.set(func() { g.newest = 88 })
+		w := startLateWatch(t, g)
+		defer w.stop()
+		time.Sleep(4 * time.Second) // every pending poll was sent before the responses are late
+		g.setDelay(2300 * time.Millisecond)
+		time.Sleep(4 * time.Second)
+		g.set(func() { g.newest = 94 })
+		time.Sleep(applyBound + 100*time.Millisecond)
+		must.True(t, w.table.Current().Number() == 94 || !w.table.Confirmed())
+	})
+}
