--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -26,7 +25,15 @@
 	unconfirmedPollWait = 200 * time.Millisecond
 	minRetryDelay       = 25 * time.Millisecond
 	maxRetryDelay       = 400 * time.Millisecond
-	reportTimeout       = 500 * time.Millisecond
+	// versionDelay is the time from a new version to the next poll, so that versions
+	// in quick succession are sent together and not by every control host. Control
+	// hosts must see polls more often than the grace that they give between two.
+	versionDelay  = 100 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+	// A version must be in force within two seconds of its acceptance. The other
+	// second is for the next poll.
+	maxFirstConfirmAge = time.Second
+	lateConfirmLimit   = 3 * time.Second
 )
 
 // Watch keeps the rules table at the newest version. It polls every control
@@ -52,6 +59,7 @@
 	polled       map[string]*polledHost
 	group        []string      // addresses of the control group's members, as last received
 	groupChanged chan struct{} // signals a change of the group; has room for one signal
+	lateSince    time.Time     // of the first confirmation that came too late, zero for none
 }
 
 // WatchOption changes one property of a watch.
@@ -91,8 +99,9 @@
 	suspectsRevision uint64 // revision of the suspects last received from it
 	needsFullText    bool   // the next poll requests the full rules text, not a delta
 	zone             string
-	healthy          bool                    // the last poll succeeded and it has a quorum
-	cancel           context.CancelCauseFunc // cancels the pending poll; guarded by the watch's lock
+	healthy          bool          // the last poll succeeded and it has a quorum
+	polls            uint64        // polls so far
+	again            chan struct{} // signals that it is to be polled at once; has room for one signal
 }
 
 // NewWatch returns a watch of the control hosts that seeds currently returns,
@@ -151,7 +160,7 @@
 }
 
 func (w *Watch) newHost(address string) *polledHost {
-	return &polledHost{address: address, rules: wire.NewRulesProtobufClient("http://"+address, w.client)}
+	return &polledHost{address: address, again: make(chan struct{}, 1), rules: wire.NewRulesProtobufClient("http://"+address, w.client)}
 }
 
 // Hosts returns the addresses of the control hosts: the seeds and the members of the
@@ -184,20 +193,34 @@
 	}
 }
 
-// pollLoop polls one control host until the context ends.
+// pollLoop polls one control host until the context ends. A host that becomes the
+// primary, or missed a report, is polled again at once. The poll that is pending then goes
+// on, since it may bring a version on a connection that works while no other can be
+// opened.
 func (w *Watch) pollLoop(ctx context.Context, host *polledHost) {
+	var pending sync.WaitGroup
+	defer pending.Wait()
 	failing, delay := false, minRetryDelay
 	for ctx.Err() == nil {
-		err := w.poll(ctx, host)
+		poll := w.beginPoll(host)
+		results := make(chan pollResult, 1)
+		pending.Go(func() { results <- w.poll(ctx, host, poll) })
+		var result pollResult
+		select {
+		case <-host.again:
+			continue
+		case result = <-results:
+		}
 		if ctx.Err() != nil {
 			return
 		}
-		if (err != nil) != failing {
+		if err := result.err; (err != nil) != failing {
 			failing = err != nil
 			w.logger.Info("control host", "address", host.address, "answers", !failing, "error", err)
 		}
-		if err == nil {
+		if result.err == nil {
 			delay = minRetryDelay
+			pause.For(ctx, result.news.delay())
 			continue
 		}
 		pause.For(ctx, delay+rand.N(delay))
@@ -205,6 +228,12 @@
 	}
 }
 
+// pollResult is the end of one poll.
+type pollResult struct {
+	news news
+	err  error
+}
+
 // Report sends this host's state to every control host immediately, without
 // waiting for the next poll.
 func (w *Watch) Report(ctx context.Context) {
@@ -222,57 +251,89 @@
 	group.Wait()
 }
 
-// repoll ends the pending poll of a control host that missed a report, because the
-// next poll brings it. The primary is polled often anyway, and its poll must time out
-// if it hangs.
+// repoll polls a control host that missed a report again, because the next poll
+// brings it. The primary is polled often anyway.
 func (w *Watch) repoll(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if host := w.polled[address]; host != nil && host != w.primary && host.cancel != nil {
-		host.cancel(errReportMissed)
+	if host := w.polled[address]; host != nil && host != w.primary {
+		host.pollAgain()
 	}
 }
 
-func (w *Watch) poll(ctx context.Context, host *polledHost) error {
-	known := w.table.Current()
-	ctx, primary := w.beginPoll(ctx, host)
+func (w *Watch) poll(ctx context.Context, host *polledHost, poll pendingPoll) pollResult {
+	known, polledAt := w.table.Current(), time.Now()
 	wait, timeout := w.pollWait(), longPollTimeout
-	if primary && known.Number() > 0 { // receiving the first version may take longer
+	if poll.primary && known.Number() > 0 { // receiving the first version may take longer
 		wait, timeout = min(wait, primaryPollWait), primaryPollTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: wait.Milliseconds(), Whole: host.needsFullText}
-	if primary {
-		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Revision(), host.suspectsRevision
+	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: wait.Milliseconds(), Whole: poll.whole}
+	if poll.primary {
+		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Revision(), poll.knownSuspects
 	}
 	response, err := host.rules.Watch(ctx, request)
-	if cause := context.Cause(ctx); errors.Is(cause, errBecamePrimary) || errors.Is(cause, errReportMissed) {
-		return nil
-	}
+	w.recordPoll(host, poll, response)
 	if err != nil {
-		w.recordPoll(host, false, "")
-		return err
+		return pollResult{err: err}
+	}
+	result := pollResult{news: w.newsOf(response, known)}
+	w.applyResponse(response, poll.primary)
+	if result.err = w.applyVersion(response, known, polledAt); result.err != nil {
+		w.requestFullText(host)
+		w.logger.Error("failed to put version in force", "version", response.GetVersion().GetNumber(), "error", result.err)
+	}
+	return result
+}
+
+func (w *Watch) requestFullText(host *polledHost) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	host.needsFullText = true
+}
+
+// news is what a response brought beyond the known version.
+type news int
+
+const (
+	noVersion       news = iota
+	newVersion           // that no other control host had sent
+	repeatedVersion      // that another control host had sent meanwhile
+)
+
+// newsOf classifies a response. Until a version is confirmed every response counts
+// as noVersion, so that the next poll is sent at once.
+func (w *Watch) newsOf(response *wire.WatchResponse, known *rules.InForce) news {
+	number := response.GetVersion().GetNumber()
+	switch {
+	case !w.table.Confirmed() || number <= known.Number():
+		return noVersion
+	case number <= w.table.Current().Number():
+		return repeatedVersion
 	}
-	w.recordPoll(host, response.GetQuorum(), response.GetZone())
-	host.needsFullText = false
-	w.applyResponse(host, response, primary)
-	if err := w.applyVersion(response, known); err != nil {
-		host.needsFullText = true
-		w.logger.Error("failed to put version in force", "version", response.GetVersion().GetNumber(), "error", err)
-		return err
+	return newVersion
+}
+
+// delay returns the time to the next poll after a successful one. The control
+// hosts that repeat a version are polled later and not in step.
+func (n news) delay() time.Duration {
+	switch n {
+	case newVersion:
+		return versionDelay
+	case repeatedVersion:
+		return versionDelay + rand.N(versionDelay)
 	}
-	return nil
+	return 0
 }
 
 // applyResponse applies everything in a response except the rules.
-func (w *Watch) applyResponse(host *polledHost, response *wire.WatchResponse, primary bool) {
+func (w *Watch) applyResponse(response *wire.WatchResponse, primary bool) {
 	w.join(response.GetSeeds())
 	if primary {
 		w.members.Apply(response.GetInstances(), response.GetInstancesRevision())
 		w.members.AddSuspects(response.GetSuspects())
 		w.members.SetActiveHosts(int(response.GetActiveHosts()))
-		host.suspectsRevision = response.GetSuspectsRevision()
 	}
 	if !response.GetStale() {
 		w.updateGroup(response.GetControlHosts())
@@ -287,9 +348,6 @@
 	}
 }
 
-// errReportMissed cancels the pending poll of a control host that missed a report.
-var errReportMissed = errors.New("report missed")
-
 // pollWait returns the wait time of a long poll. It is short while a version
 // from a stale response is not confirmed by a quorum, since this host accepts
 // no callers before that.
