entry/route: a stop does not refuse requests that end before it anyway

Need: a planned stop refuses a request only if the stop is what its response would come too late for.

Cause: the expected time of a response was held against the end of the stop alone. With a high estimate (long responses, a slowed service) and a short deadline of the caller, an idle instance did not get the request, though the host would have forwarded it if it had not been stopping: its deadline was earlier than the end.

Change: such a request is handled as by a host that does not stop. Those that wait are rejected as before; their deadline sheds them, too.

--- a/entry/route/cutoff.go
+++ b/entry/route/cutoff.go
@@ -21,6 +21,12 @@
 	return cutoff != 0 && float64(cutoff-now) <= responseTime
 }
 
+// endsBeforeCutoff reports whether the request's own deadline is earlier, so that the
+// cutoff changes nothing for it.
+func (r *Router) endsBeforeCutoff(q *Query) bool {
+	return q.deadline != 0 && q.deadline < r.cutoff.Load()
+}
+
 func (d *Dispatcher) cutOffProblem() error {
 	return outcome.New(outcome.NotRun, outcome.HostStopping, "this host stops before "+d.service+" is expected to respond")
 }
--- a/entry/route/cutoff_test.go
+++ b/entry/route/cutoff_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,3 +47,15 @@
 		must.Eq(t, []string{"soon"}, order.names())
 	})
 }
+
+func TestRequestsThatEndBeforeTheCutoffAreNotRefusedForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := warmRouter(t)
+		r.CutOffAt(time.Now().Add(responseTime / 2))
+		ctx, cancel := context.WithTimeout(t.Context(), responseTime/4)
+		defer cancel()
+		ticket, err := r.Acquire(ctx, query())
+		must.NoError(t, err)
+		ticket.Finish(route.Report{Latency: responseTime})
+	})
+}
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -30,7 +30,7 @@
 // offer returns a ticket if an instance is free, and queues the request otherwise.
 func (d *Dispatcher) offer(view *View, q Query, granted func(*Ticket, error)) (*Ticket, *Waiter, error) {
 	now := d.router.clock()
-	if d.router.beyondCutoff(now, d.responseTime(view)) {
+	if !d.router.endsBeforeCutoff(&q) && d.router.beyondCutoff(now, d.responseTime(view)) {
 		return nil, nil, d.cutOffProblem()
 	}
 	terms := d.router.terms(d.service)
