entry/caller: the end of a stop does not move with the wall clock

Need: instances are told the time that is left, also when the clock is stepped during a planned stop.

Cause: the end was kept as Unix time, without the monotonic reading. After a step forward instances were told 1 ms, after a step back more than is left. The end of the requests itself runs on a timer and was not affected.

Change: the time is kept as it was given.

Not changed: the router's cutoff and its other times are Unix time. A step forward makes it refuse as not run for the rest of the stop.

--- a/entry/caller/stop.go
+++ b/entry/caller/stop.go
@@ -14,7 +14,7 @@
 type stop struct {
 	ctx      context.Context // done when requests without a response get their outcome
 	end      context.CancelFunc
-	deadline atomic.Int64 // Unix nanoseconds at which ctx will be done, 0 for none
+	deadline atomic.Pointer[time.Time] // at which ctx will be done, nil for none
 	refusing atomic.Bool
 }
 
@@ -28,7 +28,7 @@
 // its outcome: "not run" if nothing was sent to an instance, else unknown. Until
 // then it is the latest deadline of every request.
 func (h *Handler) EndRequestsAt(at time.Time) {
-	h.stop.deadline.Store(at.UnixNano())
+	h.stop.deadline.Store(&at)
 	time.AfterFunc(time.Until(at), h.stop.end)
 }
 
@@ -38,12 +38,9 @@
 // earliest returns the earlier of a deadline, zero for none, and the time at which
 // requests end.
 func (s *stop) earliest(deadline time.Time) time.Time {
-	nanos := s.deadline.Load()
-	if nanos == 0 {
+	at := s.deadline.Load()
+	if at == nil || !deadline.IsZero() && deadline.Before(*at) {
 		return deadline
 	}
-	if at := time.Unix(0, nanos); deadline.IsZero() || at.Before(deadline) {
-		return at
-	}
-	return deadline
+	return *at
 }
