entry/caller: the rest of a body is read after an outcome at the end of a stop

Need: a caller that goes on sending its body when a planned stop ends gets the response.

Cause: at the end of a stop the connection was closed with the response. TCP resets a connection that is closed with bytes to read, and drops what has not been acknowledged of the response; on a link that loses packets or is busy the caller has then no response.

A lost response itself was not reproduced.

Also new: a test that the unknown outcome of an earlier attempt is not replaced by "host stops"; no test noticed when that was taken out (now its row "link" does).

--- a/entry/caller/body.go
+++ b/entry/caller/body.go
@@ -187,18 +187,16 @@
 }
 
 // end is called when the request is over. The server reads the rest of an
-// unread body before it responds; lingerTimeout bounds how long that takes.
+// unread body, or a part of it, before it closes the connection: closing it with
+// bytes to read resets it, and the response may be lost. lingerTimeout bounds how
+// long that takes.
 func (b *body) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.ended || b.interrupted {
+	if b.ended || b.interrupted && b.call.ctx.cause() != errHostStopping {
 		return
 	}
-	linger := lingerTimeout
-	if b.call.ctx.cause() == errHostStopping {
-		linger = 0
-	}
-	_ = b.call.controller.SetReadDeadline(time.Now().Add(linger))
+	_ = b.call.controller.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
 func ignoreUnsupported(err error) error {
--- a/entry/caller/stop_test.go
+++ b/entry/caller/stop_test.go
@@ -21,17 +21,20 @@
 // deadline of the rules.
 const stopAfter = 1500 * time.Millisecond
 
-// oneSlot returns the views of an instance that takes one request at a time.
-func oneSlot(address string) *route.Views {
+// oneSlot returns the views of instances that take one request at a time.
+func oneSlot(addresses ...string) *route.Views {
 	views := &route.Views{}
-	member := route.NewMember(instance.New(instance.ID(address), "shop", address, instance.WithSlots(1)), &route.Load{})
-	views.Store(map[string]*route.View{"shop": route.NewView("shop", []route.Member{member})})
+	var members []route.Member
+	for _, address := range addresses {
+		members = append(members, route.NewMember(instance.New(instance.ID(address), "shop", address, instance.WithSlots(1)), &route.Load{}))
+	}
+	views.Store(map[string]*route.View{"shop": route.NewView("shop", members)})
 	return views
 }
 
-func withOneSlot(address string) option {
+func withOneSlotEach(addresses ...string) option {
 	return func(cfg *caller.Config) {
-		cfg.Router = route.NewRouter(oneSlot(address), route.NewAdaptive(route.WithHeadroom(0)), route.WithTerms(termsOf(cfg.Table)))
+		cfg.Router = route.NewRouter(oneSlot(addresses...), route.NewAdaptive(route.WithHeadroom(0)), route.WithTerms(termsOf(cfg.Table)))
 	}
 }
 
@@ -77,7 +80,7 @@
 		"no free slot": {
 			before:  "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
 			request: "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 1\r\n\r\n5",
-			option:  func(*network) option { return withOneSlot("i:1") },
+			option:  func(*network) option { return withOneSlotEach("i:1") },
 			kind:    outcome.NotRun, reason: outcome.HostStopping, status: http.StatusServiceUnavailable,
 		},
 		"no free link": {
@@ -102,7 +105,7 @@
 		"large body unread, no free slot": {
 			before:  "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
 			request: "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 100000\r\n\r\n5",
-			option:  func(*network) option { return withOneSlot("i:1") },
+			option:  func(*network) option { return withOneSlotEach("i:1") },
 			kind:    outcome.NotRun, reason: outcome.HostStopping, status: http.StatusServiceUnavailable,
 		},
 	}
@@ -280,3 +283,71 @@
 		})
 	}
 }
+
+func TestUnknownOutcomeOfAnEarlierAttemptIsNotHiddenByTheStop(t *testing.T) {
+	tests := map[string]func(n *network) option{ // what the second attempt waits for
+		"slot": func(*network) option { return withOneSlotEach("i:1", "i:2") },
+		"link": withOneLink,
+	}
+	for name, option := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				for _, address := range []string{"i:1", "i:2"} {
+					n.serve(t, address, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+						if r.URL.Path == "/dropped" {
+							panic(http.ErrAbortHandler)
+						}
+						<-r.Context().Done()
+					}))
+				}
+				e := newEntry(t, viewsOf("i:1", "i:2"), newClaims(), n.pool(t), option(n))
+				t.Cleanup(e.pool.Close)
+				n.serve(t, "e:1", e.handler)
+				n.send(t, "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n") // occupies one of the instances
+				synctest.Wait()
+				conn := n.send(t, "GET /dropped HTTP/1.1\r\nHost: shop\r\n\r\n")
+				e.stopping.Store(true)
+				e.handler.EndRequestsAt(time.Now().Add(stopAfter))
+				started := time.Now()
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				must.NoError(t, err)
+				must.Eq(t, stopAfter, time.Since(started), must.Sprint("the second attempt did not wait"))
+				must.Eq(t, http.StatusBadGateway, response.StatusCode)
+				must.Eq(t, string(outcome.Unknown), response.Header.Get(outcome.Header))
+				must.Eq(t, string(outcome.UpstreamLost), response.Header.Get(outcome.ReasonHeader))
+				must.Eq(t, "", response.Header.Get("Retry-After"))
+			})
+		})
+	}
+}
+
+// stillSending is how long after its response a caller may go on sending.
+const stillSending = 100 * time.Millisecond
+
+func TestHostGoesOnReadingAfterAnOutcomeAtTheEndOfAStop(t *testing.T) {
+	for name, length := range map[string]string{"read in part": "100", "not read": "100000"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				n.serve(t, "i:1", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+				e := newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t), withOneSlotEach("i:1"))
+				t.Cleanup(e.pool.Close)
+				n.serve(t, "e:1", e.handler)
+				n.send(t, "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n")
+				synctest.Wait()
+				conn := n.send(t, "POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: "+length+"\r\n\r\n5")
+				e.stopping.Store(true)
+				e.handler.EndRequestsAt(time.Now().Add(stopAfter))
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				must.NoError(t, err)
+				must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+				time.Sleep(stillSending)
+				// A host that closes a connection with bytes to read resets it, and may
+				// thereby withdraw its response.
+				_, err = conn.Write([]byte("5"))
+				must.NoError(t, err)
+			})
+		})
+	}
+}
