entry, platform, bench/local: tests of parts of a planned stop that none noticed

The assertions of TestPlannedStopRefusesARequestAfterTheListenerHasClosed are kept and one is added.

--- a/bench/local/stop_test.go
+++ b/bench/local/stop_test.go
@@ -39,6 +39,9 @@
 // sendInterval is the time between the bytes of a caller that goes on sending.
 const sendInterval = 5 * time.Millisecond
 
+// longerThanAStop is the duration of a request that a planned stop could not wait for.
+const longerThanAStop = 2 * time.Second
+
 // stopping is an entry host whose planned stop is short, with an instance that
 // never responds.
 type stopping struct {
@@ -295,7 +298,8 @@
 	h := startStopping(t, local.Settings{"host.stopLimitSeconds": "20", "route.headroom": "1"})
 	held := sendOn(t, h.Callers, plainRequest)
 	h.instance.waitReceived(t, 1)
-	late := connect(t, h.Callers)
+	late, idle := connect(t, h.Callers), sendOn(t, h.Callers, "GET / HTTP/1.1\r\nHost: b\r\n\r\n")
+	must.Eq(t, http.StatusNotFound, (<-idle.answers).status)
 	// Connections are accepted in order, so the response shows that late is accepted.
 	must.Eq(t, http.StatusNotFound, raw(t, h.Callers, "GET / HTTP/1.1\r\nHost: b\r\n\r\n"))
 	stopped := make(chan error, 1)
@@ -308,6 +312,9 @@
 		return err != nil
 	})
 
+	must.NoError(t, idle.conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err := idle.conn.Read(make([]byte, 1))
+	must.ErrorIs(t, err, io.EOF, must.Sprint("an idle connection stays open"))
 	late.send(t, plainRequest)
 	local.Eventually(t, "the late request has an outcome", func() bool {
 		return len(late.answers) == 1 || h.instance.received.Load() > 1
@@ -323,6 +330,35 @@
 	must.Eq(t, http.StatusOK, got.status)
 }
 
+// A request whose response is not expected before the end of the stop is refused
+// at once, although an instance is free.
+func TestPlannedStopRefusesARequestThatIsExpectedToLastLonger(t *testing.T) {
+	h := startStopping(t, local.Settings{"host.leaveSeconds": "1.5", "route.headroom": "1"})
+	first := sendOn(t, h.Callers, plainRequest)
+	h.instance.waitReceived(t, 1)
+	pause.For(t.Context(), longerThanAStop)
+	h.instance.release()
+	must.Eq(t, http.StatusOK, (<-first.answers).status)
+	h.instance.announce(t, h.Entry) // renews its lease
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.Stop() }()
+	local.Eventually(t, "the host leaves", func() bool {
+		response, err := http.Get("http://" + h.Platform + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode != http.StatusOK
+	})
+
+	got := <-sendOn(t, h.Callers, plainRequest).answers
+
+	got.mustHave(t, outcome.NotRun)
+	must.Eq(t, string(outcome.HostStopping), got.header.Get(outcome.ReasonHeader))
+	must.Eq(t, 1, h.instance.received.Load())
+	must.NoError(t, <-stopped)
+}
+
 func TestConnectionsWithoutARequestDoNotProlongAPlannedStop(t *testing.T) {
 	h := startStopping(t, nil)
 	connect(t, h.Callers)
--- a/entry/host/stop_test.go
+++ b/entry/host/stop_test.go
@@ -92,3 +92,28 @@
 		must.Less(t, 8*time.Second, stopLimit(cfg))
 	})
 }
+
+func TestListenerClosesAtTheEndOfRequestsIfTheLeaveTimeIsLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := settings.Default()
+		cfg.Host.LeaveSeconds, cfg.Host.StopLimitSeconds = 10, 8
+		state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker())
+		started, closed := time.Now(), time.Duration(0)
+		ctx, cancel := context.WithTimeout(t.Context(), stopLimit(cfg))
+		defer cancel()
+		drain(ctx, state, control.NewSettler(nil), drainHooks{
+			report:        func(context.Context) {},
+			endRequestsAt: func(time.Time) {},
+			closeListener: func() { closed = time.Since(started) },
+		}, hclog.NewNullLogger())
+		must.Eq(t, 7*time.Second, closed)
+		must.NoError(t, ctx.Err())
+	})
+}
+
+func TestProgramStopsWithinTheLimit(t *testing.T) {
+	cfg := settings.Default()
+	cfg.Host.StopLimitSeconds = 8
+	must.Eq(t, stopLimit(cfg), New(cfg, hclog.NewNullLogger()).StopTimeout())
+	must.Less(t, 8*time.Second, stopLimit(cfg))
+}
--- a/entry/route/cutoff_test.go
+++ b/entry/route/cutoff_test.go
@@ -59,3 +59,12 @@
 		ticket.Finish(route.Report{Latency: responseTime})
 	})
 }
+
+func TestNothingIsSentFromTheCutoffOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := realTimeRouter(1, 0) // has no estimate of the response time
+		r.CutOffAt(time.Now())
+		_, err := r.Acquire(t.Context(), query())
+		must.Eq(t, outcome.HostStopping, reasonOf(err))
+	})
+}
