entry/caller: the check of a lost instance ends with the requests of a stopping host

Need: each request gets its outcome when the requests of a stopping host end, so that it is sent before the process exits.

Cause: after an instance has closed the link the host checks whether it can still be reached, for up to 250 ms and independent of the request; two in a row for a hedged request. That is most or all of the time that is left (450 ms of a limit of 6 s, 150 ms of 2 s).

Change: the check ends with the requests. An instance whose check was ended by that does not count as unreachable.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -262,11 +262,11 @@
 	case upstream.Unopened:
 		d.report.Failed, d.report.Unreachable = true, true
 	case upstream.Silent:
-		d.report.Unreachable = !pool.CanConnect(ctx, address)
+		d.report.Unreachable = !pool.CanConnect(ctx, address) && !d.h.stop.ended()
 		d.report.Failed = d.report.Unreachable
 	case upstream.Closed, upstream.Stale:
 		d.report.Failed = true
-		d.report.Unreachable = !pool.Reachable(ctx, address)
+		d.report.Unreachable = !pool.Reachable(ctx, address) && !d.h.stop.ended()
 		if d.report.Unreachable {
 			d.poisonAttempt.InstanceLost(ctx)
 		}
--- a/entry/caller/deadline.go
+++ b/entry/caller/deadline.go
@@ -67,7 +67,7 @@
 // Err sees the end of the host's stop at once. The watch on it runs in a goroutine
 // of its own, and another request that ends first may hand over its instance.
 func (c *deadlineContext) Err() error {
-	if c.hostStop.ctx.Err() != nil {
+	if c.hostStop.ended() {
 		c.endWithHost()
 	}
 	return c.Context.Err()
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -17,8 +17,10 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
+// reachabilityContext returns the context of a check of an instance. It ends with
+// the requests of a stopping host, which the check would delay.
 func (h *Handler) reachabilityContext() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), reachabilityTimeout)
+	return context.WithTimeout(h.stop.ctx, reachabilityTimeout)
 }
 
 // forwardInterim forwards an interim (1xx) response.
--- a/entry/caller/stop.go
+++ b/entry/caller/stop.go
@@ -35,6 +35,9 @@
 // RefuseRequests makes the handler refuse all further requests as not run.
 func (h *Handler) RefuseRequests() { h.stop.refusing.Store(true) }
 
+// ended reports whether requests without a response get their outcome now.
+func (s *stop) ended() bool { return s.ctx.Err() != nil }
+
 // earliest returns the earlier of a deadline, zero for none, and the time at which
 // requests end.
 func (s *stop) earliest(deadline time.Time) time.Time {
--- a/entry/caller/stop_test.go
+++ b/entry/caller/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -351,3 +352,34 @@
 		})
 	}
 }
+
+func TestCheckOfAnInstanceDoesNotOutlastTheEndOfRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const sinceDrop = 10 * time.Millisecond
+		n, dials := newNetwork(), 0
+		n.serve(t, "i:1", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			time.Sleep(stopAfter - sinceDrop)
+			panic(http.ErrAbortHandler)
+		}))
+		unreachableAfterwards := func(ctx context.Context, address string) (net.Conn, error) {
+			if dials++; dials > 1 {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return n.dial(ctx, address)
+		}
+		e := newEntry(t, viewsOf("i:1"), newClaims(), func(cfg *caller.Config) {
+			cfg.Pool = upstream.NewPool(upstream.WithDial(unreachableAfterwards))
+		})
+		n.serve(t, "e:1", e.handler)
+		e.stopping.Store(true)
+		conn := n.send(t, "GET /plain/1 HTTP/1.1\r\nHost: shop\r\n\r\n")
+		e.handler.EndRequestsAt(time.Now().Add(stopAfter))
+		started := time.Now()
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		must.NoError(t, err)
+		must.Eq(t, stopAfter, time.Since(started))
+		must.Eq(t, string(outcome.Unknown), response.Header.Get(outcome.Header))
+		must.Eq(t, 2, dials)
+	})
+}
