entry/host: a stop does not close the connection of a request in flight

Change: connections are closed early only if no request is in flight; else the server waits for half of what is left again, to the end of the stop if need be.

--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -99,7 +99,10 @@
 					server.closeListener()
 				},
 			}, logger)
-			return server.Shutdown(stopCtx)
+			return server.stop(stopCtx, func() int {
+				n, _ := state.requests.InFlight(time.Now())
+				return n
+			})
 		},
 	})
 }
--- a/entry/host/callerserver.go
+++ b/entry/host/callerserver.go
@@ -54,23 +54,32 @@
 	s.SetKeepAlivesEnabled(false)
 }
 
-// Shutdown closes the connections on which no request has been read, and waits for
+// stop closes the connections on which no request has been read, and waits for
 // responses to be sent on the others. After half of the time that the context
-// leaves it closes those too: callers that go on sending a body keep their
-// connections open after the response.
-func (s *callerServer) Shutdown(ctx context.Context) error {
+// leaves it closes those too, unless there are requests in flight: callers that go
+// on sending a body keep their connections open after the response.
+func (s *callerServer) stop(ctx context.Context, inFlight func() int) error {
 	s.closeUnused()
-	waiting := ctx
-	if end, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		waiting, cancel = context.WithTimeout(ctx, time.Until(end)/2)
-		defer cancel()
+	for {
+		err := s.shutdown(ctx)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if inFlight() == 0 {
+			return errors.Wrap(s.Close(), "close connections")
+		}
 	}
-	err := s.Server.Shutdown(waiting)
-	if err == nil || ctx.Err() != nil {
-		return err
+}
+
+// shutdown shuts the server down within half of the time that the context leaves.
+func (s *callerServer) shutdown(ctx context.Context) error {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return s.Shutdown(ctx)
 	}
-	return errors.Wrap(s.Close(), "close connections")
+	ctx, cancel := context.WithTimeout(ctx, time.Until(end)/2)
+	defer cancel()
+	return s.Shutdown(ctx)
 }
 
 func (s *callerServer) closeUnused() {
