caller: a test's address of a gone instance was given to its own entry host

Need: TestAtMostOnceIsTriedElsewhereOnlyIfItDidNotStart failed now and then with 504 after 5 s, "cancelled: read response", and was listed as known red.

Cause: the test, not the product. deadAddress closed a listener and returned its address. The kernel may give that free port to the next listener, which is the entry host that the test serves. The host then took itself for the gone instance: it forwarded the request to itself, where the same key was held by the request that waited for it, until the deadline of 5 s (504, or 502 if the inner request ended first).

Ruled out: the instances' scripts, stale idle links and the checks of reachability. Each failure was at "paid 5" in the first loop, which has no raw instance, and on a new link.

Result: the test runs in virtual time on the in-memory network, where nobody listens at the address of the gone instance. Its checks stay. In addition the attempt elsewhere takes no time, and with an instance that closes beside a good one exactly one of them runs the request; the outcome is unknown if it is the one that closes.

--- a/entry/caller/harness_test.go
+++ b/entry/caller/harness_test.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -104,21 +106,24 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				script(conn, bufio.NewReader(conn))
-			}()
-		}
-	}()
+	go serveScript(listener, script)
 	return listener.Addr().String()
 }
 
+// serveScript serves each connection by a script until the listener is closed.
+func serveScript(listener net.Listener, script func(conn net.Conn, r *bufio.Reader)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			script(conn, bufio.NewReader(conn))
+		}()
+	}
+}
+
 func httpInstance(t *testing.T, handle http.HandlerFunc) string {
 	t.Helper()
 	server := httptest.NewServer(handle)
@@ -126,12 +131,18 @@
 	return server.Listener.Addr().String()
 }
 
+// deadAddress returns an address that refuses connections until the test ends. A
+// socket that does not listen holds its port, since the kernel may give the port
+// of a closed listener to the next server of the test.
 func deadAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	must.NoError(t, err)
-	must.NoError(t, listener.Close())
-	return listener.Addr().String()
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	must.NoError(t, syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := syscall.Getsockname(socket)
+	must.NoError(t, err)
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
 }
 
 type reply struct {
@@ -157,7 +168,9 @@
 	return req
 }
 
-func do(req *http.Request) (reply, error) {
+func do(req *http.Request) (reply, error) { return doWith(client, req) }
+
+func doWith(client *http.Client, req *http.Request) (reply, error) {
 	response, err := client.Do(req)
 	if err != nil {
 		return reply{}, err
--- a/entry/caller/once_test.go
+++ b/entry/caller/once_test.go
@@ -9,10 +9,10 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
-	"github.com/snipebeam/snipebeam/entry/route"
-	"github.com/snipebeam/snipebeam/world/knownred"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
@@ -117,29 +117,46 @@
 }
 
 func TestAtMostOnceIsTriedElsewhereOnlyIfItDidNotStart(t *testing.T) {
-	knownred.Skip(t)
-	good := &counter{}
-	address := httpInstance(t, good.ServeHTTP)
-	shedding := httpInstance(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Snipebeam-Not-Started", "shed")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	})
-	closing := rawInstance(t, func(_ net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) })
-	for name, views := range map[string]*route.Views{"gone": viewsOf(deadAddress(t), address), "shed": viewsOf(shedding, address)} {
-		for n := range 8 {
-			key := name + string(rune('a'+n))
-			got := call(t, http.MethodPost, serveEntry(t, newEntry(t, views, newClaims())), "/pay/1", "5", keyHeader, key)
-			must.Eq(t, "paid 5", got.body)
-			must.Eq(t, 1, good.of(key))
+	synctest.Test(t, func(t *testing.T) {
+		n, good, closing := newNetwork(), &counter{}, &counter{}
+		n.serve(t, "good:1", good)
+		n.serve(t, "shed:1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Snipebeam-Not-Started", "shed")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		n.serveRaw(t, "closing:1", func(_ net.Conn, r *bufio.Reader) {
+			if req, err := http.ReadRequest(r); err == nil {
+				closing.count(req.Header.Get(keyHeader))
+			}
+		})
+		for _, name := range []string{"gone", "shed"} {
+			for k := range 8 {
+				key := name + string(rune('a'+k))
+				n.serve(t, "e:1", newEntry(t, viewsOf(name+":1", "good:1"), newClaims(), n.pool(t)).handler)
+				started := time.Now()
+				got := n.call(t, newRequest(t, http.MethodPost, "e:1", "/pay/1", "5", keyHeader, key))
+				must.Eq(t, "paid 5", got.body)
+				must.Eq(t, 1, good.of(key))
+				must.Zero(t, time.Since(started))
+			}
 		}
-	}
-	e := newEntry(t, viewsOf(closing), newClaims())
-	entry := serveEntry(t, e)
-	must.Eq(t, outcome.Unknown, call(t, http.MethodPost, entry, "/pay/1", "5", keyHeader, "k").outcome())
-	waitSettled(t, e)
-	again := call(t, http.MethodPost, entry, "/pay/1", "5", keyHeader, "k")
-	must.Eq(t, outcome.Unknown, again.outcome())
-	must.Eq(t, outcome.ClaimHeld, again.reason())
+		for k := range 8 {
+			key := "closing" + string(rune('a'+k))
+			n.serve(t, "e:1", newEntry(t, viewsOf("closing:1", "good:1"), newClaims(), n.pool(t)).handler)
+			got := n.call(t, newRequest(t, http.MethodPost, "e:1", "/pay/1", "5", keyHeader, key))
+			must.Eq(t, 1, good.of(key)+closing.of(key))
+			must.Eq(t, closing.of(key) == 1, got.outcome() == outcome.Unknown)
+		}
+		e := newEntry(t, viewsOf("closing:1"), newClaims(), n.pool(t))
+		n.serve(t, "e:1", e.handler)
+		request := func() *http.Request { return newRequest(t, http.MethodPost, "e:1", "/pay/1", "5", keyHeader, "k") }
+		must.Eq(t, outcome.Unknown, n.call(t, request()).outcome())
+		waitSettled(t, e)
+		again := n.call(t, request())
+		must.Eq(t, outcome.Unknown, again.outcome())
+		must.Eq(t, outcome.ClaimHeld, again.reason())
+		must.Eq(t, 1, closing.of("k"))
+	})
 }
 
 func TestTruncatedResponseOfAtMostOnceIsUnknownToTheResend(t *testing.T) {
--- a/entry/caller/outcome_test.go
+++ b/entry/caller/outcome_test.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// A server of the test that got the address would answer in the place of an
+// instance that is gone.
+func TestDeadAddressIsNotGivenToAServer(t *testing.T) {
+	address := deadAddress(t)
+	_, err := net.Listen("tcp", address)
+	must.ErrorIs(t, err, syscall.EADDRINUSE)
+	_, err = net.Dial("tcp", address)
+	must.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
+
 func TestNotRunWhereNothingWasSent(t *testing.T) {
 	unreachable := deadAddress(t)
 	tests := map[string]struct {
--- a/entry/caller/time_test.go
+++ b/entry/caller/time_test.go
@@ -82,6 +82,21 @@
 	t.Cleanup(func() { _ = server.Close() })
 }
 
+// serveRaw serves each connection at an address by a script until the test ends.
+func (n *network) serveRaw(t testing.TB, address string, script func(conn net.Conn, r *bufio.Reader)) {
+	l := n.listen(address)
+	t.Cleanup(func() { _ = l.Close() })
+	go serveScript(l, script)
+}
+
+// call sends a request over a connection of its own.
+func (n *network) call(t testing.TB, req *http.Request) reply {
+	t.Helper()
+	got, err := doWith(n.client(t), req)
+	must.NoError(t, err)
+	return got
+}
+
 // client returns an HTTP client that dials over the network.
 func (n *network) client(t testing.TB) *http.Client {
 	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return n.dial(ctx, address) }}
