entry/upstream: a cancelled request does not make an idle link look fresh

Need: a request that must not be sent twice goes only on a link that was used within the last half second, since an instance may be closing an older one.

Cause: Send takes an idle link before it sees that its context has ended, and returned it with a new idle time. The next request that must not be sent twice then went on a link that had been idle for up to the idle limit, and such requests could keep a link beyond that limit.

Ruled out: slots are returned once on this path, as on the others of Send and open. The link is inserted by its idle time, as get relies on the order.

--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	if ctx.Err() != nil {
-		links.put(l)
+		links.giveBack(l)
 		return nil, &Failure{cause: Cancelled, err: ctx.Err(), address: address}
 	}
 	e.link, e.links = l, links
--- a/entry/upstream/links.go
+++ b/entry/upstream/links.go
@@ -76,6 +76,25 @@
 	s.wakeOne()
 }
 
+// giveBack returns a link on which nothing was sent. It stays as long idle as it was.
+func (s *instanceLinks) giveBack(l *Link) {
+	if l.idleSince.IsZero() { // just opened
+		s.put(l)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.inUse, l)
+	if !l.openedAt.After(s.retiredUpTo) {
+		l.close()
+		s.open--
+	} else {
+		at, _ := slices.BinarySearchFunc(s.idle, l, func(a, b *Link) int { return a.idleSince.Compare(b.idleSince) })
+		s.idle = slices.Insert(s.idle, at, l)
+	}
+	s.wakeOne()
+}
+
 // remove releases the slot of a link that was closed or could not be opened.
 func (s *instanceLinks) remove(l *Link) {
 	s.mu.Lock()
