entry/control: polls do not pile up at a host that misses reports

Need: each report that a control host misses begins a further poll of it beside the pending ones, and a report is sent at each loss of an instance with a timeout of 250 ms.

Cause: a replaced poll goes on to its end, up to five seconds, and nothing bounded how many there are.

Evidence: TestPollsDoNotPileUpAtAHostThatMissesReports, 100 missed reports within two seconds, counted 100 pending polls before, and at most 3 now.

Ruled out: ending every replaced poll. The oldest may be on the only connection that works (TestVersionArrivesOnOpenConnectionsWhileNoneCanBeOpened). A replaced poll is ended after the next one has begun, so that its end says nothing about the control host's health.

--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -196,18 +196,31 @@
 // pollLoop polls one control host until the context ends. A host that becomes the
 // primary, or missed a report, is polled again at once. The poll that is pending then goes
 // on, since it may bring a version on a connection that works while no other can be
-// opened.
+// opened. Of several such polls only the oldest goes on.
 func (w *Watch) pollLoop(ctx context.Context, host *polledHost) {
 	var pending sync.WaitGroup
 	defer pending.Wait()
 	failing, delay := false, minRetryDelay
+	var replaced chan pollResult // of the poll that goes on beside the latest
+	endReplaced := func() {}
 	for ctx.Err() == nil {
 		poll := w.beginPoll(host)
+		endReplaced() // after the next poll has begun, so that its end does not count
+		endReplaced = func() {}
 		results := make(chan pollResult, 1)
-		pending.Go(func() { results <- w.poll(ctx, host, poll) })
+		pollCtx, cancel := context.WithCancel(ctx)
+		pending.Go(func() {
+			defer cancel()
+			results <- w.poll(pollCtx, host, poll)
+		})
 		var result pollResult
 		select {
 		case <-host.again:
+			if replaced == nil || len(replaced) > 0 {
+				replaced = results
+			} else {
+				endReplaced = cancel
+			}
 			continue
 		case result = <-results:
 		}
