entry/control: the only control host can confirm the first version late

Need: an entry host with one control host that responds after 1.5 s never took callers.

Later polls go to the primary and end after 1.2 s; no other control host can confirm the version meanwhile.

Evidence: TestHostIsConfirmedByItsOnlyControlHostThoughThatIsSlow, not confirmed after 20 s before, confirmed now.

Ruled out: a longer timeout for all primaries or after the confirmation; it would keep a hung primary or a dead connection longer.

--- a/entry/control/pending_test.go
+++ b/entry/control/pending_test.go
@@ -88,3 +88,24 @@
 		<-done
 	})
 }
+
+// Guards against a host that never takes callers: its only control host answers the
+// polls of a primary later than one that another could replace may.
+func TestHostIsConfirmedByItsOnlyControlHostThoughThatIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		host, table := &countingHost{delay: 1500 * time.Millisecond}, rules.NewTable()
+		w := control.NewWatch(func() []string { return []string{"c:1"} }, &http.Client{Transport: host}, table,
+			func() *wire.HostReport { return &wire.HostReport{} }, func([]*wire.GossipHost) {}, hclog.NewNullLogger(),
+			control.WithMembership(&fakeMembership{}))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.Run(ctx)
+		}()
+		time.Sleep(20 * time.Second)
+		must.True(t, table.Confirmed())
+		cancel()
+		<-done
+	})
+}
--- a/entry/control/primary.go
+++ b/entry/control/primary.go
@@ -34,6 +34,7 @@
 type pendingPoll struct {
 	number        uint64 // of the host's polls
 	primary       bool   // requests instances
+	only          bool   // there is no other control host
 	whole         bool   // requests the full rules text, not a delta
 	knownSuspects uint64
 }
@@ -47,7 +48,7 @@
 	}
 	host.polls++
 	return pendingPoll{
-		number: host.polls, primary: w.members != nil && w.primary == host,
+		number: host.polls, primary: w.members != nil && w.primary == host, only: len(w.polled) == 1,
 		whole: host.needsFullText, knownSuspects: host.suspectsRevision,
 	}
 }
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -278,7 +278,10 @@
 	known, polledAt := w.table.Current(), time.Now()
 	wait, timeout := w.pollWait(), longPollTimeout
 	if poll.primary && known.Number() > 0 { // receiving the first version may take longer
-		wait, timeout = min(wait, primaryPollWait), primaryPollTimeout
+		wait = min(wait, primaryPollWait)
+		if !poll.only || w.table.Confirmed() { // nothing else can confirm the first version
+			timeout = primaryPollTimeout
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
