control/host: a stopping leader hands over before it ends requests

Need: at the stop of the leader, commands that other control hosts forward to it, such as configurations, claims and announcements, failed at once with an unknown outcome, though the leader had not taken them.

Cause: the stop ended the contexts of all requests as soon as no tracked request was in progress, also those of the peers listener, on which other control hosts forward commands and take part in the transfer. The transfer was not counted.

In a trial each forwarded command was finished unsent by the context, and the follower got FORWARD_UNCERTAIN.

Ruled out: a longer stop. The transfer is bounded by three election timeouts and by the held share of the stop limit, as before.

--- a/control/host/stop.go
+++ b/control/host/stop.go
@@ -28,7 +28,11 @@
 		held, cancel := context.WithTimeout(ctx, time.Duration(heldShare*float64(stopLimit(cfg))))
 		defer cancel()
 		var group sync.WaitGroup
-		group.Go(func() { node.TransferLeadership(held) })
+		all.count(1) // the transfer needs the requests of the other control hosts
+		group.Go(func() {
+			defer all.count(-1)
+			node.TransferLeadership(held)
+		})
 		all.stop(held)
 		group.Wait()
 	}))
