caller: the rule's deadline holds until a byte of the response can be sent

What callers saw: an instance that sent a header and then stalled held the request for the 30 s that a read may make no progress, 25 s past the deadline of its rule, as the header is held back until the first part of the body.

Change: the deadline is lifted after that part has been read. An instance that stalls until then counts as failed.

In TestEndlessBodyEndsAtTheDeadlineOfTheCallerAndIsCut one case, a trailer without end under a rule of 2 s, ends at 2 s and no longer at the 3 s of the caller: nothing has been sent to the caller, so the rule holds. Ruled out: lifting it at the header, which the caller does not see.

--- a/bench/local/stop_test.go
+++ b/bench/local/stop_test.go
@@ -333,7 +333,7 @@
 // A request whose response is not expected before the end of the stop is refused
 // at once, although an instance is free.
 func TestPlannedStopRefusesARequestThatIsExpectedToLastLonger(t *testing.T) {
-	h := startStopping(t, local.Settings{"host.leaveSeconds": "1.5", "route.headroom": "1"})
+	h := startStopping(t, local.Settings{"host.stopLimitSeconds": "2", "host.leaveSeconds": "1.5", "route.headroom": "1"})
 	first := sendOn(t, h.Callers, plainRequest)
 	h.instance.waitReceived(t, 1)
 	pause.For(t.Context(), longerThanAStop)
--- a/entry/caller/endless_test.go
+++ b/entry/caller/endless_test.go
@@ -250,18 +250,22 @@
 					defer cancel()
 					req := newRequest(t, http.MethodPost, "e:1", path, "b", caller.DeadlineHeader, "3000", keyHeader, "k")
 					got, err := n.client(t).Do(req.WithContext(ctx))
+					end := callerDeadline
 					switch {
 					case err == nil && got.StatusCode == http.StatusGatewayTimeout: // nothing was forwarded before the deadline
 						_, err = io.Copy(io.Discard, got.Body)
 						must.NoError(t, err)
 						must.Eq(t, string(outcome.Unknown), got.Header.Get(outcome.Header))
+						if path == "/photos/1" {
+							end = 2 * time.Second // the deadline of its rule
+						}
 					case err == nil:
 						_, err = io.Copy(io.Discard, got.Body)
 						must.ErrorIs(t, err, io.ErrUnexpectedEOF)
 					default: // no byte of the body could be read before the deadline
 						must.ErrorIs(t, err, io.EOF)
 					}
-					must.Eq(t, callerDeadline, time.Since(started))
+					must.Eq(t, end, time.Since(started))
 					<-ended
 					waitSettled(t, e)
 					must.Zero(t, members[0].Load().InFlight())
@@ -575,3 +579,33 @@
 		}
 	}
 }
+
+// The header of a response is held back until the first byte of its body.
+func TestResponseWithoutABodyEndsAtTheRulesDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		l := n.listen("i:1")
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(conn)
+			if _, err = http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+				_, _ = io.Copy(io.Discard, r)
+			}
+			_ = conn.Close()
+		}()
+		e := newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t))
+		n.serve(t, "e:1", e.handler)
+		started := time.Now()
+		got, err := n.client(t).Do(newRequest(t, http.MethodGet, "e:1", "/plain/1", ""))
+		must.NoError(t, err)
+		_ = got.Body.Close()
+		must.Eq(t, string(outcome.Unknown), got.Header.Get(outcome.Header))
+		must.Eq(t, string(outcome.DeadlineExceeded), got.Header.Get(outcome.ReasonHeader))
+		must.Eq(t, 5*time.Second, time.Since(started))
+	})
+}
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -89,15 +89,16 @@
 // connection if the response is truncated or the caller stops reading.
 func (d *dispatch) forward(exchange *upstream.Exchange) *outcome.Problem {
 	c, response := d.c, exchange.Response()
-	c.ctx.disarm()
 	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buffer)
 	received := exchange.Received()
 	n, err := c.readFirst(exchange, buffer[:])
 	received = received || errors.Is(err, io.EOF)
+	c.ctx.disarm()
 	if !c.ctx.outliveStop() && !received { // the end of the context has closed the link
 		d.recorder.recordHeader(response)
 		d.recorder.markTruncated()
+		d.report.Failed = d.report.Failed || c.ctx.cause() == errDeadline
 		return c.problem(outcome.Unknown, outcome.UpstreamLost, "the response began too late")
 	}
 	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
