control/state: a restored machine keeps tombstones as long as its peers

Need: replicas must decide alike.

Change: the record of an ended instance states until when it is kept, in the field lease_until, which no code used.

An older build ignores the field and behaves as before.

--- a/control/state/instances.go
+++ b/control/state/instances.go
@@ -155,13 +155,20 @@
 		delete(s.byAddress, old.GetAddress())
 	}
 	if m.GetGone() {
-		s.ended = append(s.ended, endedInstance{id: m.GetId(), incarnation: m.GetIncarnation(), at: clock})
+		s.addEnded(m, clock)
 	} else {
 		s.byAddress[m.GetAddress()] = m.GetId()
 	}
 	s.putRevision(m)
 }
 
+// addEnded records when an instance ended, also in its record: a machine that is
+// restored from a snapshot must drop the record at the same time.
+func (s *instancesState) addEnded(m *wire.Instance, at int64) {
+	m.LeaseUntil = at + int64(endedRetention)
+	s.ended = append(s.ended, endedInstance{id: m.GetId(), incarnation: m.GetIncarnation(), at: at})
+}
+
 func (s *instancesState) putRevision(m *wire.Instance) {
 	s.revision++
 	m.Revision = s.revision
@@ -207,7 +214,7 @@
 	for _, m := range in.GetInstances() {
 		s.byID[m.GetId()] = m
 		if m.GetGone() {
-			s.ended = append(s.ended, endedInstance{id: m.GetId(), incarnation: m.GetIncarnation(), at: in.GetClock()})
+			s.addEnded(m, endedAt(m, in.GetClock()))
 			continue
 		}
 		s.byAddress[m.GetAddress()] = m.GetId()
@@ -215,6 +222,16 @@
 	s.revision = in.GetInstancesRevision()
 }
 
+// endedAt returns when an instance of a snapshot ended. Snapshots of older builds do
+// not state it: the record is then kept for the whole retention from the time of the
+// snapshot, since late announcements must not be accepted too early.
+func endedAt(m *wire.Instance, clock int64) int64 {
+	if m.GetLeaseUntil() == 0 {
+		return clock
+	}
+	return min(m.GetLeaseUntil()-int64(endedRetention), clock)
+}
+
 // Instances returns the records that changed after a revision, and the revision of
 // the newest one. The records must not be modified.
 func (m *Machine) Instances(after uint64) ([]*wire.Instance, uint64) {
--- a/control/state/instances_test.go
+++ b/control/state/instances_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/world/wire"
+	"google.golang.org/protobuf/proto"
 )
 
 type change func(*wire.Instance)
@@ -26,7 +28,11 @@
 func leaving(m *wire.Instance)  { m.Gone, m.Left = true, true }
 
 func announce(m *state.Machine, instance *wire.Instance) *wire.AnnouncementResult {
-	return m.Apply(&wire.Command{Body: &wire.Command_Announce{Announce: &wire.Announcement{Instance: instance}}}).GetAnnounce()
+	return announceAt(m, 0, instance)
+}
+
+func announceAt(m *state.Machine, clock time.Duration, instance *wire.Instance) *wire.AnnouncementResult {
+	return m.Apply(&wire.Command{Clock: int64(clock), Body: &wire.Command_Announce{Announce: &wire.Announcement{Instance: instance}}}).GetAnnounce()
 }
 
 func TestLeaveWithoutIncarnationEndsTheRecordedOne(t *testing.T) {
@@ -121,6 +127,72 @@
 	must.Eq(t, fmt.Sprint(changed), fmt.Sprint(restored))
 }
 
+// restored returns a machine that was restored from a snapshot of m after edit has
+// changed it.
+func restored(t *testing.T, m *state.Machine, edit func(*wire.StateSnapshot)) *state.Machine {
+	t.Helper()
+	data, err := m.Snapshot()
+	must.NoError(t, err)
+	s := &wire.StateSnapshot{}
+	must.NoError(t, proto.Unmarshal(data, s))
+	edit(s)
+	data, err = proto.Marshal(s)
+	must.NoError(t, err)
+	other := state.New()
+	must.NoError(t, other.Restore(data))
+	return other
+}
+
+func unchanged(*wire.StateSnapshot) {}
+
+// withoutRetention makes a snapshot one of a build that does not save until when
+// records of ended instances are kept.
+func withoutRetention(s *wire.StateSnapshot) {
+	for _, m := range s.GetInstances() {
+		m.LeaseUntil = 0
+	}
+}
+
+func TestRestoredMachineDropsTombstonesAtTheSameTime(t *testing.T) {
+	const snapshotAt, dropped = 15 * time.Minute, 21 * time.Minute
+	for name, late := range map[string]*wire.Instance{
+		"earlier start": instanceOf("a", 6, 1), "same start": instanceOf("a", 7, 1), "later start": instanceOf("a", 8, 1),
+	} {
+		for _, clock := range []time.Duration{snapshotAt, 20 * time.Minute, dropped, 36 * time.Minute} {
+			m := state.New()
+			announceAt(m, 0, instanceOf("a", 7, 1))
+			announceAt(m, 0, instanceOf("a", 7, 2, leaving))
+			announceAt(m, snapshotAt, instanceOf("b", 7, 1, func(m *wire.Instance) { m.Address = "10.0.0.2:80" }))
+			other := restored(t, m, unchanged)
+			want := announceAt(m, clock, late)
+			must.Eq(t, late.GetIncarnation() == 8 || clock >= dropped, want.GetChanged(), must.Sprint(name, clock))
+			must.Eq(t, want.String(), announceAt(other, clock, late).String(), must.Sprint(name, clock))
+			must.Eq(t, m.Instance("a").String(), other.Instance("a").String(), must.Sprint(name, clock))
+		}
+	}
+}
+
+// A tombstone whose end is not known is kept for the whole retention from the time
+// of the snapshot: too long, but late announcements are not accepted too early.
+func TestTombstoneOfAnOlderBuildsSnapshotIsNotDroppedEarly(t *testing.T) {
+	const snapshotAt = 15 * time.Minute
+	for name, edit := range map[string]func(*wire.StateSnapshot){
+		"not saved":     withoutRetention,
+		"in the future": func(s *wire.StateSnapshot) { s.Instances[0].LeaseUntil = int64(1000 * time.Hour) },
+	} {
+		m := state.New()
+		announceAt(m, 0, instanceOf("a", 7, 1))
+		announceAt(m, 0, instanceOf("a", 7, 2, leaving))
+		announceAt(m, snapshotAt, &wire.Instance{Id: "b", Gone: true})
+		first := restored(t, m, edit)
+		second := restored(t, first, unchanged)
+		for _, other := range []*state.Machine{first, second} {
+			must.True(t, announceAt(other, snapshotAt+20*time.Minute, instanceOf("a", 7, 1)).GetOutdated(), must.Sprint(name))
+			must.True(t, announceAt(other, snapshotAt+21*time.Minute, instanceOf("a", 7, 1)).GetChanged(), must.Sprint(name))
+		}
+	}
+}
+
 func TestInstanceIsSilentUntilItsNextAnnouncement(t *testing.T) {
 	m := state.New()
 	announce(m, instanceOf("a", 7, 1))
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -185,7 +185,7 @@
 	key := keyNamed(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key")))
 	id := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "id"))
 	cmd := &wire.Command{Clock: int64(clock)}
-	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
 	case 0:
 		cmd.Body = &wire.Command_Claim{Claim: &wire.ClaimRequest{Key: key, ClaimId: id, RetainMs: time.Hour.Milliseconds()}}
 	case 1:
@@ -197,10 +197,32 @@
 	case 4:
 		base := uint64(rapid.IntRange(0, 3).Draw(t, "base"))
 		cmd.Body = &wire.Command_Submit{Submit: &wire.SubmitRequest{SubmissionId: id, BaseVersion: base, Text: fmt.Sprint(n)}}
+	default: // announcements are common, so that some are late ones of ended instances
+		cmd.Body = &wire.Command_Announce{Announce: &wire.Announcement{Instance: drawInstance(t)}}
 	}
 	return cmd
 }
 
+// drawInstance returns an announcement or a leave of one of a few instances. Those
+// with an odd number share an address.
+func drawInstance(t *rapid.T) *wire.Instance {
+	number := rapid.IntRange(0, 3).Draw(t, "instance")
+	incarnation := rapid.Uint64Range(1, 3).Draw(t, "incarnation")
+	m := instanceOf(fmt.Sprint(number), incarnation, rapid.Uint64Range(1, 3).Draw(t, "sequence"))
+	if number%2 == 0 {
+		m.Address = fmt.Sprintf("10.0.1.%d:80", number)
+	}
+	switch rapid.IntRange(0, 4).Draw(t, "announcement") {
+	case 0, 1:
+		leaving(m)
+	case 2:
+		m = &wire.Instance{Id: m.GetId(), Gone: true} // does not state its incarnation
+	case 3:
+		m = &wire.Instance{Id: m.GetId(), Incarnation: incarnation, HeardBy: m.GetHeardBy(), Silent: true}
+	}
+	return m
+}
+
 func FuzzRestore(f *testing.F) {
 	m := state.New()
 	claimAt(m, 0, "k", "one")
