control/peer: the surplus voter is the one that does not answer or came last

Need: with a voter too many, all others than failed ones were alike and the first in member order was removed. With four voters of which the last one had been silent for less than replaceVoterAfter, this removed one that answered and left three, one of them silent: one failure from the loss of the quorum.

Settled: members are in the order in which they were added. The voter that has been unreachable the longest goes first; else the one added last, which is the substitute of a voter that returned. The leader cannot remove itself (quorum.ErrRemovesLeader), so another one always goes. A removed replica that runs asks to join and becomes a learner again.

Ruled out: to wait for a silent voter's restart, since the group then keeps a larger quorum meanwhile for no gain; to choose by log position, which is not known of unreachable ones and differs by little among the others.

--- a/control/peer/reconciler.go
+++ b/control/peer/reconciler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/snipebeam/snipebeam/control/quorum"
@@ -177,14 +178,32 @@
 	if voters <= r.targetVoters {
 		return nil
 	}
-	for _, m := range members { // no failed voter: remove the first one that is not the leader
-		if m.member.GetRole() == quorum.Voter && m.member.GetIdentity() != self {
-			return &membershipChange{kind: ChangeRemove, member: m.member, reason: "too many voters"}
-		}
+	if m := r.surplusVoter(self, members, now); m != nil {
+		return &membershipChange{kind: ChangeRemove, member: m, reason: "too many voters"}
 	}
 	return nil
 }
 
+// surplusVoter returns the voter to remove if none has failed: the one that has been
+// unreachable the longest, so that the remaining ones answer, else the one that was
+// added last. It is never the leader.
+func (r *reconciler) surplusVoter(self string, members []memberState, now time.Time) *wire.Member {
+	var surplus *wire.Member
+	longest := time.Duration(-1)
+	for _, m := range slices.Backward(members) { // members are in the order in which they were added
+		if m.member.GetRole() != quorum.Voter || m.member.GetIdentity() == self {
+			continue
+		}
+		if surplus == nil {
+			surplus = m.member
+		}
+		if unreachable := r.unreachableFor(m, now); !m.reachable && unreachable > longest {
+			surplus, longest = m.member, unreachable
+		}
+	}
+	return surplus
+}
+
 // reconcileMembership runs the reconciler while this replica is the leader and
 // applies its changes one at a time.
 func (n *Node) reconcileMembership(ctx context.Context) {
--- a/control/peer/reconciler_test.go
+++ b/control/peer/reconciler_test.go
@@ -72,3 +72,42 @@
 	must.Eq(t, "", nextChange(&r, removeLearnerAfter/2, members...))
 	must.Eq(t, ChangeRemove+" d", nextChange(&r, removeLearnerAfter+time.Second, members...))
 }
+
+// A group that keeps a voter that does not answer in place of one that does is one
+// failure closer to the loss of its quorum.
+func TestSurplusVoterThatDoesNotAnswerIsRemovedBeforeOthers(t *testing.T) {
+	for _, unreachable := range []string{"b", "c", "d"} {
+		r := newReconciler(3)
+		members := append(threeVoters(true), memberAt("d", "4", quorum.Voter, true))
+		for n := range members {
+			members[n].reachable = members[n].member.GetIdentity() != unreachable
+		}
+		change := r.next("a", members, time.Unix(1000, 0)) // first seen as unreachable now
+		must.Eq(t, unreachable, change.member.GetIdentity())
+		must.Eq(t, ChangeRemove+" "+unreachable, nextChange(&r, replaceVoterAfter/2, members...))
+	}
+}
+
+func TestSurplusVoterThatWasSilentLongerIsRemovedFirst(t *testing.T) {
+	for _, first := range []int{1, 2, 3} {
+		r := newReconciler(3)
+		members := append(threeVoters(true), memberAt("d", "4", quorum.Voter, true))
+		members[first].reachable = false
+		r.updateState(members, time.Unix(999, 0))
+		for n := range members[1:] {
+			members[n+1].reachable = false
+		}
+		must.Eq(t, ChangeRemove+" "+members[first].member.GetIdentity(), nextChange(&r, 0, members...))
+	}
+}
+
+// A substitute that was promoted for a voter that has returned leaves again; the
+// hosts that formed the group stay.
+func TestSurplusVoterThatWasAddedLastIsRemoved(t *testing.T) {
+	r := newReconciler(3)
+	members := append(threeVoters(true), memberAt("d", "4", quorum.Voter, true), memberAt("e", "5", quorum.Learner, true))
+	must.Eq(t, ChangeRemove+" d", nextChange(&r, 0, members...))
+	leaderLast := append(threeVoters(true)[1:], memberAt("d", "4", quorum.Voter, true), memberAt("a", "1", quorum.Voter, true))
+	must.Eq(t, ChangeRemove+" d", nextChange(&r, 0, leaderLast...))
+	must.Eq(t, "", nextChange(&r, 0, members[:3]...))
+}
