world/rule: a set does not retain the text of its file

Need: a set keeps its parsed lines for the next version by their text. The keys were parts of the file's text, so the whole text, comments included, stayed in memory with each set.

Cause: parseNew cloned the line that it parses but not its key; reuseLine took the key from the new file's text. parseFromTemplate cloned it already.

Change: parseNew uses its clone as the key. A parsed line holds its key, which the next version shares. Ruled out: to clone reused lines, which allocates the text of the file anew with each version. Not measured: the size of heaps and the time of a parse ("make bench" was not run).

--- a/world/rule/parse.go
+++ b/world/rule/parse.go
@@ -82,8 +82,10 @@
 func (p *parser) parseNew(n int, text string) {
 	before := p.findings.Len()
 	// Cloned so that the parsed line does not retain the text of the whole file.
-	content := p.parseLine(n, strings.Clone(text))
+	text = strings.Clone(text)
+	content := p.parseLine(n, text)
 	if p.findings.Len() == before && content != (lineContent{}) {
+		content.line = text
 		p.set.parsedLines[text] = content
 		p.addTemplate(text, content.rule)
 	}
@@ -100,12 +102,12 @@
 		line := *content.service
 		line.place = finding.At(p.file, n, line.place.Column())
 		p.addService(line.terms.Name(), &line)
-		p.set.parsedLines[text] = lineContent{service: &line}
+		p.set.parsedLines[content.line] = lineContent{line: content.line, service: &line}
 	default:
 		r := *content.rule
 		r.place = finding.At(p.file, n, r.place.Column())
 		p.add(&r)
-		p.set.parsedLines[text] = lineContent{rule: &r}
+		p.set.parsedLines[content.line] = lineContent{line: content.line, rule: &r}
 	}
 	return true
 }
--- a/world/rule/rule.go
+++ b/world/rule/rule.go
@@ -184,6 +184,7 @@
 
 // lineContent is the parsed content of a line: a service line or a rule.
 type lineContent struct {
+	line    string // shared by the versions that have the line, no part of a file's text
 	service *ServiceLine
 	rule    *Rule
 }
--- a/world/rule/template.go
+++ b/world/rule/template.go
@@ -63,7 +63,7 @@
 	r.reason = Reason{who: strings.Clone(strings.TrimSpace(who)), why: strings.Clone(strings.TrimSpace(why))}
 	r.text = text
 	p.add(&r)
-	p.set.parsedLines[text] = lineContent{rule: &r}
+	p.set.parsedLines[text] = lineContent{line: text, rule: &r}
 	return true
 }
 
