bench/route/virtual: merged results add the time in queues

Need: Result.Merge added each count but QueueNs, so a merged result had the time in queues of its first run only.

Evidence: TestMergeAddsEveryCount (60 in place of 660) and TestMergedRunsHaveTheRatesOfASingleOne (half the time of two equal runs at load 0.95) failed; both pass now, and the package with -race. The first one goes over all exported counts and fails for a new one that it does not set.

Change: Merge adds QueueNs. The field upstream.busy, which nothing used, is removed; the slot time of probes is in Result.ProbeNs. Ruled out: to remove QueueNs, the only measure of the time that requests wait before dispatch.

--- a/bench/route/virtual/result.go
+++ b/bench/route/virtual/result.go
@@ -131,6 +131,7 @@
 	r.InTime += other.InTime
 	r.Offered += other.Offered
 	r.ProbeNs += other.ProbeNs
+	r.QueueNs += other.QueueNs
 	for n, counts := range other.Sent {
 		if r.Sent[n] == nil {
 			r.Sent[n] = map[int64]int{}
--- a/bench/route/virtual/run_test.go
+++ b/bench/route/virtual/run_test.go
@@ -1,6 +1,7 @@
 package virtual_test
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -59,3 +60,41 @@
 	must.Positive(t, r.ProbeShare())
 	must.LessEq(t, 0.01, r.ProbeShare())
 }
+
+// TestMergeAddsEveryCount guards against a count that is left out when the runs of
+// a scenario are merged.
+func TestMergeAddsEveryCount(t *testing.T) {
+	run := func(factor int) *virtual.Result {
+		return &virtual.Result{
+			Failed: factor, Shed: 2 * factor, Late: 3 * factor, InTime: 4 * factor, Offered: 10 * factor,
+			ProbeNs: 5 * float64(factor), QueueNs: 6 * float64(factor),
+			Sent: []map[int64]int{{1: factor, int64(factor): 1}},
+		}
+	}
+	merged := run(10)
+	merged.Merge(run(100))
+	sum := reflect.ValueOf(*merged)
+	first, second := reflect.ValueOf(*run(10)), reflect.ValueOf(*run(100))
+	for n := range sum.NumField() {
+		name := sum.Type().Field(n).Name
+		switch {
+		case sum.Field(n).CanInt() && sum.Type().Field(n).IsExported():
+			must.Positive(t, first.Field(n).Int(), must.Sprint(name))
+			must.Eq(t, first.Field(n).Int()+second.Field(n).Int(), sum.Field(n).Int(), must.Sprint(name))
+		case sum.Field(n).CanFloat():
+			must.Positive(t, first.Field(n).Float(), must.Sprint(name))
+			must.Eq(t, first.Field(n).Float()+second.Field(n).Float(), sum.Field(n).Float(), must.Sprint(name))
+		}
+	}
+	must.Eq(t, []map[int64]int{{1: 110, 10: 1, 100: 1}}, merged.Sent)
+}
+
+func TestMergedRunsHaveTheRatesOfASingleOne(t *testing.T) {
+	s := virtual.Scenario{Seed: 3, Load: 0.95, Active: 2, Duration: 3 * time.Second, Policy: adaptive}
+	single, merged := virtual.Run(s), virtual.Run(s)
+	merged.Merge(virtual.Run(s))
+	must.Positive(t, single.QueueNs)
+	must.Eq(t, 2*single.QueueNs, merged.QueueNs)
+	must.Eq(t, single.Goodput(), merged.Goodput())
+	must.Eq(t, single.Quantile(0.99), merged.Quantile(0.99))
+}
--- a/bench/route/virtual/upstream.go
+++ b/bench/route/virtual/upstream.go
@@ -20,7 +20,6 @@
 	misreports      bool
 	running         []*job
 	queue           []*job
-	busy            float64 // slot time used by probes, in nanoseconds
 }
 
 func (s Scenario) upstreams(c *clock) []*upstream {
