--- a/entry/caller/retry_test.go
+++ b/entry/caller/retry_test.go
@@ -10,11 +10,13 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/world/contract"
+	"github.com/snipebeam/snipebeam/world/knownred"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
@@ -167,3 +169,26 @@
 	must.Eq(t, outcome.Answer, call(t, http.MethodGet, entry, "/x", "").outcome())
 	must.Eq(t, outcome.Unknown, call(t, http.MethodGet, entry, "/x", "").outcome())
 }
+
+func TestResendAfterAClosedIdleConnectionStaysWithinTheBudget(t *testing.T) {
+	knownred.Skip(t)
+	synctest.Test(t, func(t *testing.T) {
+		n, received := newNetwork(), 0
+		n.serveRaw(t, "i:1", func(conn net.Conn, r *bufio.Reader) {
+			for answered := 0; ; answered++ {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				received++
+				if answered == 1 { // crashes as it runs the second request of a connection
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+		})
+		n.serve(t, "e:1", newEntry(t, viewsOf("i:1"), newClaims(), n.pool(t), func(cfg *caller.Config) { cfg.Budget = noBudget{} }).handler)
+		must.Eq(t, outcome.Answer, n.call(t, newRequest(t, http.MethodGet, "e:1", "/x", "")).outcome())
+		must.Eq(t, outcome.Unknown, n.call(t, newRequest(t, http.MethodGet, "e:1", "/x", "")).outcome())
+		must.Eq(t, 2, received)
+	})
+}
