--- a/control/host/listener_test.go
+++ b/control/host/listener_test.go
@@ -68,7 +68,7 @@
 					}
 				}))
 				started := time.Now()
-				_, taken := sendEndless(t, server, "POST /v1/Instances.Heartbeat/i HTTP/1.1\r\nHost: c\r\n"+framing, "a", time.Second)
+				_, taken := sendEndless(t, server, "POST /announcements HTTP/1.1\r\nHost: c\r\n"+framing, "a", time.Second)
 				must.LessEq(t, readTimeout+2*time.Second, time.Since(started))
 				must.Positive(t, taken)
 			})
