--- a/control/host/stop_test.go
+++ b/control/host/stop_test.go
@@ -157,7 +157,7 @@
 	must.NoError(t, <-stopDone)
 }
 
-// A call that comes during a planned stop is told at once that it was not taken.
+// A call that comes during a planned stop is refused at once as not taken.
 func TestCallDuringAPlannedStopIsRefused(t *testing.T) {
 	h := startGroup(t, "control-1")[0]
 	leader(t, []*controlHost{h})
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -233,7 +233,7 @@
 		}
 		if result.err == nil {
 			delay = minRetryDelay
-			pause.For(ctx, result.news.delay())
+			pause.For(ctx, result.change.delay())
 			continue
 		}
 		pause.For(ctx, delay+rand.N(delay))
@@ -243,8 +243,8 @@
 
 // pollResult is the end of one poll.
 type pollResult struct {
-	news news
-	err  error
+	change versionChange
+	err    error
 }
 
 // Report sends this host's state to every control host immediately, without
@@ -294,7 +294,7 @@
 	if err != nil {
 		return pollResult{err: err}
 	}
-	result := pollResult{news: w.newsOf(response, known)}
+	result := pollResult{change: w.versionChangeOf(response, known)}
 	w.applyResponse(response, poll.primary)
 	if result.err = w.applyVersion(response, known, polledAt); result.err != nil {
 		w.requestFullText(host)
@@ -309,18 +309,18 @@
 	host.needsFullText = true
 }
 
-// news is what a response brought beyond the known version.
-type news int
+// versionChange is what a response brought beyond the known version.
+type versionChange int
 
 const (
-	noVersion       news = iota
-	newVersion           // that no other control host had sent
-	repeatedVersion      // that another control host had sent meanwhile
+	noVersion       versionChange = iota
+	newVersion                    // that no other control host had sent
+	repeatedVersion               // that another control host had sent meanwhile
 )
 
-// newsOf classifies a response. Until a version is confirmed every response counts
+// versionChangeOf classifies a response. Until a version is confirmed every response counts
 // as noVersion, so that the next poll is sent at once.
-func (w *Watch) newsOf(response *wire.WatchResponse, known *rules.InForce) news {
+func (w *Watch) versionChangeOf(response *wire.WatchResponse, known *rules.InForce) versionChange {
 	number := response.GetVersion().GetNumber()
 	switch {
 	case !w.table.Confirmed() || number <= known.Number():
@@ -333,8 +333,8 @@
 
 // delay returns the time to the next poll after a successful one. The control
 // hosts that repeat a version are polled later and not in step.
-func (n news) delay() time.Duration {
-	switch n {
+func (c versionChange) delay() time.Duration {
+	switch c {
 	case newVersion:
 		return versionDelay
 	case repeatedVersion:
