entry/route, entry/caller: hosts log the rate limit that an instance announces

Callers saw: nothing yet; instances got more requests than the limit they had named, and no log line or metric could tell whether a host had heard of it. Routing is unchanged.

--- a/entry/caller/dialect.go
+++ b/entry/caller/dialect.go
@@ -1,10 +1,13 @@
 package caller
 
 import (
+	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
@@ -27,6 +30,9 @@
 	Misdirected func(status int) bool
 	// Load returns the instance's load if a response reports it.
 	Load func(h http.Header) (LoadReport, bool)
+	// RateLimit is the response header with the requests a second that the instance
+	// accepts from all entry hosts together.
+	RateLimit string
 	// Outcomes adds this host's outcome headers to responses, and interprets those
 	// of a layer below.
 	Outcomes bool
@@ -53,7 +59,7 @@
 
 // native is snipebeam's own dialect.
 var native = Dialect{
-	Service: ServiceHeader, Caller: CallerHeader, Deadline: DeadlineHeader, Attempt: AttemptHeader, Outcomes: true,
+	Service: ServiceHeader, Caller: CallerHeader, Deadline: DeadlineHeader, Attempt: AttemptHeader, RateLimit: RateLimitHeader, Outcomes: true,
 	Refused: func(_ int, h http.Header) bool { return h.Get(RefusedHeader) != "" },
 	Load: func(h http.Header) (LoadReport, bool) {
 		n, err := strconv.Atoi(h.Get(LoadHeader))
@@ -76,3 +82,17 @@
 		h.Set(name, value)
 	}
 }
+
+// Limit returns the rate limit that a response states, none if the header is missing
+// or not a decimal number of at least 0.
+func (d *Dialect) Limit(h http.Header) route.RateLimit {
+	value := header(h, d.RateLimit)
+	if value == "" {
+		return route.RateLimit{}
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return route.RateLimit{}
+	}
+	return route.NewRateLimit(perSecond)
+}
--- a/entry/caller/header.go
+++ b/entry/caller/header.go
@@ -22,6 +22,11 @@
 // has in service and waiting.
 const LoadHeader = "Snipebeam-Load"
 
+// RateLimitHeader is a response header with the requests a second, a decimal
+// number, that the instance accepts from all entry hosts together for as long as
+// its responses have the header.
+const RateLimitHeader = "Snipebeam-Rate-Limit"
+
 // RefusedHeader is a response header by which an instance guarantees that it did
 // not start the request.
 const RefusedHeader = "Snipebeam-Not-Started"
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -62,6 +62,8 @@
 	if report, ok := d.c.dialect.Load(response.Header); ok {
 		d.report.ReportedLoad, d.report.Slowdown, d.report.HasReportedLoad = report.Requests, report.Slowdown, true
 	}
+	d.report.RateLimit = d.c.dialect.Limit(response.Header)
+	d.report.Answered = true
 	d.c.decision.Status = response.StatusCode
 	d.poisonAttempt.Answered()
 	if d.c.dialect.Refused(response.StatusCode, response.Header) {
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -149,7 +149,7 @@
 	return route.ByName(name)
 }
 
-func newRouter(cfg *settings.Settings, rates *placement.Rates, views *route.Views, policy route.Policy, table *rules.Table, node *peer.Node, members *registry.Membership, prober *prober) *route.Router {
+func newRouter(cfg *settings.Settings, rates *placement.Rates, views *route.Views, policy route.Policy, table *rules.Table, node *peer.Node, members *registry.Membership, prober *prober, logger hclog.Logger) *route.Router {
 	dir := &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, rates: rates, table: table, entries: node.Entries}
 	share := dir.share
 	if cfg.Peers.Membership == settings.MembershipControl {
@@ -157,6 +157,10 @@
 	}
 	return route.NewRouter(views, policy,
 		route.WithShare(share), route.WithHost(cfg.Host.Name), prober.routeOption(cfg),
+		route.WithRateLimitChanged(func(m route.Member, limit route.RateLimit) {
+			i := m.Instance()
+			logger.Info("instance rate limit", "service", i.Service(), "instance", string(i.ID()), "limit", limit.String())
+		}),
 		route.WithLimits(route.Limits{
 			QueueLength: cfg.Route.QueueLength, MaxWait: seconds(cfg.Route.QueueSeconds),
 			MaxBypass: cfg.Route.Bypass, MaxEjected: cfg.Route.MaxEjected,
--- a/entry/prometheus/prometheus.go
+++ b/entry/prometheus/prometheus.go
@@ -102,6 +102,9 @@
 		label := fmt.Sprintf(`{service=%q,instance=%q}`, i.Service(), string(i.ID()))
 		metrics.WriteGaugeUint64(w, "snipebeam_instance_in_flight"+label, uint64(max(m.Load().InFlight(), 0)))
 		metrics.WriteGaugeUint64(w, "snipebeam_instance_slots"+label, uint64(i.Slots()))
+		if limit := m.Load().RateLimit(); limit.Limited() {
+			metrics.WriteGaugeFloat64(w, "snipebeam_instance_rate_limit"+label, limit.PerSecond())
+		}
 		draining := uint64(0)
 		if i.Draining() {
 			draining = 1
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -105,6 +105,9 @@
 	t.member = view.members[at]
 	n := t.member.load.inFlight.Add(1)
 	d.limits.inFlight.Add(1)
+	if t.member.load.RateLimit().limited {
+		limitedRequests.Inc()
+	}
 	t.dispatcher, t.policy, t.reason, t.inFlight = d, policy.Name(), policy.Reason(), float64(n)
 	t.work = t.member.load.work.read(now)
 	return t, at
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -118,6 +118,7 @@
 	slowdownAt atomic.Int64
 	probedAt   atomic.Int64 // time of the last pre-dispatch probe, Unix nanoseconds
 	work       workClock
+	rateLimit  announcedLimit
 }
 
 // InFlight returns the requests that this host has in flight at the instance.
--- a/entry/route/record.go
+++ b/entry/route/record.go
@@ -6,6 +6,9 @@
 // its service, from a finished attempt.
 func (d *Dispatcher) recordAttempt(t *Ticket, report Report, now int64) {
 	load := t.member.load
+	if report.Answered {
+		d.recordRateLimit(t.member, report.RateLimit, now)
+	}
 	slots := float64(t.member.instance.Slots())
 	maxLimit := slots + maxHeadroom
 	view := d.router.views.Load(d.service)
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -43,6 +43,7 @@
 	random    Random
 	trace     bool
 	limits    Limits
+	limited   func(m Member, limit RateLimit)
 	cutoff    atomic.Int64 // Unix nanoseconds, 0 for none
 
 	mu          sync.Mutex
@@ -93,7 +94,8 @@
 // NewRouter returns a router over the views.
 func NewRouter(views *Views, policy Policy, opts ...Option) *Router {
 	r := &Router{
-		views: views, policy: policy, policies: newPolicyTable(ByName), terms: defaultTermsOf, share: wholeShare, trace: true, limits: DefaultLimits(),
+		limited: func(Member, RateLimit) {},
+		views:   views, policy: policy, policies: newPolicyTable(ByName), terms: defaultTermsOf, share: wholeShare, trace: true, limits: DefaultLimits(),
 		clock:  func() int64 { return time.Now().UnixNano() },
 		random: NewRandom(rand.Uint64),
 	}
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -17,6 +17,8 @@
 	// ReportedLoad is the load that the response carried, valid if HasReportedLoad.
 	ReportedLoad    int
 	HasReportedLoad bool
+	Answered        bool      // the instance returned a response, which states its RateLimit
+	RateLimit       RateLimit // as the response states it
 	Slowdown        float64 // current service time as a multiple of the usual one, 0 if not reported
 }
 
