--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -19,7 +19,7 @@
 	HasReportedLoad bool
 	Answered        bool      // the instance returned a response, which states its RateLimit
 	RateLimit       RateLimit // as the response states it
-	Slowdown        float64 // current service time as a multiple of the usual one, 0 if not reported
+	Slowdown        float64   // current service time as a multiple of the usual one, 0 if not reported
 }
 
 // Ticket is the permission to send one attempt to one instance.
