control/quota, entry/route: the rate limit of an instance holds for all entry hosts

Cause: no host read the limit, and none could have kept it alone, as it is for all hosts together. Now the leader of the control hosts grants single requests from a token bucket for each limited instance, and a host sends only what was granted to it. News of limits goes through the control hosts; the latest statement applies.

--- a/control/agreement/agreement.go
+++ b/control/agreement/agreement.go
@@ -48,6 +48,7 @@
 	quorum        bool
 	members       []*wire.Member
 	asOf          time.Time
+	leadsSince    time.Time
 }
 
 // NewStatus returns a status.
@@ -64,6 +65,16 @@
 	return s
 }
 
+// WithLeadsSince returns the status with the time at which this host became the
+// leader, zero if it is not.
+func (s Status) WithLeadsSince(t time.Time) Status {
+	s.leadsSince = t
+	return s
+}
+
+// LeadsSince returns the time at which this host became the leader, zero if it is not.
+func (s Status) LeadsSince() time.Time { return s.leadsSince }
+
 // AsOf returns the time of the last contact with a quorum, or zero if there was
 // none.
 func (s Status) AsOf() time.Time { return s.asOf }
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -33,14 +33,15 @@
 	lastSeen map[string]time.Time
 	polls    map[string]int // open long polls by host
 
-	suspects suspects
+	suspects   suspects
+	rateLimits rateLimits
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
 	return &Fleet{
 		reports: map[string]*wire.HostReport{}, lastSeen: map[string]time.Time{}, polls: map[string]int{},
-		suspects: newSuspects(),
+		suspects: newSuspects(), rateLimits: newRateLimits(),
 	}
 }
 
@@ -73,6 +74,7 @@
 func (f *Fleet) BeginPoll(report *wire.HostReport, now time.Time) (previous *wire.HostReport, end func()) {
 	previous = f.Report(report, now)
 	f.suspects.add(report.GetSuspects())
+	f.AddRateLimits(report.GetRateLimits(), now)
 	name := report.GetName()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -20,6 +20,7 @@
 	"github.com/snipebeam/snipebeam/control/operator"
 	"github.com/snipebeam/snipebeam/control/peer"
 	"github.com/snipebeam/snipebeam/control/prometheus"
+	"github.com/snipebeam/snipebeam/control/quota"
 	"github.com/snipebeam/snipebeam/control/settings"
 	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/world/key"
@@ -48,6 +49,7 @@
 			newInstances,
 			newDirectory,
 			entry.NewClaims,
+			newQuota,
 			newRing,
 			newOperatorRing,
 			newServers,
@@ -64,12 +66,17 @@
 	return operator.New(cfg.Host.Name, log, machine, hosts).WithZone(cfg.Host.Zone).WithDirectory(dir)
 }
 
+func newQuota(cfg *settings.Settings, log agreement.Log, hosts *fleet.Fleet) *quota.Service {
+	return quota.New(cfg.Host.Name, log, hosts)
+}
+
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
 
-func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, all *servers, node *peer.Node, rules *operator.Rules, claims *entry.Claims, exporter *prometheus.Exporter) *http.Server {
+func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, all *servers, node *peer.Node, rules *operator.Rules, claims *entry.Claims, grants *quota.Service, exporter *prometheus.Exporter) *http.Server {
 	mux := http.NewServeMux()
 	handleRules(mux, ring, operators, all, wire.NewRulesServer(rules))
 	handleClaims(mux, ring, operators, all.calls(wire.NewClaimsServer(claims)))
+	mux.Handle(wire.QuotaPathPrefix, ring.Authenticate(all.calls(wire.NewQuotaServer(grants))))
 	mux.Handle(wire.QuorumPathPrefix, ring.Authenticate(wire.NewQuorumServer(node.Service())))
 	handleGroup(mux, operators, all.calls(wire.NewGroupServer(node.Group())))
 	handleHealth(mux, node, exporter)
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -51,6 +51,9 @@
 	response.Quorum = s.log.Status().Quorum()
 	response.Rates = s.fleet.Rates(time.Now())
 	s.addMembership(req, response)
+	if req.GetRateLimits() {
+		response.RateLimits, response.RateLimitsRevision = s.fleet.RateLimits(req.GetKnownRateLimits(), time.Now())
+	}
 	return response, nil
 }
 
@@ -83,7 +86,7 @@
 }
 
 // await waits for a newer version and reports whether there is one. The wait
-// ends early on changes of instances or suspects too.
+// ends early on changes of instances, suspects or rate limits too.
 func (s *Rules) await(ctx context.Context, req *wire.WatchRequest) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -92,7 +95,7 @@
 	defer timer.Stop()
 	lost := s.quorumLost(ctx, req)
 	for {
-		applied, suspects := s.machine.Changed(), s.fleet.SuspectsChanged()
+		applied, suspects, rateLimits := s.machine.Changed(), s.fleet.SuspectsChanged(), s.fleet.RateLimitsChanged()
 		if s.hasNewerVersion(req) {
 			return true
 		}
@@ -103,6 +106,7 @@
 		select {
 		case <-applied:
 		case <-suspects:
+		case <-rateLimits:
 		case <-lost:
 			return false
 		case <-timer.C:
@@ -137,9 +141,14 @@
 	return version.GetNumber() > req.GetKnownVersion()
 }
 
-// hasChanges reports whether there are newer instance records or suspects than
-// the request has.
+// hasChanges reports whether there are newer instance records, suspects or rate limits
+// than the request has.
 func (s *Rules) hasChanges(req *wire.WatchRequest) bool {
+	if req.GetRateLimits() {
+		if changed, _ := s.fleet.RateLimits(req.GetKnownRateLimits(), time.Now()); len(changed) > 0 {
+			return true
+		}
+	}
 	if !req.GetInstances() {
 		return false
 	}
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -100,6 +100,7 @@
 	// The group clock, as advanced by this replica while it is the leader.
 	clockBase  int64
 	clockSince time.Time
+	leadsSince time.Time // the last time that this host became the leader
 
 	clients clientPool
 	// operators holds the clients that forward operators' requests.
--- a/control/peer/view.go
+++ b/control/peer/view.go
@@ -20,6 +20,7 @@
 	quorum        bool
 	quorumAt      time.Time // time of the last contact with a quorum
 	members       []*wire.Member
+	leadsSince    time.Time // zero if this host is not the leader
 }
 
 // Status returns the status of the control group from this host's point of view.
@@ -29,7 +30,7 @@
 	if report := n.leaderMembers.Load(); report != nil && !v.isLeader && time.Since(report.receivedAt) < memberReportTTL {
 		members = report.members
 	}
-	return agreement.NewStatus(v.leaderName, v.leaderAddress, v.term, v.commitIndex, v.quorum && time.Since(v.quorumAt) < staleQuorumTimeouts*n.cfg.electionTimeout(), members).WithAsOf(v.quorumAt)
+	return agreement.NewStatus(v.leaderName, v.leaderAddress, v.term, v.commitIndex, v.quorum && time.Since(v.quorumAt) < staleQuorumTimeouts*n.cfg.electionTimeout(), members).WithAsOf(v.quorumAt).WithLeadsSince(v.leadsSince)
 }
 
 // staleQuorumTimeouts is the number of election timeouts after which the last
@@ -59,6 +60,7 @@
 		n.failPending(errUncertain)
 	}
 	if isLeader {
+		n.leadsSince = time.Now()
 		n.clockBase, n.clockSince = n.machine.Clock(), time.Now()
 	}
 	n.publish()
@@ -71,6 +73,9 @@
 		leader:   n.replica.Leader(), term: n.replica.Term(), commitIndex: n.replica.CommitIndex(),
 		quorum: n.replica.HasQuorum() && n.failure() == nil,
 	}
+	if v.isLeader {
+		v.leadsSince = n.leadsSince
+	}
 	v.quorumAt = n.view.Load().quorumAt
 	if v.quorum {
 		v.quorumAt = time.Now()
--- a/entry/control/primary.go
+++ b/entry/control/primary.go
@@ -37,6 +37,8 @@
 	only          bool   // there is no other control host
 	whole         bool   // requests the full rules text, not a delta
 	knownSuspects uint64
+
+	knownRateLimits uint64
 }
 
 func (w *Watch) beginPoll(host *polledHost) pendingPoll {
@@ -49,7 +51,7 @@
 	host.polls++
 	return pendingPoll{
 		number: host.polls, primary: w.members != nil && w.primary == host, only: len(w.polled) == 1,
-		whole: host.needsFullText, knownSuspects: host.suspectsRevision,
+		whole: host.needsFullText, knownSuspects: host.suspectsRevision, knownRateLimits: host.rateLimitsRevision,
 	}
 }
 
@@ -72,6 +74,9 @@
 		if poll.primary {
 			host.suspectsRevision = response.GetSuspectsRevision()
 		}
+		if poll.primary || w.members == nil {
+			host.rateLimitsRevision = response.GetRateLimitsRevision()
+		}
 	}
 	if zone != "" {
 		host.zone = zone
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -52,6 +52,7 @@
 	members     Membership
 	restore     func(previous *wire.HostReport)
 	restoreOnce sync.Once
+	rateLimits  func(limits []*wire.RateLimit)
 
 	zone         string
 	mu           sync.Mutex
@@ -76,6 +77,12 @@
 	return func(w *Watch) { w.restore = restore }
 }
 
+// WithRateLimits calls apply with the rate limits of instances that other entry hosts
+// heard.
+func WithRateLimits(apply func(limits []*wire.RateLimit)) WatchOption {
+	return func(w *Watch) { w.rateLimits = apply }
+}
+
 // Membership receives updates of instances and suspects from the control hosts.
 type Membership interface {
 	// Revision returns the revision up to which instance records have been applied.
@@ -94,14 +101,15 @@
 
 // polledHost is one control host, polled by its own goroutine.
 type polledHost struct {
-	address          string
-	rules            wire.Rules
-	suspectsRevision uint64 // revision of the suspects last received from it
-	needsFullText    bool   // the next poll requests the full rules text, not a delta
-	zone             string
-	healthy          bool          // the last poll succeeded and it has a quorum
-	polls            uint64        // polls so far
-	again            chan struct{} // signals that it is to be polled at once; has room for one signal
+	address            string
+	rules              wire.Rules
+	suspectsRevision   uint64 // revision of the suspects last received from it
+	rateLimitsRevision uint64 // revision of the rate limits last received from it
+	needsFullText      bool   // the next poll requests the full rules text, not a delta
+	zone               string
+	healthy            bool          // the last poll succeeded and it has a quorum
+	polls              uint64        // polls so far
+	again              chan struct{} // signals that it is to be polled at once; has room for one signal
 }
 
 // NewWatch returns a watch of the control hosts that seeds currently returns,
@@ -289,6 +297,10 @@
 	if poll.primary {
 		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Revision(), poll.knownSuspects
 	}
+	// One control host is enough. Without a primary, others repeat the news.
+	if w.rateLimits != nil && (poll.primary || w.members == nil) {
+		request.RateLimits, request.KnownRateLimits = true, poll.knownRateLimits
+	}
 	response, err := host.rules.Watch(ctx, request)
 	w.recordPoll(host, poll, response)
 	if err != nil {
@@ -359,6 +371,9 @@
 	if rates := response.GetRates(); w.rates != nil && !response.GetStale() && len(rates) > 0 {
 		w.rates(rates)
 	}
+	if limits := response.GetRateLimits(); w.rateLimits != nil && len(limits) > 0 {
+		w.rateLimits(limits)
+	}
 	if previous := response.GetPrevious(); previous != nil && w.restore != nil {
 		w.restoreOnce.Do(func() { w.restore(previous) })
 	}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -61,10 +61,10 @@
 			registry.New, registry.NewMembership,
 			rules.NewTable, placement.NewRates, backlog.NewTracker, decision.NewLog,
 			newControlHosts, newPool, newSettler, newSuspects,
-			newClient, newClaims, newState, newWatch, newNode, newProber, newRouter, newKeyRings, newExporter,
+			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newRouter, newKeyRings, newExporter,
 		),
 		fx.Invoke(membershipRunners(cfg)...),
-		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runCallers),
+		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runGrants, runCallers),
 		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
@@ -76,13 +76,14 @@
 	table    *rules.Table
 	requests *backlog.Tracker
 	suspects *poison.Tracker
+	views    *route.Views
 	draining atomic.Bool
 	left     atomic.Bool // drained and stopped
 	bound    atomic.Bool // listeners are open
 }
 
-func newState(cfg *settings.Settings, table *rules.Table, requests *backlog.Tracker, suspects *poison.Tracker) *State {
-	return &State{cfg: cfg, table: table, requests: requests, suspects: suspects}
+func newState(cfg *settings.Settings, table *rules.Table, requests *backlog.Tracker, suspects *poison.Tracker, views *route.Views) *State {
+	return &State{cfg: cfg, table: table, requests: requests, suspects: suspects, views: views}
 }
 
 // Ready reports whether this host serves callers.
@@ -114,6 +115,7 @@
 		CallersAddress: s.cfg.Listen.Callers, PeersAddress: s.cfg.Listen.Peers, PlatformAddress: s.cfg.Listen.Platform,
 		Version: s.table.Current().Number(), ReportedAt: now.UnixNano(), Backlog: s.requests.Services(now),
 		VersionConfirmedAt: s.table.ConfirmedNano(), InFlight: uint32(inFlight), Suspects: s.suspects.Suspects(), RateCapacity: s.cfg.Host.RateCapacity(), ByteCapacity: s.cfg.Host.ByteCapacity(),
+		RateLimits: statedRateLimits(s.views, now),
 	}
 }
 
@@ -149,7 +151,7 @@
 	return route.ByName(name)
 }
 
-func newRouter(cfg *settings.Settings, rates *placement.Rates, views *route.Views, policy route.Policy, table *rules.Table, node *peer.Node, members *registry.Membership, prober *prober, logger hclog.Logger) *route.Router {
+func newRouter(cfg *settings.Settings, rates *placement.Rates, views *route.Views, policy route.Policy, table *rules.Table, node *peer.Node, members *registry.Membership, prober *prober, grants *grants, logger hclog.Logger) *route.Router {
 	dir := &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, rates: rates, table: table, entries: node.Entries}
 	share := dir.share
 	if cfg.Peers.Membership == settings.MembershipControl {
@@ -157,10 +159,8 @@
 	}
 	return route.NewRouter(views, policy,
 		route.WithShare(share), route.WithHost(cfg.Host.Name), prober.routeOption(cfg),
-		route.WithRateLimitChanged(func(m route.Member, limit route.RateLimit) {
-			i := m.Instance()
-			logger.Info("instance rate limit", "service", i.Service(), "instance", string(i.ID()), "limit", limit.String())
-		}),
+		route.WithGrants(grants.request),
+		route.WithRateLimitChanged(func(m route.Member, limit route.RateLimit) { logRateLimit(logger, m, limit, "response") }),
 		route.WithLimits(route.Limits{
 			QueueLength: cfg.Route.QueueLength, MaxWait: seconds(cfg.Route.QueueSeconds),
 			MaxBypass: cfg.Route.Bypass, MaxEjected: cfg.Route.MaxEjected,
--- a/entry/host/inflight_test.go
+++ b/entry/host/inflight_test.go
@@ -14,6 +14,7 @@
 	"github.com/snipebeam/snipebeam/entry/backlog"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/poison"
+	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/world/logging"
@@ -68,7 +69,7 @@
 	t.Helper()
 	cfg := settings.Default()
 	cfg.Host.LeaveSeconds = 2.5
-	state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker())
+	state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{})
 	for n, advance := range requests {
 		r := state.requests.Track("catalogue", time.Now())
 		r.SetID(fmt.Sprintf("id-%d", n))
@@ -180,7 +181,7 @@
 		stops, out := stopsAtLimit.Get(), &lineBuffer{}
 		cfg, table, requests, suspects := settings.Default(), rules.NewTable(), backlog.NewTracker(), poison.NewTracker()
 		logger := logging.New("test", "info", out)
-		state := newState(cfg, table, requests, suspects)
+		state := newState(cfg, table, requests, suspects, &route.Views{})
 		noSeeds := func() []string { return nil }
 		var lc hooks
 		runCallers(&lc, callerDeps{
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -56,10 +56,10 @@
 	})
 }
 
-func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, members *registry.Membership, suspects *poison.Tracker, current *controlHosts, logger hclog.Logger) *control.Watch {
+func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, members *registry.Membership, suspects *poison.Tracker, current *controlHosts, limits *rateLimitNews, logger hclog.Logger) *control.Watch {
 	client := ring.Client(&http.Client{Transport: control.NewTransport()})
 	opts := []control.WatchOption{
-		control.WithRates(rates.Store),
+		control.WithRates(rates.Store), control.WithRateLimits(limits.apply),
 		control.WithRestore(func(previous *wire.HostReport) { state.requests.RestoreAlarms(previous.GetBacklog()) }),
 	}
 	join := node.Join
--- a/entry/route/baseline.go
+++ b/entry/route/baseline.go
@@ -69,16 +69,22 @@
 
 // Choose returns the position of the next member that accepts requests.
 func (p *roundRobin) Choose(view *View, query *Query, now int64, _ Random, trace *Trace) int {
+	result := NoMember
 	for range view.members {
 		at := int(p.next.Add(1) % uint64(len(view.members)))
 		m := &view.members[at]
 		state := stateOf(m, query, now)
-		trace.add(m, state, 0, true, now)
-		if state != Draining && state != Excluded {
+		within := m.load.withinRateLimit(now)
+		trace.add(m, state, 0, within, now)
+		if state == Draining || state == Excluded || m.load.blocked() {
+			continue
+		}
+		if within {
 			return at
 		}
+		result = AllBusy
 	}
-	return NoMember
+	return result
 }
 
 // ByName returns a new policy with the name used in settings and rules, or nil.
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -17,6 +17,8 @@
 	waiting     atomic.Int32
 	limits      *limiter
 	subsetCache atomic.Pointer[subset]
+	demand      demand
+	grants      grantState
 
 	mu        sync.Mutex
 	queue     *requestQueue
@@ -30,6 +32,7 @@
 // offer returns a ticket if an instance is free, and queues the request otherwise.
 func (d *Dispatcher) offer(view *View, q Query, granted func(*Ticket, error)) (*Ticket, *Waiter, error) {
 	now := d.router.clock()
+	d.demand.observe(now)
 	if !d.router.endsBeforeCutoff(&q) && d.router.beyondCutoff(now, d.responseTime(view)) {
 		return nil, nil, d.cutOffProblem()
 	}
@@ -99,15 +102,16 @@
 		t.trace = &Trace{}
 	}
 	at := policy.Choose(view, q, now, d.router.random, t.trace)
+	for at >= 0 && !view.members[at].load.takeRequest(now) { // another request was quicker
+		t.trace.reset()
+		at = policy.Choose(view, q, now, d.router.random, t.trace)
+	}
 	if at < 0 {
 		return nil, at
 	}
 	t.member = view.members[at]
 	n := t.member.load.inFlight.Add(1)
 	d.limits.inFlight.Add(1)
-	if t.member.load.RateLimit().limited {
-		limitedRequests.Inc()
-	}
 	t.dispatcher, t.policy, t.reason, t.inFlight = d, policy.Name(), policy.Reason(), float64(n)
 	t.work = t.member.load.work.read(now)
 	return t, at
--- /dev/null
+++ b/entry/route/export_test.go
@@ -0,0 +1,12 @@
+package route
+
+import "context"
+
+// RequestGrants requests the grants that each service needs now, and applies them.
+func (r *Router) RequestGrants(ctx context.Context) {
+	for _, d := range *r.dispatchers.Load() {
+		if wanted, members := d.wantedGrants(r.clock()); wanted > 0 {
+			d.requestGrants(ctx, wanted, members)
+		}
+	}
+}
--- a/entry/route/health.go
+++ b/entry/route/health.go
@@ -17,12 +17,13 @@
 	Cold             // it announces that it is warming up
 	Ejected
 	Draining
-	Excluded // unusable for this request: already attempted, or in another zone than required
+	Excluded    // unusable for this request: already attempted, or in another zone than required
+	RateLimited // its rate limit allows this host no request at present
 )
 
 // String returns the state as written to the decision log.
 func (s State) String() string {
-	return [...]string{"ready", "recovering", "cold", "ejected", "draining", "excluded"}[s]
+	return [...]string{"ready", "recovering", "cold", "ejected", "draining", "excluded", "rate-limited"}[s]
 }
 
 // Constants of outlier ejection.
--- a/entry/route/loadprobe.go
+++ b/entry/route/loadprobe.go
@@ -106,15 +106,7 @@
 
 // preferredMembers returns the members that this host prefers.
 func (d *Dispatcher) preferredMembers(view *View, q *Query) []Member {
-	preferred := d.subset(view, q.zone)
-	if preferred == nil {
-		return view.members
-	}
-	members := make([]Member, 0, len(preferred))
-	for _, at := range preferred {
-		members = append(members, view.members[at])
-	}
-	return members
+	return (&subset{view: view, positions: d.subset(view, q.zone)}).members()
 }
 
 // hasFastFreeMember reports whether a candidate has a current report of a free slot
@@ -203,7 +195,7 @@
 
 func usable(m *Member, q *Query, now int64) bool {
 	state := stateOf(m, q, now)
-	return state != Draining && state != Excluded && state != Ejected
+	return state != Draining && state != Excluded && state != Ejected && m.load.withinRateLimit(now)
 }
 
 // hasFreeSlot reports whether one more request would leave a slot free, according to
--- a/entry/route/lowest.go
+++ b/entry/route/lowest.go
@@ -71,6 +71,9 @@
 	return s.best
 }
 
+// grantedScore scales the score of an instance to which this host was granted requests.
+const grantedScore = 0.5
+
 // scan is one pass over members.
 type scan[S Scorer] struct {
 	policy *LowestScore[S]
@@ -111,7 +114,17 @@
 		s.trace.add(m, state, 0, true, s.now)
 		return false
 	}
+	if m.load.blocked() {
+		s.trace.add(m, RateLimited, 0, true, s.now)
+		return false
+	}
 	score, hasCapacity := s.policy.scorer.Score(m, s.query, s.view.stats.Latency(), s.view.stats.slowdown.get(), state, s.now)
+	if m.load.RateLimit().limited {
+		score *= grantedScore // a grant that expires is lost to all hosts
+		if !m.load.withinRateLimit(s.now) {
+			state, hasCapacity = RateLimited, false
+		}
+	}
 	s.trace.add(m, state, score, hasCapacity, s.now)
 	if !hasCapacity {
 		if s.best == NoMember {
--- a/entry/route/ratelimit.go
+++ b/entry/route/ratelimit.go
@@ -2,11 +2,15 @@
 
 import (
 	"strconv"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
+var limitedRequests = metrics.GetOrCreateCounter("snipebeam_requests_to_rate_limited_instances_total")
+
 // RateLimit is the requests a second that an instance accepts from all entry hosts
 // together. The zero value is no limit.
 type RateLimit struct {
@@ -32,7 +36,7 @@
 }
 
 // WithRateLimitChanged calls changed when a response of an instance states another
-// rate limit than before.
+// rate limit than is known.
 func WithRateLimitChanged(changed func(m Member, limit RateLimit)) Option {
 	return func(r *Router) { r.limited = changed }
 }
@@ -41,51 +45,170 @@
 // end one. A single one may have been sent before the instance announced the limit.
 const unlimitedResponses = 2
 
-// announcedLimit is the rate limit that an instance announced last.
+// announcedLimit is the rate limit that an instance announced last, and what this host
+// may send to it under that limit.
 type announcedLimit struct {
 	current   atomic.Pointer[announcement] // nil: it never announced one
 	unlimited atomic.Int32                 // consecutive responses without a limit
+
+	mu      sync.Mutex
+	credits []credit // those that expire first are first
+	rate    float64  // granted requests a second, decayed over grantedDecay
+	rateAt  int64
+	unspent float64 // part of a request that the fallback has earned
 }
 
 type announcement struct {
-	limit RateLimit
-	at    int64
+	limit  RateLimit
+	at     int64
+	direct bool // stated in a response to this host
+}
+
+// credit is a number of requests that may be sent until a time.
+type credit struct {
+	requests int
+	until    int64
 }
 
 // RateLimit returns the rate limit that the instance announced, if it did.
 func (l *Load) RateLimit() RateLimit {
+	limit, _ := l.RateLimitAt()
+	return limit
+}
+
+// RateLimitAt returns the rate limit that the instance announced last, and when.
+func (l *Load) RateLimitAt() (limit RateLimit, at int64) {
 	if a := l.rateLimit.current.Load(); a != nil {
-		return a.limit
+		return a.limit, a.at
+	}
+	return RateLimit{}, 0
+}
+
+// StatedRateLimit returns the rate limit that a response to this host stated last, and
+// when.
+func (l *Load) StatedRateLimit() (limit RateLimit, at int64, stated bool) {
+	a := l.rateLimit.current.Load()
+	if a == nil || !a.direct {
+		return RateLimit{}, 0, false
 	}
-	return RateLimit{}
+	return a.limit, a.at, true
+}
+
+// RecordRateLimit records a limit that the instance stated to another host at a time,
+// and reports whether it changed.
+func (l *Load) RecordRateLimit(limit RateLimit, at int64) bool {
+	return l.rateLimit.set(&announcement{limit: limit, at: at})
 }
 
 // respond records the limit of a response and reports whether it changed.
 func (a *announcedLimit) respond(limit RateLimit, now int64) bool {
 	if limit.limited {
 		a.unlimited.Store(0)
-		return a.set(limit, now)
+		return a.set(&announcement{limit: limit, at: now, direct: true})
 	}
-	if a.current.Load() == nil || a.unlimited.Add(1) < unlimitedResponses {
+	if old := a.current.Load(); old == nil || !old.limit.limited || a.unlimited.Add(1) < unlimitedResponses {
 		return false
 	}
-	return a.set(limit, now)
+	return a.set(&announcement{limit: limit, at: now, direct: true})
 }
 
 // set replaces the limit unless a newer one is known, and reports whether it changed.
-func (a *announcedLimit) set(limit RateLimit, at int64) bool {
+func (a *announcedLimit) set(next *announcement) bool {
 	for {
 		old := a.current.Load()
-		if old != nil && old.at > at {
+		if old != nil && old.at > next.at {
 			return false
 		}
-		if a.current.CompareAndSwap(old, &announcement{limit: limit, at: at}) {
-			return old == nil || old.limit != limit
+		if a.current.CompareAndSwap(old, next) {
+			return old == nil && next.limit.limited || old != nil && old.limit != next.limit
 		}
 	}
 }
 
-var limitedRequests = metrics.GetOrCreateCounter("snipebeam_requests_to_rate_limited_instances_total")
+// blocked reports whether the instance accepts no request at all.
+func (l *Load) blocked() bool {
+	limit := l.RateLimit()
+	return limit.limited && limit.perSecond == 0
+}
+
+// withinRateLimit reports whether this host may send one more request now.
+func (l *Load) withinRateLimit(now int64) bool {
+	return !l.RateLimit().limited || l.rateLimit.available(now) > 0
+}
+
+// takeRequest counts a request against the rate limit. It returns false if none may be
+// sent.
+func (l *Load) takeRequest(now int64) bool {
+	if !l.RateLimit().limited {
+		return true
+	}
+	if !l.rateLimit.take(now) {
+		return false
+	}
+	limitedRequests.Inc()
+	return true
+}
+
+// available returns the requests that may be sent.
+func (a *announcedLimit) available(now int64) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	n := 0
+	for _, c := range a.credits {
+		n += c.requests
+	}
+	return n
+}
+
+func (a *announcedLimit) take(now int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	if len(a.credits) == 0 {
+		return false
+	}
+	if a.credits[0].requests--; a.credits[0].requests == 0 {
+		a.credits = a.credits[1:]
+	}
+	return true
+}
+
+// expire removes credits that have expired. The caller holds the lock.
+func (a *announcedLimit) expire(now int64) {
+	for len(a.credits) > 0 && a.credits[0].until <= now {
+		a.credits = a.credits[1:]
+	}
+}
+
+// grantedDecay is the time constant of the exponential decay of the granted rate.
+const grantedDecay = 3 * time.Second
+
+// add records granted requests, which may be sent until the given time.
+func (a *announcedLimit) add(requests int, until, now int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rate = decay(a.rate, now-a.rateAt, grantedDecay) + float64(requests)/grantedDecay.Seconds()
+	a.rateAt, a.unspent = now, 0
+	a.credits = append(a.credits, credit{requests: requests, until: until})
+}
+
+// fallbackShare is the share of the granted rate that a host keeps while nobody grants.
+// All hosts together then exceed the limit by at most this share of it, even if other
+// hosts are granted all of it meanwhile.
+const fallbackShare = 0.5
+
+// fallBack earns requests for a time in which nobody granted any.
+func (a *announcedLimit) fallBack(elapsed time.Duration, until, now int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	a.unspent += fallbackShare * a.rate * elapsed.Seconds()
+	if n := int(a.unspent); n > 0 {
+		a.unspent -= float64(n)
+		a.credits = append(a.credits, credit{requests: n, until: until})
+	}
+}
 
 // recordRateLimit records the limit that a response stated.
 func (d *Dispatcher) recordRateLimit(m Member, limit RateLimit, now int64) {
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -44,6 +44,7 @@
 	trace     bool
 	limits    Limits
 	limited   func(m Member, limit RateLimit)
+	grant     GrantFunc    // nil: nobody grants
 	cutoff    atomic.Int64 // Unix nanoseconds, 0 for none
 
 	mu          sync.Mutex
--- a/entry/route/subset.go
+++ b/entry/route/subset.go
@@ -26,6 +26,18 @@
 	positions []int // nil for all members; those of the host's zone first
 }
 
+// members returns the members that this host prefers.
+func (s *subset) members() []Member {
+	if s.positions == nil {
+		return s.view.members
+	}
+	members := make([]Member, 0, len(s.positions))
+	for _, at := range s.positions {
+		members = append(members, s.view.members[at])
+	}
+	return members
+}
+
 // subset returns the positions of the members that this host prefers, nil for all.
 func (d *Dispatcher) subset(view *View, zone string) []int {
 	if cached := d.subsetCache.Load(); cached != nil && cached.view == view {
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -82,7 +82,7 @@
 		line.Reported, line.ReportAgeNs = c.Reported, int64(c.ReportAge)
 	}
 	switch {
-	case c.State == Ejected || c.State == Draining || c.State == Excluded:
+	case c.State == Ejected || c.State == Draining || c.State == Excluded || c.State == RateLimited:
 		line.WhyExcluded = c.State.String()
 	case c.Busy:
 		line.WhyExcluded = "at its limit"
