entry/isolation: a host detects and logs that it reaches no instance

Nothing else changes yet. Cause being looked for: callers of hosts that are partitioned from all instances get 503 or nothing (docs/incidents/stranded.md), and no log line says that the host, not the instances, is cut off.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -175,6 +175,7 @@
 		return result{problem: d.exchangeProblem(err), instance: id}
 	}
 	defer exchange.Close()
+	d.h.cfg.Reach.Contact()
 	return d.handleResponse(exchange)
 }
 
@@ -261,6 +262,7 @@
 		d.report.Failed = d.c.ctx.cause() == errDeadline
 	case upstream.Unopened:
 		d.report.Failed, d.report.Unreachable = true, true
+		d.h.cfg.Reach.SuspectConnect()
 	case upstream.Silent:
 		d.report.Unreachable = !pool.CanConnect(ctx, address) && !d.h.stop.ended()
 		d.report.Failed = d.report.Unreachable
@@ -273,4 +275,7 @@
 	case upstream.Malformed:
 		d.report.Failed = true
 	}
+	if d.report.Unreachable {
+		d.h.cfg.Reach.SuspectLink()
+	}
 }
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -51,6 +51,13 @@
 	AllowRetry(service string) bool
 }
 
+// Reach learns from exchanges whether this host reaches instances at all.
+type Reach interface {
+	Contact()        // an instance responded
+	SuspectLink()    // an instance did not respond on an open link
+	SuspectConnect() // no link to an instance could be opened
+}
+
 // Config holds the dependencies and settings of a handler.
 type Config struct {
 	Host      string // this host's name
@@ -61,6 +68,7 @@
 	Claims    control.Claimer
 	Settler   *control.Settler
 	Suspects  *poison.Tracker
+	Reach     Reach       // nil: none
 	Budget    RetryBudget // nil: no limit
 	Backlog   *backlog.Tracker
 	Decisions *decision.Log
@@ -110,12 +118,22 @@
 	if cfg.Suspects == nil {
 		cfg.Suspects = poison.NewTracker()
 	}
+	if cfg.Reach == nil {
+		cfg.Reach = unknownReach{}
+	}
 	if cfg.Settler == nil {
 		cfg.Settler = control.NewSettler(cfg.Claims)
 	}
 	return &Handler{cfg: cfg, holder: cfg.Host + "/" + uuid.NewString(), inFlight: newInFlightLimiter(cfg.Limits.InFlight), stop: newStop()}
 }
 
+// unknownReach is a Reach that learns nothing.
+type unknownReach struct{}
+
+func (unknownReach) Contact()        {}
+func (unknownReach) SuspectLink()    {}
+func (unknownReach) SuspectConnect() {}
+
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(w, r, h.cfg.Limits, h.cfg.Dialect)
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -11,6 +11,7 @@
 	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/decision"
+	"github.com/snipebeam/snipebeam/entry/isolation"
 	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
@@ -49,6 +50,7 @@
 	Backlog   *backlog.Tracker
 	Decisions *decision.Log
 	Watch     *control.Watch
+	Reach     *isolation.Detector
 	Options   options
 }
 
@@ -56,7 +58,7 @@
 	limits := d.Config.Limits
 	return caller.New(caller.Config{
 		Host: d.Config.Host.Name, Zone: d.Config.Host.Zone, Table: d.Table, Router: d.Router, Pool: d.Pool,
-		Claims: d.Claims, Settler: d.Settler, Suspects: d.Suspects, Budget: d.Router, Backlog: d.Backlog, Decisions: d.Decisions,
+		Claims: d.Claims, Settler: d.Settler, Suspects: d.Suspects, Reach: d.Reach, Budget: d.Router, Backlog: d.Backlog, Decisions: d.Decisions,
 		Stopping: &d.State.draining, Logger: d.Logger.Named("caller"),
 		Dialect: d.Options.dialect,
 		Limits: caller.Limits{
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -61,10 +61,10 @@
 			registry.New, registry.NewMembership,
 			rules.NewTable, placement.NewRates, backlog.NewTracker, decision.NewLog,
 			newControlHosts, newPool, newSettler, newSuspects,
-			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newRouter, newKeyRings, newExporter,
+			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newDetector, newRouter, newKeyRings, newExporter,
 		),
 		fx.Invoke(membershipRunners(cfg)...),
-		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runGrants, runCallers),
+		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runGrants, runIsolation, runCallers),
 		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
--- a/entry/host/prober.go
+++ b/entry/host/prober.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/entry/isolation"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
@@ -34,11 +35,12 @@
 	table   *rules.Table
 	pool    *upstream.Pool
 	options options
+	reach   *isolation.Detector
 	logger  hclog.Logger
 }
 
-func newProber(table *rules.Table, pool *upstream.Pool, o options, logger hclog.Logger) *prober {
-	return &prober{table: table, pool: pool, options: o, logger: logger.Named("probe")}
+func newProber(table *rules.Table, pool *upstream.Pool, o options, reach *isolation.Detector, logger hclog.Logger) *prober {
+	return &prober{table: table, pool: pool, options: o, reach: reach, logger: logger.Named("probe")}
 }
 
 // routeOption lets the router probe instances before it dispatches a request. It
@@ -63,9 +65,11 @@
 	probes.Inc()
 	if err != nil {
 		probesFailed.Inc()
+		p.reach.SuspectLink()
 		p.logger.Debug("instance did not respond", "instance", string(m.Instance().ID()), "error", err)
 		return route.ProbeReport{}
 	}
+	p.reach.Contact()
 	return report
 }
 
--- a/entry/host/prober_test.go
+++ b/entry/host/prober_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/isolation"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/upstream"
@@ -45,7 +46,7 @@
 	table := rules.NewTable()
 	_, err := table.Advance(&wire.Version{Number: 1}, "service shop: health /healthz # w: y\nroute shop # w: y")
 	must.NoError(t, err)
-	p := newProber(table, pool, options{}, hclog.NewNullLogger())
+	p := newProber(table, pool, options{}, isolation.New(pool.CanConnect, &route.Views{}), hclog.NewNullLogger())
 	report = p.probe(route.NewMember(instance.New("i", "shop", "i:1"), &route.Load{}))
 	pool.Close()
 	<-ended
--- /dev/null
+++ b/entry/isolation/isolation.go
@@ -0,0 +1,183 @@
+// Package isolation detects that this host reaches no instance, while callers and other
+// hosts may still reach it.
+//
+// A failure that may come from this host's side makes the detector open connections to
+// instances. The host is isolated once none of several different ones accepts, and no
+// longer once two do.
+//
+// Usage:
+//
+//	d := isolation.New(pool.CanConnect, views, isolation.WithChanged(changed))
+//	go d.Run(ctx)
+//	d.SuspectLink()
+//	if d.Isolated() { ... }
+package isolation
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/world/pause"
+)
+
+const (
+	connectTimeout = 250 * time.Millisecond
+	// suspects is the number of instances that must all refuse or not answer.
+	suspects = 4
+	// confirmations is the number of instances that end an isolation.
+	confirmations = 2
+	// checkInterval is the least time between two checks.
+	checkInterval = 250 * time.Millisecond
+	// recentContact is the time after a response for which a failed link is blamed on its
+	// instance.
+	recentContact = 400 * time.Millisecond
+)
+
+var (
+	checks  = metrics.GetOrCreateCounter("snipebeam_isolation_checks_total")
+	entered = metrics.GetOrCreateCounter("snipebeam_isolations_total")
+)
+
+// ConnectFunc reports whether a connection to an address can be opened.
+type ConnectFunc func(ctx context.Context, address string) bool
+
+// Detector detects that this host reaches no instance.
+type Detector struct {
+	connect  ConnectFunc
+	views    *route.Views
+	changed  func(isolated bool)
+	isolated atomic.Bool
+	contact  atomic.Int64 // time of the last response of any instance, Unix nanoseconds
+	wake     chan struct{}
+}
+
+// Option changes one property of a detector.
+type Option func(*Detector)
+
+// WithChanged calls changed after each change. It must not block for long.
+func WithChanged(changed func(isolated bool)) Option {
+	return func(d *Detector) { d.changed = changed }
+}
+
+// New returns a detector for the instances of the views.
+func New(connect ConnectFunc, views *route.Views, opts ...Option) *Detector {
+	d := &Detector{connect: connect, views: views, changed: func(bool) {}, wake: make(chan struct{}, 1)}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// Isolated reports whether this host reaches no instance.
+func (d *Detector) Isolated() bool { return d.isolated.Load() }
+
+// Contact records a response of an instance.
+func (d *Detector) Contact() { d.contact.Store(time.Now().UnixNano()) }
+
+// SuspectLink records that an instance did not respond on an open link. It has no effect
+// if another one responded recently.
+func (d *Detector) SuspectLink() {
+	if time.Now().UnixNano()-d.contact.Load() >= int64(recentContact) {
+		d.SuspectConnect()
+	}
+}
+
+// SuspectConnect records that no link to an instance could be opened. Responses on links
+// that are open say nothing about new ones.
+func (d *Detector) SuspectConnect() {
+	select {
+	case d.wake <- struct{}{}:
+	default: // a check is due already
+	}
+}
+
+// Run checks until the context ends.
+func (d *Detector) Run(ctx context.Context) {
+	for {
+		if !d.Isolated() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-d.wake:
+			}
+		}
+		d.check(ctx)
+		if !pause.For(ctx, checkInterval) {
+			return
+		}
+	}
+}
+
+func (d *Detector) check(ctx context.Context) {
+	if d.Isolated() {
+		if targets := d.targets(confirmations); len(targets) > 0 && d.reached(ctx, targets) == len(targets) {
+			d.set(ctx, false)
+		}
+		return
+	}
+	targets := d.targets(suspects)
+	if len(targets) == 0 || d.reached(ctx, targets[:1]) > 0 || d.reached(ctx, targets[1:]) > 0 {
+		return
+	}
+	d.set(ctx, true)
+}
+
+func (d *Detector) set(ctx context.Context, isolated bool) {
+	if ctx.Err() != nil {
+		return
+	}
+	if isolated {
+		entered.Inc()
+	}
+	d.isolated.Store(isolated)
+	d.changed(isolated)
+}
+
+// reached returns how many of the addresses accept a connection.
+func (d *Detector) reached(ctx context.Context, addresses []string) int {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	results := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		checks.Inc()
+		go func() { results <- d.connect(ctx, address) }()
+	}
+	n := 0
+	for range addresses {
+		if <-results {
+			n++
+		}
+	}
+	return n
+}
+
+// targets returns the addresses of up to n instances, of different services first.
+func (d *Detector) targets(n int) []string {
+	var services [][]string
+	for _, view := range d.views.All() {
+		var addresses []string
+		for _, m := range view.Members() {
+			addresses = append(addresses, m.Instance().Address())
+		}
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		services = append(services, addresses)
+	}
+	rand.Shuffle(len(services), func(i, j int) { services[i], services[j] = services[j], services[i] })
+	var targets []string
+	for round := 0; len(targets) < n; round++ {
+		before := len(targets)
+		for _, addresses := range services {
+			if round < len(addresses) && len(targets) < n {
+				targets = append(targets, addresses[round])
+			}
+		}
+		if len(targets) == before {
+			break
+		}
+	}
+	return targets
+}
