entry/caller, control/directory: callers of a host that reaches no instance are served

Cause: a dependency lost on one side only. The host took it for the loss of single instances, said that it was ready, and went on being named. Now it knows within 0.7 s, says so (state isolated), is no longer named, relays what comes all the same to a host that reaches instances, and the other hosts check themselves before callers come to them.

Ruled out: more hosts for a service, refusals, reporting not ready (docs/incidents/stranded.md).

--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -11,6 +11,9 @@
 package directory
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,7 +42,8 @@
 	mu      sync.Mutex
 	version uint64
 	set     *rule.Set
-	groups  map[string][]string // services by host name, filled on demand
+	groups  map[string][]string        // services by host name, filled on demand
+	relays  map[string]relayCandidates // by zone
 
 	slotsRevision  uint64 // revision of the instances in slotsByService
 	slotsByService map[string]int
@@ -57,7 +61,7 @@
 
 // New returns a directory.
 func New(machine *state.Machine, hosts *fleet.Fleet, opts ...Option) *Directory {
-	d := &Directory{machine: machine, fleet: hosts, minHosts: 1}
+	d := &Directory{machine: machine, fleet: hosts, minHosts: 1, relays: map[string]relayCandidates{}}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -136,3 +140,63 @@
 	}
 	return services
 }
+
+// Constants of relays.
+const (
+	maxRelays = 3
+	relaysTTL = 250 * time.Millisecond // time for which the candidates of a zone are kept
+)
+
+// relayCandidates are the entry hosts that callers in one zone use.
+type relayCandidates struct {
+	hosts []*wire.HostReport
+	at    time.Time
+}
+
+// Relays returns the addresses for callers of up to maxRelays entry hosts to which the
+// named one, in the given zone, can relay requests: hosts that callers of its zone use,
+// or any if it is the only one.
+func (d *Directory) Relays(name, zone string) []string {
+	now := time.Now()
+	hosts := readyExcept(d.relayCandidates(zone, now), name)
+	if len(hosts) == 0 {
+		hosts = readyExcept(d.fleet.Polling(now), name)
+	}
+	var addresses []string
+	for _, at := range rand.Perm(len(hosts))[:min(len(hosts), maxRelays)] {
+		addresses = append(addresses, hosts[at].GetCallersAddress())
+	}
+	return addresses
+}
+
+func readyExcept(hosts []*wire.HostReport, name string) []*wire.HostReport {
+	var ready []*wire.HostReport
+	for _, host := range hosts {
+		if host.GetState() == placement.StateReady && host.GetName() != name {
+			ready = append(ready, host)
+		}
+	}
+	return ready
+}
+
+// relayCandidates returns the entry hosts that callers in a zone use, as of at most
+// relaysTTL ago.
+func (d *Directory) relayCandidates(zone string, now time.Time) []*wire.HostReport {
+	d.mu.Lock()
+	cached, names := d.relays[zone], slices.Collect(maps.Keys(d.groups))
+	d.mu.Unlock()
+	if now.Sub(cached.at) < relaysTTL {
+		return cached.hosts
+	}
+	var hosts []*wire.HostReport
+	for _, name := range names {
+		resolved, _ := d.Resolve(name, zone)
+		hosts = append(hosts, resolved...)
+	}
+	slices.SortFunc(hosts, func(a, b *wire.HostReport) int { return strings.Compare(a.GetName(), b.GetName()) })
+	hosts = slices.CompactFunc(hosts, func(a, b *wire.HostReport) bool { return a.GetName() == b.GetName() })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.relays[zone] = relayCandidates{hosts: hosts, at: now}
+	return hosts
+}
--- a/control/directory/directory_test.go
+++ b/control/directory/directory_test.go
@@ -9,6 +9,7 @@
 	"github.com/snipebeam/snipebeam/control/directory"
 	"github.com/snipebeam/snipebeam/control/fleet"
 	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -20,15 +21,25 @@
 `
 
 func newDirectory(hosts int, rate, capacity float64) *directory.Directory {
+	d, _ := newDirectoryAndFleet(hosts, rate, capacity)
+	return d
+}
+
+// report makes a host report another state.
+func report(f *fleet.Fleet, name, zone, state string) {
+	f.BeginPoll(&wire.HostReport{Name: name, Role: "entry", State: state, Zone: zone, CallersAddress: name + ":1"}, time.Now())
+}
+
+func newDirectoryAndFleet(hosts int, rate, capacity float64) (*directory.Directory, *fleet.Fleet) {
 	m, f := state.New(), fleet.New()
 	m.Apply(&wire.Command{Body: &wire.Command_Submit{Submit: &wire.SubmitRequest{SubmissionId: "1", Number: 7, Text: text}}})
 	for n := range hosts {
 		f.BeginPoll(&wire.HostReport{
-			Name: fmt.Sprintf("e%d", n), Role: "entry", State: "ready", Zone: fmt.Sprint("z", n%3), RateCapacity: capacity,
+			Name: fmt.Sprintf("e%d", n), Role: "entry", State: "ready", Zone: fmt.Sprint("z", n%3), RateCapacity: capacity, CallersAddress: fmt.Sprintf("e%d:1", n),
 			Backlog: []*wire.ServiceBacklog{{Service: "photos", ArrivalsPerS: rate / float64(hosts)}},
 		}, time.Now())
 	}
-	return directory.New(m, f)
+	return directory.New(m, f), f
 }
 
 func TestNamesThatShareAServiceShareTheirEntryHosts(t *testing.T) {
@@ -107,3 +118,36 @@
 	must.Len(t, 1, f.Polling(time.Now()))
 	must.SliceEmpty(t, f.Polling(time.Now().Add(2*fleet.PollGrace)))
 }
+
+// Guards against callers that are sent to hosts that reach no instance.
+func TestIsolatedHostsAreResolvedOnlyIfAllAre(t *testing.T) {
+	for _, rate := range []float64{10, 1000} { // one host, and many
+		d, f := newDirectoryAndFleet(29, rate, 100)
+		before, _ := d.Resolve("a.example", "z0")
+		isolated := names(before)
+		for name := range isolated {
+			report(f, name, before[0].GetZone(), placement.StateIsolated)
+		}
+		after, _ := d.Resolve("a.example", "z0")
+		must.SliceNotEmpty(t, after)
+		for name := range names(after) {
+			must.False(t, isolated[name], must.Sprint(name))
+		}
+		for n := range 29 {
+			report(f, fmt.Sprintf("e%d", n), fmt.Sprint("z", n%3), placement.StateIsolated)
+		}
+		all, _ := d.Resolve("a.example", "z0")
+		must.SliceNotEmpty(t, all)
+	}
+}
+
+func TestRelaysAreHostsThatCallersUse(t *testing.T) {
+	d, f := newDirectoryAndFleet(29, 10, 100)
+	must.Len(t, 3, d.Relays("e0", "z0")) // of all, as nobody has resolved a name
+	d, f = newDirectoryAndFleet(29, 10, 100)
+	used, _ := d.Resolve("a.example", "z0")
+	report(f, used[0].GetName(), used[0].GetZone(), placement.StateIsolated)
+	next, _ := d.Resolve("a.example", "z0")
+	must.Eq(t, []string{next[0].GetCallersAddress()}, d.Relays(used[0].GetName(), "z0"))
+	must.SliceNotContains(t, d.Relays(next[0].GetName(), "z0"), next[0].GetCallersAddress())
+}
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -35,13 +36,14 @@
 
 	suspects   suspects
 	rateLimits rateLimits
+	isolations isolations
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
 	return &Fleet{
 		reports: map[string]*wire.HostReport{}, lastSeen: map[string]time.Time{}, polls: map[string]int{},
-		suspects: newSuspects(), rateLimits: newRateLimits(),
+		suspects: newSuspects(), rateLimits: newRateLimits(), isolations: newIsolations(),
 	}
 }
 
@@ -75,6 +77,9 @@
 	previous = f.Report(report, now)
 	f.suspects.add(report.GetSuspects())
 	f.AddRateLimits(report.GetRateLimits(), now)
+	if report.GetState() == placement.StateIsolated && previous.GetState() != placement.StateIsolated {
+		f.isolations.add(now)
+	}
 	name := report.GetName()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/control/fleet/isolations.go
@@ -0,0 +1,40 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+// isolationInterval is the least time between two revisions of the isolations. Entry
+// hosts that lose their instances together report it within it.
+const isolationInterval = time.Second
+
+// isolations counts when entry hosts reported that they reach no instance. Other hosts
+// check themselves then, before callers are sent to them.
+type isolations struct {
+	mu       sync.Mutex
+	revision uint64
+	at       time.Time
+	notify   chan struct{} // closed at the next revision
+}
+
+func newIsolations() isolations { return isolations{notify: make(chan struct{})} }
+
+func (i *isolations) add(now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if now.Sub(i.at) < isolationInterval {
+		return
+	}
+	i.revision, i.at = i.revision+1, now
+	close(i.notify)
+	i.notify = make(chan struct{})
+}
+
+// Isolations returns a revision that rises when entry hosts report that they reach no
+// instance, at most once an interval, and a channel that is closed when it does next.
+func (f *Fleet) Isolations() (uint64, <-chan struct{}) {
+	f.isolations.mu.Lock()
+	defer f.isolations.mu.Unlock()
+	return f.isolations.revision, f.isolations.notify
+}
--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -53,6 +53,9 @@
 	// ActiveHosts returns the largest number of entry hosts that serve one host
 	// name.
 	ActiveHosts() int
+	// Relays returns the addresses for callers of entry hosts to which the named one can
+	// relay requests.
+	Relays(name, zone string) []string
 }
 
 // WithDirectory sets the source of the number of active hosts in responses to
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/snipebeam/snipebeam/world/delta"
 	"github.com/snipebeam/snipebeam/world/pause"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"github.com/twitchtv/twirp"
 )
@@ -51,6 +52,9 @@
 	response.Quorum = s.log.Status().Quorum()
 	response.Rates = s.fleet.Rates(time.Now())
 	s.addMembership(req, response)
+	if report := req.GetReport(); s.directory != nil && (req.GetInstances() || report.GetState() == placement.StateIsolated) {
+		response.Relays = s.directory.Relays(report.GetName(), report.GetZone())
+	}
 	if req.GetRateLimits() {
 		response.RateLimits, response.RateLimitsRevision = s.fleet.RateLimits(req.GetKnownRateLimits(), time.Now())
 	}
@@ -82,11 +86,12 @@
 		response.ActiveHosts = uint32(s.directory.ActiveHosts())
 	}
 	response.Instances, response.InstancesRevision = s.machine.Instances(req.GetKnownInstances())
+	response.Isolations, _ = s.fleet.Isolations()
 	response.Suspects, response.SuspectsRevision = s.fleet.Suspects(req.GetKnownSuspects())
 }
 
 // await waits for a newer version and reports whether there is one. The wait
-// ends early on changes of instances, suspects or rate limits too.
+// ends early on changes of instances, suspects, rate limits or isolations too.
 func (s *Rules) await(ctx context.Context, req *wire.WatchRequest) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -95,6 +100,7 @@
 	defer timer.Stop()
 	lost := s.quorumLost(ctx, req)
 	for {
+		_, isolations := s.fleet.Isolations()
 		applied, suspects, rateLimits := s.machine.Changed(), s.fleet.SuspectsChanged(), s.fleet.RateLimitsChanged()
 		if s.hasNewerVersion(req) {
 			return true
@@ -107,6 +113,7 @@
 		case <-applied:
 		case <-suspects:
 		case <-rateLimits:
+		case <-isolations:
 		case <-lost:
 			return false
 		case <-timer.C:
@@ -152,6 +159,9 @@
 	if !req.GetInstances() {
 		return false
 	}
+	if isolations, _ := s.fleet.Isolations(); isolations > req.GetKnownIsolations() {
+		return true
+	}
 	_, suspects := s.fleet.Suspects(req.GetKnownSuspects())
 	return s.machine.InstancesRevision() > req.GetKnownInstances() || suspects > req.GetKnownSuspects()
 }
--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -43,11 +43,15 @@
 			return nil
 		}
 		if result.instance == "" && last != nil {
-			return c.overall(last) // no other instance: the previous problem is more specific
+			result.problem = last // no other instance: the previous problem is more specific
+		} else {
+			c.dispatched = c.dispatched || result.problem.Kind() == outcome.Unknown
 		}
 		last = result.problem
-		c.dispatched = c.dispatched || result.problem.Kind() == outcome.Unknown
 		if !h.mayRetry(c, result, attempt) {
+			if h.mayRelay(c, &result) {
+				return h.relay(c, result.problem)
+			}
 			return c.overall(result.problem)
 		}
 		retries.Inc()
@@ -90,7 +94,7 @@
 	if _, poisoned := h.cfg.Suspects.Refused(c.fingerprint, time.Now()); poisoned {
 		return false
 	}
-	return h.cfg.Budget == nil || h.cfg.Budget.AllowRetry(c.service)
+	return h.allowRetry(c)
 }
 
 // repeatable reports whether the contract allows the request to run twice.
--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -42,7 +42,8 @@
 	responseBytes   int64     // limit of the response body, 0 for none
 	softDeadline    time.Time // by which the response should arrive, zero for none
 	progressTimeout time.Duration
-	incomingAttempt int // number of the attempt by the layer above, 1 for the first
+	relayed         bool // by another entry host
+	incomingAttempt int  // number of the attempt by the layer above, 1 for the first
 	fingerprint     poison.Fingerprint
 	dispatched      bool // a byte may have reached an instance that may have started
 	headerSent      bool // of the response, to the caller
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -32,6 +32,7 @@
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/upstream"
 	"github.com/snipebeam/snipebeam/world/contract"
+	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/outcome"
 	"github.com/snipebeam/snipebeam/world/rule"
 )
@@ -68,8 +69,11 @@
 	Claims    control.Claimer
 	Settler   *control.Settler
 	Suspects  *poison.Tracker
-	Reach     Reach       // nil: none
-	Budget    RetryBudget // nil: no limit
+	Reach     Reach          // nil: none
+	Relay     Relay          // nil: requests are never relayed
+	RelayPool *upstream.Pool // links to other entry hosts, nil for the default
+	PeerKeys  *key.Ring      // keys between hosts, nil for none
+	Budget    RetryBudget    // nil: no limit
 	Backlog   *backlog.Tracker
 	Decisions *decision.Log
 	Stopping  *atomic.Bool
@@ -121,6 +125,15 @@
 	if cfg.Reach == nil {
 		cfg.Reach = unknownReach{}
 	}
+	if cfg.Relay == nil {
+		cfg.Relay = noRelay{}
+	}
+	if cfg.RelayPool == nil {
+		cfg.RelayPool = upstream.NewPool()
+	}
+	if cfg.PeerKeys == nil {
+		cfg.PeerKeys = key.New()
+	}
 	if cfg.Settler == nil {
 		cfg.Settler = control.NewSettler(cfg.Claims)
 	}
@@ -138,6 +151,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(w, r, h.cfg.Limits, h.cfg.Dialect)
 	defer h.recover(c)
+	h.acceptRelayed(c)
 	if problem := h.admit(c); problem != nil {
 		h.fail(c, problem)
 		return
@@ -185,6 +199,9 @@
 	if problem := refuseUnsupported(c.r); problem != nil {
 		return problem
 	}
+	if problem := h.refuseRelayed(c); problem != nil {
+		return problem
+	}
 	if limit := h.bodyLimit(c.rule.Contract()); c.r.ContentLength > limit {
 		return outcome.New(outcome.NotRun, outcome.BodyTooLarge, "request body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
 	}
@@ -259,6 +276,11 @@
 	if problem := h.refusePoison(c); problem != nil {
 		return problem
 	}
+	if h.mayRelay(c, nil) {
+		if len(h.cfg.Relay.Hosts()) > 0 {
+			return h.relay(c, nil)
+		}
+	}
 	if terms.Once() {
 		return h.runAtMostOnce(c)
 	}
@@ -289,6 +311,10 @@
 	}
 	h.closeIfStopping(c)
 	c.extendWriteDeadline()
+	if c.relayed {
+		c.w.Header().Set(outcome.Header, string(problem.Kind()))
+		c.w.Header().Set(outcome.ReasonHeader, string(problem.Reason()))
+	}
 	c.dialect.WriteProblem(c.w, ErrorResponse{Problem: problem, ID: c.id, RetryAfter: retryAfter(problem)})
 }
 
--- /dev/null
+++ b/entry/caller/relay.go
@@ -0,0 +1,176 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/instance"
+	"github.com/snipebeam/snipebeam/world/outcome"
+)
+
+// Headers between entry hosts. Both are removed before a request goes to an instance.
+const (
+	// RelayedForHeader holds the caller of a request that another entry host relays.
+	RelayedForHeader = "Snipebeam-Relayed-For"
+	// RelayKeyHeader holds the key between hosts, without which the caller is not
+	// taken from RelayedForHeader.
+	RelayKeyHeader = "Snipebeam-Relay-Key"
+)
+
+// maxRelays bounds the entry hosts to which a request is relayed one after another.
+const maxRelays = 3
+
+var (
+	relayed       = metrics.GetOrCreateCounter("snipebeam_requests_relayed_total")
+	relaysFailed  = metrics.GetOrCreateCounter("snipebeam_relays_failed_total")
+	servedForPeer = metrics.GetOrCreateCounter("snipebeam_requests_for_other_hosts_total")
+)
+
+// Relay tells whether requests must be handed to other entry hosts, and to which.
+type Relay interface {
+	// Isolated reports whether this host reaches no instance.
+	Isolated() bool
+	// Hosts returns the addresses at which other entry hosts take callers, in the order
+	// in which they are tried.
+	Hosts() []string
+}
+
+// noRelay relays nothing.
+type noRelay struct{}
+
+func (noRelay) Isolated() bool  { return false }
+func (noRelay) Hosts() []string { return nil }
+
+// acceptRelayed takes the caller from a request that another entry host relays.
+func (h *Handler) acceptRelayed(c *call) {
+	origin, token := c.r.Header.Get(RelayedForHeader), c.r.Header.Get(RelayKeyHeader)
+	c.r.Header.Del(RelayedForHeader)
+	c.r.Header.Del(RelayKeyHeader)
+	if origin == "" || !h.cfg.PeerKeys.AcceptsToken(token) {
+		return
+	}
+	servedForPeer.Inc()
+	c.relayed, c.caller = true, origin
+}
+
+// refuseRelayed refuses a request of another host that this host cannot serve either.
+func (h *Handler) refuseRelayed(c *call) *outcome.Problem {
+	if c.relayed && h.cfg.Relay.Isolated() {
+		return outcome.New(outcome.NotRun, outcome.NoInstance, "this host reaches no instance")
+	}
+	return nil
+}
+
+// mayRelay reports whether a request may be sent to another entry host after the given
+// problem, nil for none.
+func (h *Handler) mayRelay(c *call, last *result) bool {
+	if c.relayed || c.ctx.Err() != nil || !c.body.replayable() {
+		return false
+	}
+	if last == nil {
+		return h.cfg.Relay.Isolated()
+	}
+	if last.final || c.rule.Contract().Once() { // this host holds the claim
+		return false
+	}
+	if last.problem.Kind() == outcome.NotRun {
+		return last.problem.Reason() == outcome.UpstreamLost || last.problem.Reason() == outcome.NoInstance && h.cfg.Relay.Isolated()
+	}
+	return h.cfg.Relay.Isolated() && c.repeatable() && h.allowRetry(c)
+}
+
+func (h *Handler) allowRetry(c *call) bool {
+	return h.cfg.Budget == nil || h.cfg.Budget.AllowRetry(c.service)
+}
+
+// relay sends the request to other entry hosts until one responds. It returns last if
+// there is none.
+func (h *Handler) relay(c *call, last *outcome.Problem) *outcome.Problem {
+	hosts := h.cfg.Relay.Hosts()
+	for n, address := range hosts[:min(len(hosts), maxRelays)] {
+		if n > 0 && (c.ctx.Err() != nil || !c.body.replayable()) {
+			break
+		}
+		problem, next := h.relayTo(c, address)
+		if problem == nil {
+			return nil
+		}
+		last = problem
+		c.dispatched = c.dispatched || problem.Kind() == outcome.Unknown
+		if !next || problem.Kind() == outcome.Unknown && !(c.repeatable() && h.allowRetry(c)) {
+			break
+		}
+	}
+	return c.overall(last)
+}
+
+// relayTo sends the request to one entry host and forwards its response. next reports
+// whether another host may do better.
+func (h *Handler) relayTo(c *call, address string) (problem *outcome.Problem, next bool) {
+	relayed.Inc()
+	target := instance.New(instance.ID("host "+address), c.service, address)
+	c.backlogEntry.Dispatched(target.ID(), time.Now())
+	c.decision.Reason = "relayed to " + address
+	exchange, err := h.cfg.RelayPool.Send(c.ctx, address, h.relayRequest(c), h.relayOptions(c)...)
+	if err != nil {
+		relaysFailed.Inc()
+		return c.relayProblem(address, err), true
+	}
+	defer exchange.Close()
+	header := exchange.Response().Header
+	reason := outcome.Reason(header.Get(outcome.ReasonHeader))
+	switch kind := outcome.Kind(header.Get(outcome.Header)); kind {
+	case outcome.NotRun, outcome.Unknown:
+		relaysFailed.Inc()
+		return c.problem(kind, reason, "as entry host "+address+" reports"), reason != outcome.Overload && reason != outcome.DeadlineExceeded
+	case outcome.Answer:
+	}
+	c.backlogEntry.ResponseStarted(time.Now())
+	d := &dispatch{h: h, c: c, target: target}
+	return d.forward(exchange), false
+}
+
+// relayProblem returns the outcome of an exchange with an entry host without a response.
+func (c *call) relayProblem(address string, err error) *outcome.Problem {
+	kind := outcome.Unknown
+	var failure *upstream.Failure
+	if errors.As(err, &failure) {
+		if !failure.Wrote() {
+			kind = outcome.NotRun
+		}
+		if failure.Cause() == upstream.Body {
+			return c.bodyProblem(kind, failure.Unwrap())
+		}
+	}
+	return c.problem(kind, outcome.UpstreamLost, "entry host "+address+": "+err.Error())
+}
+
+func (h *Handler) relayOptions(c *call) []upstream.SendOption {
+	opts := []upstream.SendOption{upstream.WithInterimHandler(c.forwardInterim)}
+	if name := c.dialect.RequestID; name != "" {
+		opts = append(opts, upstream.WithIdentity(name, c.r.Header.Get(name)))
+	}
+	if c.dialect.CloseDelimited {
+		opts = append(opts, upstream.WithCloseDelimited())
+	}
+	if !c.repeatable() {
+		opts = append(opts, upstream.WithMaxIdle(maxIdleUnrepeatable))
+	}
+	return opts
+}
+
+// relayRequest returns the request to send to another entry host.
+func (h *Handler) relayRequest(c *call) *http.Request {
+	out := c.outgoing(1, "")
+	out.Header.Del(c.dialect.Instance)
+	setHeader(out.Header, c.dialect.Attempt, strconv.Itoa(c.incomingAttempt))
+	out.Header.Set(RelayedForHeader, c.caller)
+	if token := h.cfg.PeerKeys.Token(); token != "" {
+		out.Header.Set(RelayKeyHeader, token)
+	}
+	return out
+}
--- a/entry/caller/relay_test.go
+++ b/entry/caller/relay_test.go
@@ -14,6 +14,8 @@
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
 var errPartitioned = errors.New("partitioned")
@@ -36,23 +38,105 @@
 	_, _ = io.WriteString(w, r.Method+" "+string(body))
 }
 
+// fakeRelay is a Relay with fixed hosts.
+type fakeRelay struct {
+	isolated atomic.Bool
+	hosts    []string
+}
+
+func (r *fakeRelay) Isolated() bool  { return r.isolated.Load() }
+func (r *fakeRelay) Hosts() []string { return r.hosts }
+
+// newPartitioned returns an entry host that reaches none of the instances, and relays to
+// the given hosts.
+func newPartitioned(t *testing.T, cut *atomic.Bool, instances []string, hosts ...string) (*entryHost, *fakeRelay) {
+	t.Helper()
+	relay := &fakeRelay{hosts: hosts}
+	cut.Store(true)
+	return newEntry(t, viewsOf(instances...), newClaims(), func(cfg *caller.Config) {
+		cfg.Pool = upstream.NewPool(upstream.WithDial(partitionedFrom(cut, instances...)))
+		cfg.Relay = relay
+	}), relay
+}
+
 // Guards against callers that get nothing but failures from an entry host that is
 // partitioned from all instances, while other hosts reach them.
 func TestCallersOfAHostThatReachesNoInstanceAreServed(t *testing.T) {
-	first, second := httpInstance(t, echo), httpInstance(t, echo)
+	instances := []string{httpInstance(t, echo), httpInstance(t, echo)}
+	other := serveEntry(t, newEntry(t, viewsOf(instances...), newClaims()))
 	var cut atomic.Bool
-	cut.Store(true)
-	stranded := newEntry(t, viewsOf(first, second), newClaims(), func(cfg *caller.Config) {
-		cfg.Pool = upstream.NewPool(upstream.WithDial(partitionedFrom(&cut, first, second)))
-	})
-	address := serveEntry(t, stranded)
-	for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodPost} {
-		path, body := "/x", strings.Repeat("x", 100)
-		if method == http.MethodGet {
-			body = ""
+	host, relay := newPartitioned(t, &cut, instances, other)
+	address := serveEntry(t, host)
+	for _, known := range []bool{false, true} { // whether the host knows of the partition
+		relay.isolated.Store(known)
+		for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodPost} {
+			path, body := "/x", strings.Repeat("x", 100)
+			if method == http.MethodGet {
+				body = ""
+			}
+			got := call(t, method, address, path, body)
+			must.Eq(t, http.StatusOK, got.status, must.Sprint(method))
+			must.Eq(t, method+" "+body, got.body)
+			must.Eq(t, "", got.header.Get(caller.RelayedForHeader))
 		}
-		got := call(t, method, address, path, body)
-		must.Eq(t, http.StatusOK, got.status, must.Sprint(method))
-		must.Eq(t, method+" "+body, got.body)
 	}
 }
+
+// Guards against an upload that is larger than the host buffers and gets lost on the way.
+func TestLargeUploadIsRelayedWhole(t *testing.T) {
+	instances := []string{httpInstance(t, echo)}
+	other := serveEntry(t, newEntry(t, viewsOf(instances...), newClaims()))
+	var cut atomic.Bool
+	host, relay := newPartitioned(t, &cut, instances, other)
+	relay.isolated.Store(true)
+	body := strings.Repeat("photo", 60_000)
+	got := call(t, http.MethodPost, serveEntry(t, host), "/photos/x", body)
+	must.Eq(t, http.StatusOK, got.status)
+	must.Eq(t, "POST "+body, got.body)
+}
+
+// Guards against a request that goes round between hosts that reach no instance, and
+// against "not run" that is not passed on.
+func TestRequestIsRelayedOnceAndNotRunIsPassedOn(t *testing.T) {
+	instances := []string{deadAddress(t)}
+	var cut atomic.Bool
+	other, otherRelay := newPartitioned(t, &cut, instances)
+	otherRelay.isolated.Store(true)
+	first := serveEntry(t, other)
+	otherRelay.hosts = []string{first}
+	host, relay := newPartitioned(t, &cut, instances, first, deadAddress(t))
+	relay.isolated.Store(true)
+	got := call(t, http.MethodPost, serveEntry(t, host), "/x", "body")
+	must.Eq(t, outcome.NotRun, got.outcome())
+}
+
+// Guards against a request that must not run twice and is sent to another host after the
+// first may have run it.
+func TestRequestThatMayHaveRunIsNotRelayedAgain(t *testing.T) {
+	var runs atomic.Int32
+	instances := []string{httpInstance(t, func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	})}
+	a, b := serveEntry(t, newEntry(t, viewsOf(instances...), newClaims())), serveEntry(t, newEntry(t, viewsOf(instances...), newClaims()))
+	var cut atomic.Bool
+	host, relay := newPartitioned(t, &cut, instances, a, b)
+	relay.isolated.Store(true)
+	got := call(t, http.MethodPost, serveEntry(t, host), "/x", "body")
+	must.Eq(t, outcome.Unknown, got.outcome())
+	must.Eq(t, 1, runs.Load())
+}
+
+// Guards against a caller that takes another's identity, with which it could learn the
+// outcome of a request with an idempotency key, or use up a limit.
+func TestCallerOfARelayedRequestNeedsTheKeyBetweenHosts(t *testing.T) {
+	callers := make(chan string, 1)
+	instances := []string{httpInstance(t, func(_ http.ResponseWriter, r *http.Request) {
+		callers <- r.Header.Get(caller.CallerHeader) + r.Header.Get(caller.RelayedForHeader) + r.Header.Get(caller.RelayKeyHeader)
+	})}
+	address := serveEntry(t, newEntry(t, viewsOf(instances...), newClaims(), func(cfg *caller.Config) { cfg.PeerKeys = key.New("secret") }))
+	call(t, http.MethodGet, address, "/x", "", caller.RelayedForHeader, "studio", caller.CallerHeader, "clinic")
+	must.Eq(t, "clinic", <-callers)
+	call(t, http.MethodGet, address, "/x", "", caller.RelayedForHeader, "studio", caller.CallerHeader, "clinic", caller.RelayKeyHeader, "secret")
+	must.Eq(t, "studio", <-callers)
+}
--- a/entry/control/primary.go
+++ b/entry/control/primary.go
@@ -39,6 +39,7 @@
 	knownSuspects uint64
 
 	knownRateLimits uint64
+	knownIsolations uint64
 }
 
 func (w *Watch) beginPoll(host *polledHost) pendingPoll {
@@ -51,7 +52,7 @@
 	host.polls++
 	return pendingPoll{
 		number: host.polls, primary: w.members != nil && w.primary == host, only: len(w.polled) == 1,
-		whole: host.needsFullText, knownSuspects: host.suspectsRevision, knownRateLimits: host.rateLimitsRevision,
+		whole: host.needsFullText, knownSuspects: host.suspectsRevision, knownRateLimits: host.rateLimitsRevision, knownIsolations: host.isolations,
 	}
 }
 
@@ -73,6 +74,10 @@
 		host.needsFullText = false
 		if poll.primary {
 			host.suspectsRevision = response.GetSuspectsRevision()
+			if w.isolated != nil && response.GetIsolations() > host.isolations {
+				w.isolated()
+			}
+			host.isolations = response.GetIsolations()
 		}
 		if poll.primary || w.members == nil {
 			host.rateLimitsRevision = response.GetRateLimitsRevision()
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -53,6 +53,8 @@
 	restore     func(previous *wire.HostReport)
 	restoreOnce sync.Once
 	rateLimits  func(limits []*wire.RateLimit)
+	relays      func(addresses []string)
+	isolated    func()
 
 	zone         string
 	mu           sync.Mutex
@@ -83,6 +85,17 @@
 	return func(w *Watch) { w.rateLimits = apply }
 }
 
+// WithRelays calls store with the addresses of other entry hosts to which requests can be
+// relayed.
+func WithRelays(store func(addresses []string)) WatchOption {
+	return func(w *Watch) { w.relays = store }
+}
+
+// WithIsolations calls isolated when other entry hosts report that they reach no instance.
+func WithIsolations(isolated func()) WatchOption {
+	return func(w *Watch) { w.isolated = isolated }
+}
+
 // Membership receives updates of instances and suspects from the control hosts.
 type Membership interface {
 	// Revision returns the revision up to which instance records have been applied.
@@ -104,6 +117,7 @@
 	address            string
 	rules              wire.Rules
 	suspectsRevision   uint64 // revision of the suspects last received from it
+	isolations         uint64 // as last received from it
 	rateLimitsRevision uint64 // revision of the rate limits last received from it
 	needsFullText      bool   // the next poll requests the full rules text, not a delta
 	zone               string
@@ -263,10 +277,12 @@
 	var group sync.WaitGroup
 	for _, address := range w.Hosts() {
 		group.Go(func() {
-			_, err := w.newHost(address).rules.Watch(ctx, &wire.WatchRequest{Report: w.report(), KnownVersion: w.table.Current().Number()})
+			response, err := w.newHost(address).rules.Watch(ctx, &wire.WatchRequest{Report: w.report(), KnownVersion: w.table.Current().Number()})
 			if err != nil {
 				w.repoll(address)
+				return
 			}
+			w.applyRelays(response)
 		})
 	}
 	group.Wait()
@@ -296,6 +312,7 @@
 	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: wait.Milliseconds(), Whole: poll.whole}
 	if poll.primary {
 		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Revision(), poll.knownSuspects
+		request.KnownIsolations = poll.knownIsolations
 	}
 	// One control host is enough. Without a primary, others repeat the news.
 	if w.rateLimits != nil && (poll.primary || w.members == nil) {
@@ -371,6 +388,7 @@
 	if rates := response.GetRates(); w.rates != nil && !response.GetStale() && len(rates) > 0 {
 		w.rates(rates)
 	}
+	w.applyRelays(response)
 	if limits := response.GetRateLimits(); w.rateLimits != nil && len(limits) > 0 {
 		w.rateLimits(limits)
 	}
@@ -379,6 +397,12 @@
 	}
 }
 
+func (w *Watch) applyRelays(response *wire.WatchResponse) {
+	if relays := response.GetRelays(); w.relays != nil && len(relays) > 0 {
+		w.relays(relays)
+	}
+}
+
 // pollWait returns the wait time of a long poll. It is short while a version
 // from a stale response is not confirmed by a quorum, since this host accepts
 // no callers before that.
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -17,6 +17,7 @@
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/link"
 	"go.uber.org/fx"
 )
@@ -51,6 +52,8 @@
 	Decisions *decision.Log
 	Watch     *control.Watch
 	Reach     *isolation.Detector
+	Relay     *relay
+	Keys      *key.Ring
 	Options   options
 }
 
@@ -58,7 +61,7 @@
 	limits := d.Config.Limits
 	return caller.New(caller.Config{
 		Host: d.Config.Host.Name, Zone: d.Config.Host.Zone, Table: d.Table, Router: d.Router, Pool: d.Pool,
-		Claims: d.Claims, Settler: d.Settler, Suspects: d.Suspects, Reach: d.Reach, Budget: d.Router, Backlog: d.Backlog, Decisions: d.Decisions,
+		Claims: d.Claims, Settler: d.Settler, Suspects: d.Suspects, Reach: d.Reach, Relay: d.Relay, RelayPool: d.Relay.pool, PeerKeys: d.Keys, Budget: d.Router, Backlog: d.Backlog, Decisions: d.Decisions,
 		Stopping: &d.State.draining, Logger: d.Logger.Named("caller"),
 		Dialect: d.Options.dialect,
 		Limits: caller.Limits{
@@ -84,6 +87,7 @@
 			}
 			server.start(caller.LimitListener(listener, cfg.Limits.Links, cfg.Limits.LinksPerCaller), logger)
 			go deps.Pool.Run(ctx)
+			go deps.Relay.pool.Run(ctx)
 			state.bound.Store(true)
 			logger.Info("entry host started", "host", cfg.Host.Name, "callers", cfg.Listen.Callers)
 			return nil
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/snipebeam/snipebeam/entry/discovery"
 	"github.com/snipebeam/snipebeam/entry/dns"
 	"github.com/snipebeam/snipebeam/entry/framing"
+	"github.com/snipebeam/snipebeam/entry/isolation"
 	"github.com/snipebeam/snipebeam/entry/operator"
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/poison"
@@ -61,7 +62,7 @@
 			registry.New, registry.NewMembership,
 			rules.NewTable, placement.NewRates, backlog.NewTracker, decision.NewLog,
 			newControlHosts, newPool, newSettler, newSuspects,
-			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newDetector, newRouter, newKeyRings, newExporter,
+			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newDetector, newRelay, newRouter, newKeyRings, newExporter,
 		),
 		fx.Invoke(membershipRunners(cfg)...),
 		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runGrants, runIsolation, runCallers),
@@ -77,13 +78,14 @@
 	requests *backlog.Tracker
 	suspects *poison.Tracker
 	views    *route.Views
+	reach    *isolation.Detector
 	draining atomic.Bool
 	left     atomic.Bool // drained and stopped
 	bound    atomic.Bool // listeners are open
 }
 
-func newState(cfg *settings.Settings, table *rules.Table, requests *backlog.Tracker, suspects *poison.Tracker, views *route.Views) *State {
-	return &State{cfg: cfg, table: table, requests: requests, suspects: suspects, views: views}
+func newState(cfg *settings.Settings, table *rules.Table, requests *backlog.Tracker, suspects *poison.Tracker, views *route.Views, reach *isolation.Detector) *State {
+	return &State{cfg: cfg, table: table, requests: requests, suspects: suspects, views: views, reach: reach}
 }
 
 // Ready reports whether this host serves callers.
@@ -91,13 +93,15 @@
 	return s.bound.Load() && !s.draining.Load() && s.table.Confirmed()
 }
 
-// Name returns "starting", "ready", "draining" or "left".
+// Name returns "starting", "ready", "isolated", "draining" or "left".
 func (s *State) Name() string {
 	switch {
 	case s.left.Load():
 		return "left"
 	case s.draining.Load():
 		return "draining"
+	case s.Ready() && s.reach.Isolated():
+		return placement.StateIsolated
 	case s.Ready():
 		return placement.StateReady
 	default:
--- a/entry/host/inflight_test.go
+++ b/entry/host/inflight_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/backlog"
 	"github.com/snipebeam/snipebeam/entry/control"
+	"github.com/snipebeam/snipebeam/entry/isolation"
 	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
@@ -69,7 +70,7 @@
 	t.Helper()
 	cfg := settings.Default()
 	cfg.Host.LeaveSeconds = 2.5
-	state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{})
+	state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}))
 	for n, advance := range requests {
 		r := state.requests.Track("catalogue", time.Now())
 		r.SetID(fmt.Sprintf("id-%d", n))
@@ -181,12 +182,12 @@
 		stops, out := stopsAtLimit.Get(), &lineBuffer{}
 		cfg, table, requests, suspects := settings.Default(), rules.NewTable(), backlog.NewTracker(), poison.NewTracker()
 		logger := logging.New("test", "info", out)
-		state := newState(cfg, table, requests, suspects, &route.Views{})
+		state := newState(cfg, table, requests, suspects, &route.Views{}, isolation.New(nil, &route.Views{}))
 		noSeeds := func() []string { return nil }
 		var lc hooks
 		runCallers(&lc, callerDeps{
 			Config: cfg, Logger: logger, State: state, Table: table, Settler: control.NewSettler(nil), Suspects: suspects, Backlog: requests,
-			Watch: control.NewWatch(noSeeds, nil, table, state.Report, nil, logger),
+			Watch: control.NewWatch(noSeeds, nil, table, state.Report, nil, logger), Relay: newRelay(cfg, isolation.New(nil, &route.Views{})),
 		})
 		r := requests.Track("catalogue", time.Now())
 		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -56,7 +56,7 @@
 	})
 }
 
-func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, members *registry.Membership, suspects *poison.Tracker, current *controlHosts, limits *rateLimitNews, logger hclog.Logger) *control.Watch {
+func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, members *registry.Membership, suspects *poison.Tracker, current *controlHosts, limits *rateLimitNews, hosts *relay, logger hclog.Logger) *control.Watch {
 	client := ring.Client(&http.Client{Transport: control.NewTransport()})
 	opts := []control.WatchOption{
 		control.WithRates(rates.Store), control.WithRateLimits(limits.apply),
@@ -64,7 +64,7 @@
 	}
 	join := node.Join
 	if cfg.Peers.Membership == settings.MembershipControl {
-		opts = append(opts, control.WithMembership(members), control.WithZone(cfg.Host.Zone))
+		opts = append(opts, control.WithMembership(members), control.WithZone(cfg.Host.Zone), control.WithRelays(hosts.store), control.WithIsolations(hosts.SuspectConnect))
 		join = func([]*wire.GossipHost) {}
 	}
 	watch := control.NewWatch(current.Addresses, client, table, state.Report, join, logger, opts...)
--- a/entry/host/stop_test.go
+++ b/entry/host/stop_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/backlog"
 	"github.com/snipebeam/snipebeam/entry/control"
+	"github.com/snipebeam/snipebeam/entry/isolation"
 	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
@@ -19,7 +20,7 @@
 // drained drains a host with one request that takes the given time, and returns
 // how long the drain took.
 func drained(ctx context.Context, t *testing.T, duration time.Duration) time.Duration {
-	state := newState(settings.Default(), rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{})
+	state := newState(settings.Default(), rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}))
 	request := state.requests.Track("aftercare", time.Now())
 	time.AfterFunc(duration, func() { request.End(false, time.Now()) })
 	started := time.Now()
@@ -58,7 +59,7 @@
 
 func TestDrainClosesTheListenerBeforeRequestsInFlightEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		state := newState(settings.Default(), rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{})
+		state := newState(settings.Default(), rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}))
 		request := state.requests.Track("aftercare", time.Now())
 		time.AfterFunc(time.Minute, func() { request.End(false, time.Now()) })
 		started, refused := time.Now(), make(chan time.Duration, 1)
@@ -75,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cfg := settings.Default()
 		cfg.Host.LeaveSeconds, cfg.Host.StopLimitSeconds = 2, 8
-		state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{})
+		state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}))
 		request := state.requests.Track("aftercare", time.Now())
 		started := time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), stopLimit(cfg))
@@ -98,7 +99,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cfg := settings.Default()
 		cfg.Host.LeaveSeconds, cfg.Host.StopLimitSeconds = 10, 8
-		state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{})
+		state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}))
 		started, closed := time.Now(), time.Duration(0)
 		ctx, cancel := context.WithTimeout(t.Context(), stopLimit(cfg))
 		defer cancel()
--- a/entry/isolation/isolation.go
+++ b/entry/isolation/isolation.go
@@ -7,8 +7,8 @@
 //
 // Usage:
 //
-//	d := isolation.New(pool.CanConnect, views, isolation.WithChanged(changed))
-//	go d.Run(ctx)
+//	d := isolation.New(pool.CanConnect, views)
+//	go d.Run(ctx, func(isolated bool) { ... })
 //	d.SuspectLink()
 //	if d.Isolated() { ... }
 package isolation
@@ -25,7 +25,7 @@
 )
 
 const (
-	connectTimeout = 250 * time.Millisecond
+	connectTimeout = 150 * time.Millisecond
 	// suspects is the number of instances that must all refuse or not answer.
 	suspects = 4
 	// confirmations is the number of instances that end an isolation.
@@ -49,27 +49,14 @@
 type Detector struct {
 	connect  ConnectFunc
 	views    *route.Views
-	changed  func(isolated bool)
 	isolated atomic.Bool
 	contact  atomic.Int64 // time of the last response of any instance, Unix nanoseconds
 	wake     chan struct{}
 }
 
-// Option changes one property of a detector.
-type Option func(*Detector)
-
-// WithChanged calls changed after each change. It must not block for long.
-func WithChanged(changed func(isolated bool)) Option {
-	return func(d *Detector) { d.changed = changed }
-}
-
 // New returns a detector for the instances of the views.
-func New(connect ConnectFunc, views *route.Views, opts ...Option) *Detector {
-	d := &Detector{connect: connect, views: views, changed: func(bool) {}, wake: make(chan struct{}, 1)}
-	for _, opt := range opts {
-		opt(d)
-	}
-	return d
+func New(connect ConnectFunc, views *route.Views) *Detector {
+	return &Detector{connect: connect, views: views, wake: make(chan struct{}, 1)}
 }
 
 // Isolated reports whether this host reaches no instance.
@@ -86,8 +73,8 @@
 	}
 }
 
-// SuspectConnect records that no link to an instance could be opened. Responses on links
-// that are open say nothing about new ones.
+// SuspectConnect records that no link to an instance could be opened, or that other hosts
+// reach none. Responses on links that are open say nothing about new ones.
 func (d *Detector) SuspectConnect() {
 	select {
 	case d.wake <- struct{}{}:
@@ -95,8 +82,8 @@
 	}
 }
 
-// Run checks until the context ends.
-func (d *Detector) Run(ctx context.Context) {
+// Run checks until the context ends. It calls changed after each change.
+func (d *Detector) Run(ctx context.Context, changed func(isolated bool)) {
 	for {
 		if !d.Isolated() {
 			select {
@@ -105,7 +92,10 @@
 			case <-d.wake:
 			}
 		}
-		d.check(ctx)
+		before := d.Isolated()
+		if d.check(ctx); d.Isolated() != before {
+			changed(!before)
+		}
 		if !pause.For(ctx, checkInterval) {
 			return
 		}
@@ -134,7 +124,6 @@
 		entered.Inc()
 	}
 	d.isolated.Store(isolated)
-	d.changed(isolated)
 }
 
 // reached returns how many of the addresses accept a connection.
--- a/entry/isolation/isolation_test.go
+++ b/entry/isolation/isolation_test.go
@@ -70,7 +70,7 @@
 		d := isolation.New(n.connect, views())
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		go d.Run(ctx)
+		go d.Run(ctx, func(bool) {})
 		test(t, d, n)
 	})
 }
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -163,6 +163,18 @@
 	w.permit.release()
 }
 
+// rejectAll rejects every waiting request.
+func (d *Dispatcher) rejectAll(problem error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for len(d.softQueue.all) > 0 {
+		d.rejectWaiter(d.softQueue.all[0], problem)
+	}
+	for d.queue.len() > 0 {
+		d.rejectWaiter(d.queue.oldest(), problem)
+	}
+}
+
 func (d *Dispatcher) rejectWaiter(w *Waiter, problem error) {
 	d.remove(w)
 	w.granted(nil, problem)
--- a/entry/route/queue_test.go
+++ b/entry/route/queue_test.go
@@ -217,3 +217,43 @@
 		must.Zero(t, r.HedgeDelay(service, 0))
 	})
 }
+
+// Guards against requests that wait at a host that reaches no instance until their
+// deadline, though another host could serve them.
+func TestWaitingRequestsAreRejectedTogether(t *testing.T) {
+	f := newFixture(1, route.NewAdaptive(route.WithHeadroom(0)))
+	f.change(0, instance.WithSlots(1))
+	_, err := f.offer(query())
+	must.NoError(t, err)
+	rejected := 0
+	for n := range 6 {
+		q := query().WithDeadline(time.Unix(0, f.now+int64(time.Minute)))
+		if n%2 == 0 {
+			q = q.WithSoftDeadline(time.Unix(0, f.now+int64(time.Second)))
+		}
+		_, waiter, err := f.router.Offer(q, func(ticket *route.Ticket, err error) {
+			must.Nil(t, ticket)
+			must.Eq(t, outcome.NoInstance, reasonOf(err))
+			rejected++
+		})
+		must.NoError(t, err)
+		must.NotNil(t, waiter)
+	}
+	f.router.RejectWaiting(outcome.New(outcome.NotRun, outcome.NoInstance, "none"))
+	must.Eq(t, 6, rejected)
+	n, _ := f.router.Waiting(service)
+	must.Zero(t, n)
+}
+
+// Guards against instances that get no request for up to ten seconds after this host
+// reaches them again.
+func TestEjectionsEndTogether(t *testing.T) {
+	f := newFixture(5, route.NewAdaptive())
+	for f.ejected() == 0 {
+		ticket, err := f.offer(query())
+		must.NoError(t, err)
+		ticket.Finish(failed)
+	}
+	f.router.EndEjections()
+	must.Zero(t, f.ejected())
+}
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -213,6 +213,26 @@
 	return d.Waiting()
 }
 
+// RejectWaiting ends the wait of every request with a problem.
+func (r *Router) RejectWaiting(problem error) {
+	for _, d := range *r.dispatchers.Load() {
+		d.rejectAll(problem)
+	}
+}
+
+// EndEjections lets requests try ejected instances again, after failures that were not
+// theirs.
+func (r *Router) EndEjections() {
+	now := r.clock()
+	for _, view := range r.views.All() {
+		for n := range view.members {
+			if h := &view.members[n].load.health; h.state(now) == Ejected {
+				h.release(now)
+			}
+		}
+	}
+}
+
 // refresh runs after new views are published.
 func (r *Router) refresh() {
 	for _, d := range *r.dispatchers.Load() {
--- a/world/key/key.go
+++ b/world/key/key.go
@@ -55,12 +55,25 @@
 func (r *Ring) Empty() bool { return len(r.keys) == 0 }
 
 // Accepts reports whether a request carries one of the keys as a bearer token.
-// The keys are hashed and compared in constant time.
 func (r *Ring) Accepts(req *http.Request) bool {
+	return r.AcceptsToken(strings.TrimPrefix(req.Header.Get("Authorization"), scheme))
+}
+
+// Token returns the key that outgoing requests carry, empty for an empty ring.
+func (r *Ring) Token() string {
+	if r.Empty() {
+		return ""
+	}
+	return r.keys[0]
+}
+
+// AcceptsToken reports whether a token is one of the keys, or the ring is empty. The
+// keys are hashed and compared in constant time.
+func (r *Ring) AcceptsToken(token string) bool {
 	if r.Empty() {
 		return true
 	}
-	given := sha256.Sum256([]byte(strings.TrimPrefix(req.Header.Get("Authorization"), scheme)))
+	given := sha256.Sum256([]byte(token))
 	accepted := 0
 	for _, k := range r.keys {
 		want := sha256.Sum256([]byte(k))
--- a/world/placement/placement.go
+++ b/world/placement/placement.go
@@ -22,6 +22,10 @@
 // StateReady is the state of an entry host that accepts requests from callers.
 const StateReady = "ready"
 
+// StateIsolated is the state of an entry host that accepts requests from callers and
+// reaches no instance. Others are preferred to it.
+const StateIsolated = "isolated"
+
 // RoleEntry is the role of entry hosts.
 const RoleEntry = "entry"
 
@@ -114,12 +118,12 @@
 	return max(int(math.Ceil(rate/hostRate)), 1)
 }
 
+// rankReady returns the entry hosts that are ready, the highest-ranked one first, or the
+// isolated ones if no other is.
 func rankReady(entries []*wire.HostReport, service string) []*wire.HostReport {
-	var ready []*wire.HostReport
-	for _, host := range entries {
-		if host.GetRole() == RoleEntry && host.GetState() == StateReady {
-			ready = append(ready, host)
-		}
+	ready := inState(entries, StateReady)
+	if len(ready) == 0 {
+		ready = inState(entries, StateIsolated)
 	}
 	sort.Slice(ready, func(i, j int) bool {
 		return weight(service, ready[i].GetName()) > weight(service, ready[j].GetName())
@@ -127,6 +131,16 @@
 	return ready
 }
 
+func inState(entries []*wire.HostReport, state string) []*wire.HostReport {
+	var all []*wire.HostReport
+	for _, host := range entries {
+		if host.GetRole() == RoleEntry && host.GetState() == state {
+			all = append(all, host)
+		}
+	}
+	return all
+}
+
 // spreadOverZones selects up to n hosts: each time the highest-ranked one of the
 // zones with the fewest selected hosts.
 func spreadOverZones(ranked []*wire.HostReport, n int) []*wire.HostReport {
