entry/route: no request is sent to an instance in a slow moment

An instance that reports 2.5 times the usual service time or more takes no request for 150 ms, unless it has been so for 500 ms; waiting requests are dispatched anew every 25 ms, and up to three instances whose report is older than 50 ms are probed meanwhile.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -65,7 +65,7 @@
 			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newDetector, newRelay, newRouter, newKeyRings, newExporter,
 		),
 		fx.Invoke(membershipRunners(cfg)...),
-		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runGrants, runIsolation, runCallers),
+		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runRouter, runIsolation, runCallers),
 		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
--- a/entry/host/ratelimit.go
+++ b/entry/host/ratelimit.go
@@ -111,7 +111,12 @@
 // grantRetryPause is the time from a failed call to the next.
 const grantRetryPause = 200 * time.Millisecond
 
-func runGrants(lc fx.Lifecycle, router *route.Router) {
+// runRouter runs the loops of the router: those that request grants, and those that
+// dispatch waiting requests.
+func runRouter(lc fx.Lifecycle, router *route.Router) {
 	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.StartStopHook(func() { go router.RunGrants(ctx) }, cancel))
+	lc.Append(fx.StartStopHook(func() {
+		go router.RunGrants(ctx)
+		go router.RunWaiting(ctx)
+	}, cancel))
 }
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -116,6 +116,7 @@
 
 	slowdown   atomicFloat // last reported multiple of the usual service time
 	slowdownAt atomic.Int64
+	slowSince  atomic.Int64 // time of the first of the last reports of a slow moment, 0 for none
 	probedAt   atomic.Int64 // time of the last pre-dispatch probe, Unix nanoseconds
 	work       workClock
 	rateLimit  announcedLimit
@@ -173,9 +174,30 @@
 	}
 	l.work.setSlowdown(slowdown, at)
 	l.slowdown.set(slowdown)
+	if slowdown < slowMomentSlowdown {
+		l.slowSince.Store(0)
+	} else {
+		l.slowSince.CompareAndSwap(0, at)
+	}
 	l.slowdownAt.Store(at)
 }
 
+// Constants of slow moments.
+const (
+	slowMomentSlowdown = 2.5                    // slowdown from which an instance takes no request for a moment
+	slowMomentTime     = 150 * time.Millisecond // time for which a reported slowdown counts as one
+	// maxSlowMoment is the time after which an instance is slow and not only for a moment.
+	maxSlowMoment = 500 * time.Millisecond
+)
+
+// slowMoment reports whether the instance reported just now that work takes a multiple of
+// the usual time. Its speed changes several times a second, so that a request is better
+// off if it waits for another slot or the next change.
+func (l *Load) slowMoment(now int64) bool {
+	since := l.slowSince.Load()
+	return since != 0 && now-l.slowdownAt.Load() < int64(slowMomentTime) && now-since < int64(maxSlowMoment)
+}
+
 // slowdownNow returns the expected slowdown. An old report decays towards the mean
 // of the service.
 func (l *Load) slowdownNow(mean float64, now int64) float64 {
