entry/caller, control/quota: attempts of relaying hosts count; grants in smaller parts

A request that may have run at instances of an isolated host takes their number with it, so that the host that serves it stays within the rule's attempts for both (test first: two runs where one was left).

--- a/control/quota/quota.go
+++ b/control/quota/quota.go
@@ -32,7 +32,7 @@
 	burstTime = 500 * time.Millisecond
 	// grantsPerSecond is the rate of requests for grants that all entry hosts together
 	// are asked to keep.
-	grantsPerSecond = 200
+	grantsPerSecond = 400
 	// hostWindow is the time after its last request for which an entry host counts.
 	hostWindow = 2 * time.Second
 	// minPause is the least time between two requests of one entry host.
--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -44,8 +44,9 @@
 		}
 		if result.instance == "" && last != nil {
 			result.problem = last // no other instance: the previous problem is more specific
-		} else {
-			c.dispatched = c.dispatched || result.problem.Kind() == outcome.Unknown
+		} else if result.problem.Kind() == outcome.Unknown {
+			c.dispatched = true
+			c.ranAttempts++
 		}
 		last = result.problem
 		if !h.mayRetry(c, result, attempt) {
@@ -86,7 +87,7 @@
 		allowed = max(allowed, notRunRetries)
 	}
 	if maxAttempts := terms.Attempts(); maxAttempts > 0 {
-		allowed = min(allowed, maxAttempts-1)
+		allowed = min(allowed, maxAttempts-1-c.priorAttempts)
 	}
 	if (terms.Once() || terms.Single()) && last.problem.Kind() != outcome.NotRun || attempt > allowed {
 		return false
--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -44,6 +44,8 @@
 	progressTimeout time.Duration
 	relayed         bool // by another entry host
 	incomingAttempt int  // number of the attempt by the layer above, 1 for the first
+	ranAttempts     int  // attempts at instances that may have run it
+	priorAttempts   int  // the same, of the host that relays it
 	fingerprint     poison.Fingerprint
 	dispatched      bool // a byte may have reached an instance that may have started
 	headerSent      bool // of the response, to the caller
--- a/entry/caller/relay.go
+++ b/entry/caller/relay.go
@@ -12,13 +12,15 @@
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
-// Headers between entry hosts. Both are removed before a request goes to an instance.
+// Headers between entry hosts. They are removed before a request goes to an instance.
 const (
 	// RelayedForHeader holds the caller of a request that another entry host relays.
 	RelayedForHeader = "Snipebeam-Relayed-For"
 	// RelayKeyHeader holds the key between hosts, without which the caller is not
 	// taken from RelayedForHeader.
 	RelayKeyHeader = "Snipebeam-Relay-Key"
+	// RelayedAttemptsHeader holds the number of instances that may have run the request.
+	RelayedAttemptsHeader = "Snipebeam-Relayed-Attempts"
 )
 
 // maxRelays bounds the entry hosts to which a request is relayed one after another.
@@ -50,11 +52,16 @@
 	origin, token := c.r.Header.Get(RelayedForHeader), c.r.Header.Get(RelayKeyHeader)
 	c.r.Header.Del(RelayedForHeader)
 	c.r.Header.Del(RelayKeyHeader)
+	attempts, err := strconv.Atoi(c.r.Header.Get(RelayedAttemptsHeader))
+	c.r.Header.Del(RelayedAttemptsHeader)
 	if origin == "" || !h.cfg.PeerKeys.AcceptsToken(token) {
 		return
 	}
 	servedForPeer.Inc()
 	c.relayed, c.caller = true, origin
+	if err == nil && attempts > 0 {
+		c.priorAttempts = attempts
+	}
 }
 
 // refuseRelayed refuses a request of another host that this host cannot serve either.
@@ -80,7 +87,8 @@
 	if last.problem.Kind() == outcome.NotRun {
 		return last.problem.Reason() == outcome.UpstreamLost || last.problem.Reason() == outcome.NoInstance && h.cfg.Relay.Isolated()
 	}
-	return h.cfg.Relay.Isolated() && c.repeatable() && h.allowRetry(c)
+	maxAttempts := c.rule.Contract().Attempts()
+	return h.cfg.Relay.Isolated() && c.repeatable() && (maxAttempts == 0 || c.ranAttempts < maxAttempts) && h.allowRetry(c)
 }
 
 func (h *Handler) allowRetry(c *call) bool {
@@ -169,6 +177,9 @@
 	out.Header.Del(c.dialect.Instance)
 	setHeader(out.Header, c.dialect.Attempt, strconv.Itoa(c.incomingAttempt))
 	out.Header.Set(RelayedForHeader, c.caller)
+	if c.ranAttempts > 0 {
+		out.Header.Set(RelayedAttemptsHeader, strconv.Itoa(c.ranAttempts))
+	}
 	if token := h.cfg.PeerKeys.Token(); token != "" {
 		out.Header.Set(RelayKeyHeader, token)
 	}
--- a/entry/caller/relay_test.go
+++ b/entry/caller/relay_test.go
@@ -140,3 +140,18 @@
 	call(t, http.MethodGet, address, "/x", "", caller.RelayedForHeader, "studio", caller.CallerHeader, "clinic", caller.RelayKeyHeader, "secret")
 	must.Eq(t, "studio", <-callers)
 }
+
+// Guards against a request that runs on more instances than its rule allows, because each
+// entry host counts only its own attempts.
+func TestAttemptsOfBothHostsAreWithinTheLimitOfTheRule(t *testing.T) {
+	var runs atomic.Int32
+	failing := func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	instances := []string{httpInstance(t, failing), httpInstance(t, failing), httpInstance(t, failing)}
+	address := serveEntry(t, newEntry(t, viewsOf(instances...), newClaims()))
+	got := call(t, http.MethodGet, address, "/late/x", "", caller.RelayedForHeader, "studio", caller.RelayedAttemptsHeader, "1")
+	must.Eq(t, outcome.Unknown, got.outcome())
+	must.One(t, runs.Load()) // the rule allows 2
+}
--- a/entry/route/quota.go
+++ b/entry/route/quota.go
@@ -30,7 +30,7 @@
 	grantInterval = 50 * time.Millisecond // interval of checks for services that need grants
 	// grantHorizon is the time for which a host requests grants in advance. It is shorter
 	// than their validity, as a grant that expires is lost to all hosts.
-	grantHorizon     = 900 * time.Millisecond
+	grantHorizon     = 500 * time.Millisecond
 	fallbackValidity = time.Second
 	demandDecay      = 4 * time.Second // time constant of the decay of a service's request rate
 )
@@ -96,7 +96,7 @@
 	if d.router.grant == nil || view == nil || now < d.grants.notUntil.Load() {
 		return 0, nil
 	}
-	expected := int(d.demand.perSecond(now) * grantHorizon.Seconds())
+	expected := int(math.Round(d.demand.perSecond(now) * grantHorizon.Seconds()))
 	wanted = max(expected, int(d.waiting.Load()))
 	if wanted == 0 {
 		return 0, nil
