--- a/control/quota/quota.go
+++ b/control/quota/quota.go
@@ -37,6 +37,9 @@
 	hostWindow = 2 * time.Second
 	// minPause is the least time between two requests of one entry host.
 	minPause = 50 * time.Millisecond
+	// minPerSecond is the least rate at which requests are granted. An instance that
+	// named 0 gets one now and then, without which nobody hears that the limit has ended.
+	minPerSecond = 0.1
 	// maxWanted bounds the requests that are granted at once.
 	maxWanted = 1024
 )
@@ -123,6 +126,7 @@
 // bucket returns the bucket of an instance, filled until now. A new one has one
 // request, so that an instance with a low limit is not idle at first.
 func (s *Service) bucket(instance string, perSecond float64, now time.Time) *bucket {
+	perSecond = max(perSecond, minPerSecond)
 	b := s.buckets[instance]
 	if b == nil {
 		b = &bucket{tokens: min(perSecond, 1), at: now}
--- a/control/quota/quota_test.go
+++ b/control/quota/quota_test.go
@@ -173,3 +173,19 @@
 	}
 	must.Eq(t, int64(time.Second)/2, pause)
 }
+
+// Guards against an instance that named a limit of 0 and gets nothing for good, though the
+// limit has ended.
+func TestInstanceWithALimitOfZeroIsTriedNowAndThen(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newReplica("a", &now)
+	r.follow("a", 1, now.Add(-time.Hour))
+	n := 0
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		response, err := r.Grant(context.Background(), request("e", 1, 0, "x"))
+		must.NoError(t, err)
+		n += count(response)
+	}
+	must.Between(t, 5, n, 6)
+}
--- a/entry/caller/relay.go
+++ b/entry/caller/relay.go
@@ -23,7 +23,8 @@
 	RelayedAttemptsHeader = "Snipebeam-Relayed-Attempts"
 )
 
-// maxRelays bounds the entry hosts to which a request is relayed one after another.
+// maxRelays bounds the entry hosts to which an isolated host relays a request one after
+// another. A host that reaches other instances tries one.
 const maxRelays = 3
 
 var (
@@ -98,8 +99,11 @@
 // relay sends the request to other entry hosts until one responds. It returns last if
 // there is none.
 func (h *Handler) relay(c *call, last *outcome.Problem) *outcome.Problem {
-	hosts := h.cfg.Relay.Hosts()
-	for n, address := range hosts[:min(len(hosts), maxRelays)] {
+	hosts, most := h.cfg.Relay.Hosts(), 1
+	if h.cfg.Relay.Isolated() {
+		most = maxRelays
+	}
+	for n, address := range hosts[:min(len(hosts), most)] {
 		if n > 0 && (c.ctx.Err() != nil || !c.body.replayable()) {
 			break
 		}
--- a/entry/prometheus/prometheus.go
+++ b/entry/prometheus/prometheus.go
@@ -18,6 +18,7 @@
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -53,7 +54,7 @@
 
 func (e *Exporter) writeHost(w io.Writer) {
 	ready := uint64(0)
-	if e.cfg.State() == "ready" {
+	if state := e.cfg.State(); state == placement.StateReady || state == placement.StateIsolated {
 		ready = 1
 	}
 	metrics.WriteGaugeUint64(w, "snipebeam_host_ready", ready)
--- a/entry/route/baseline.go
+++ b/entry/route/baseline.go
@@ -76,7 +76,7 @@
 		state := stateOf(m, query, now)
 		within := m.load.withinRateLimit(now)
 		trace.add(m, state, 0, within, now)
-		if state == Draining || state == Excluded || m.load.blocked() {
+		if state == Draining || state == Excluded || m.load.blocked(now) {
 			continue
 		}
 		if within {
--- a/entry/route/lowest.go
+++ b/entry/route/lowest.go
@@ -114,7 +114,7 @@
 		s.trace.add(m, state, 0, true, s.now)
 		return false
 	}
-	if m.load.blocked() {
+	if m.load.blocked(s.now) {
 		s.trace.add(m, RateLimited, 0, true, s.now)
 		return false
 	}
--- a/entry/route/quota.go
+++ b/entry/route/quota.go
@@ -107,7 +107,7 @@
 	}
 	q := Query{}
 	for _, m := range cached.members() {
-		if !m.load.RateLimit().limited || m.load.blocked() {
+		if !m.load.RateLimit().limited || m.load.blocked(now) {
 			continue
 		}
 		if state := stateOf(&m, &q, now); state == Draining || state == Ejected {
--- a/entry/route/ratelimit.go
+++ b/entry/route/ratelimit.go
@@ -125,10 +125,14 @@
 	}
 }
 
+// blockedTime is how long a limit of 0 keeps all requests away. Only a response can end a
+// limit, so that one request is tried then.
+const blockedTime = 10 * time.Second
+
 // blocked reports whether the instance accepts no request at all.
-func (l *Load) blocked() bool {
-	limit := l.RateLimit()
-	return limit.limited && limit.perSecond == 0
+func (l *Load) blocked(now int64) bool {
+	limit, at := l.RateLimitAt()
+	return limit.limited && limit.perSecond == 0 && now-at < int64(blockedTime)
 }
 
 // withinRateLimit reports whether this host may send one more request now.
--- a/entry/route/ratelimit_test.go
+++ b/entry/route/ratelimit_test.go
@@ -248,6 +248,10 @@
 	f.hosts[0].members[0].Load().RecordRateLimit(route.NewRateLimit(0), f.now)
 	f.send(f.hosts[0])
 	must.One(t, f.rejected)
+	f.now += int64(10 * time.Second)
+	f.hosts[0].now = f.now
+	f.send(f.hosts[0])
+	must.One(t, f.rejected) // it waits for a grant
 }
 
 func TestLatestRateLimitApplies(t *testing.T) {
