entry/route, entry/caller: faults found by reading the change

A limit in a response was not taken while the clock stood before the last news of it (test first); a host that lost the grantor long after its last grant went on with half of an old rate; the list of relays was read twice and could be empty the second time.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -51,7 +51,7 @@
 		last = result.problem
 		if !h.mayRetry(c, result, attempt) {
 			if h.mayRelay(c, &result) {
-				return h.relay(c, result.problem)
+				return h.relay(c, h.cfg.Relay.Hosts(), result.problem)
 			}
 			return c.overall(result.problem)
 		}
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -276,10 +276,8 @@
 	if problem := h.refusePoison(c); problem != nil {
 		return problem
 	}
-	if h.mayRelay(c, nil) {
-		if len(h.cfg.Relay.Hosts()) > 0 {
-			return h.relay(c, nil)
-		}
+	if hosts := h.cfg.Relay.Hosts(); len(hosts) > 0 && h.mayRelay(c, nil) {
+		return h.relay(c, hosts, nil)
 	}
 	if terms.Once() {
 		return h.runAtMostOnce(c)
--- a/entry/caller/relay.go
+++ b/entry/caller/relay.go
@@ -97,9 +97,9 @@
 }
 
 // relay sends the request to other entry hosts until one responds. It returns last if
-// there is none.
-func (h *Handler) relay(c *call, last *outcome.Problem) *outcome.Problem {
-	hosts, most := h.cfg.Relay.Hosts(), 1
+// there are none.
+func (h *Handler) relay(c *call, hosts []string, last *outcome.Problem) *outcome.Problem {
+	most := 1
 	if h.cfg.Relay.Isolated() {
 		most = maxRelays
 	}
--- a/entry/route/quota.go
+++ b/entry/route/quota.go
@@ -66,6 +66,7 @@
 	pending  atomic.Bool
 	notUntil atomic.Int64 // time of the next call
 	failedAt atomic.Int64 // last time that the fallback was applied, 0 after a success
+	lostAt   atomic.Int64 // time of the first call that failed since the last success
 }
 
 // RunGrants requests grants for the services that need them until the context ends.
@@ -159,9 +160,10 @@
 func (d *Dispatcher) fallBack(members []Member, now int64) {
 	last := d.grants.failedAt.Swap(now)
 	if last == 0 {
+		d.grants.lostAt.Store(now)
 		return
 	}
 	for _, m := range members {
-		m.load.rateLimit.fallBack(time.Duration(now-last), now+int64(fallbackValidity), now)
+		m.load.rateLimit.fallBack(time.Duration(now-last), d.grants.lostAt.Load(), now+int64(fallbackValidity), now)
 	}
 }
--- a/entry/route/ratelimit.go
+++ b/entry/route/ratelimit.go
@@ -112,12 +112,16 @@
 	return a.set(&announcement{limit: limit, at: now, direct: true})
 }
 
-// set replaces the limit unless a newer one is known, and reports whether it changed.
+// set replaces the limit unless a newer one is known, and reports whether it changed. A
+// response is newer than all that is known, also after the clock was set back.
 func (a *announcedLimit) set(next *announcement) bool {
 	for {
 		old := a.current.Load()
 		if old != nil && old.at > next.at {
-			return false
+			if !next.direct {
+				return false
+			}
+			next.at = old.at
 		}
 		if a.current.CompareAndSwap(old, next) {
 			return old == nil && next.limit.limited || old != nil && old.limit != next.limit
@@ -202,12 +206,13 @@
 // hosts are granted all of it meanwhile.
 const fallbackShare = 0.5
 
-// fallBack earns requests for a time in which nobody granted any.
-func (a *announcedLimit) fallBack(elapsed time.Duration, until, now int64) {
+// fallBack earns requests for a time in which nobody granted any. lostAt is the time of
+// the first call that failed.
+func (a *announcedLimit) fallBack(elapsed time.Duration, lostAt, until, now int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.expire(now)
-	a.unspent += fallbackShare * a.rate * elapsed.Seconds()
+	a.unspent += fallbackShare * decay(a.rate, max(lostAt-a.rateAt, 0), grantedDecay) * elapsed.Seconds()
 	if n := int(a.unspent); n > 0 {
 		a.unspent -= float64(n)
 		a.credits = append(a.credits, credit{requests: n, until: until})
--- a/entry/route/ratelimit_test.go
+++ b/entry/route/ratelimit_test.go
@@ -264,3 +264,19 @@
 	must.False(t, load.RecordRateLimit(route.NewRateLimit(2), 10))
 	must.False(t, load.RateLimit().Limited())
 }
+
+// Guards against a limit that is not heard for as long as the clock was set back.
+func TestRateLimitInAResponseAppliesAfterTheClockWasSetBack(t *testing.T) {
+	f := newFixture(1, route.NewAdaptive())
+	respond := func(limit route.RateLimit) {
+		ticket, err := f.offer(query())
+		must.NoError(t, err)
+		ticket.Finish(route.Report{Latency: time.Millisecond, Answered: true, RateLimit: limit})
+	}
+	load := f.members[0].Load()
+	must.True(t, load.RecordRateLimit(route.NewRateLimit(3), f.now))
+	must.True(t, load.RecordRateLimit(route.RateLimit{}, f.now))
+	f.now -= int64(5 * time.Second)
+	respond(route.NewRateLimit(2))
+	must.Eq(t, "2/s", load.RateLimit().String())
+}
