--- a/entry/route/adaptive.go
+++ b/entry/route/adaptive.go
@@ -113,7 +113,8 @@
 		if !m.load.fresh(now) {
 			service *= staleFactor
 		}
-		return e.scoreWithFill(m, service, local, inFlight, load, state, now)
+		score, hasCapacity := e.scoreWithFill(m, service, local, inFlight, load, state)
+		return score, hasCapacity && (q.slowService || !m.load.slowMoment(now))
 	}
 	score := damped * (max(1, (load+1)/slots) + e.slotCost*load/slots)
 	if q.zonePreference() == contract.ZonePrefer {
@@ -134,7 +135,7 @@
 const coldFactor = 2.0
 
 // scoreWithFill returns the score of an instance of which only a share of the slots is used.
-func (e *expectedLatency) scoreWithFill(m *Member, service, local, inFlight, load float64, state State, now int64) (score float64, hasCapacity bool) {
+func (e *expectedLatency) scoreWithFill(m *Member, service, local, inFlight, load float64, state State) (score float64, hasCapacity bool) {
 	slots := float64(m.instance.Slots())
 	if state == Cold || state == Recovering {
 		service *= coldFactor
@@ -146,5 +147,5 @@
 	if state == Recovering {
 		hasCapacity = local < minLimit
 	}
-	return score, hasCapacity && !m.load.slowMoment(now)
+	return score, hasCapacity
 }
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -96,7 +96,7 @@
 		return nil, AllBusy
 	}
 	policy := d.router.policyOf(terms)
-	q.preferred = d.subset(view, q.zone)
+	q.preferred, q.slowService = d.subset(view, q.zone), view.stats.slow(now)
 	t := &Ticket{}
 	if d.router.trace {
 		t.trace = &Trace{}
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -53,8 +53,9 @@
 	spread          atomicFloat // mean deviation of the latency, nanoseconds
 	gap             atomicFloat // mean time between completions, nanoseconds
 	lastSuccess     atomic.Int64
-	rate            atomicFloat // successful responses per second, decayed over rateDecay
-	slowdown        atomicFloat // mean of the reported slowdowns
+	rate            atomicFloat  // successful responses per second, decayed over rateDecay
+	slowdown        atomicFloat  // mean of the reported slowdowns
+	notSlowAt       atomic.Int64 // time of the last report of no slow moment
 	latencySamples  sampleCounter
 	slowdownSamples sampleCounter
 }
@@ -72,10 +73,18 @@
 }
 
 // observeSlowdown adds a slowdown that an instance reported.
-func (s *ServiceStats) observeSlowdown(slowdown float64) {
+func (s *ServiceStats) observeSlowdown(slowdown float64, now int64) {
+	if slowdown < slowMomentSlowdown {
+		s.notSlowAt.Store(now)
+	}
 	s.slowdown.updateEWMA(slowdown, s.slowdownSamples.weight(slowdownWeight))
 }
 
+// slow reports whether the service is slow as a whole.
+func (s *ServiceStats) slow(now int64) bool {
+	return now-s.notSlowAt.Load() >= int64(slowServiceAfter)
+}
+
 // sampleCounter counts the samples of an average.
 type sampleCounter struct{ n atomic.Int64 }
 
@@ -187,7 +196,10 @@
 	slowMomentSlowdown = 2.5                    // slowdown from which an instance takes no request for a moment
 	slowMomentTime     = 150 * time.Millisecond // time for which a reported slowdown counts as one
 	// maxSlowMoment is the time after which an instance is slow and not only for a moment.
-	maxSlowMoment = 500 * time.Millisecond
+	maxSlowMoment = 2 * time.Second
+	// slowServiceAfter is the time without a report of another speed after which a service
+	// is slow as a whole, and no request is better off if it waits.
+	slowServiceAfter = 500 * time.Millisecond
 )
 
 // slowMoment reports whether the instance reported just now that work takes a multiple of
--- a/entry/route/probereport.go
+++ b/entry/route/probereport.go
@@ -20,7 +20,7 @@
 	case report.HasLoad:
 		m.load.RecordProbe(report.Requests, report.Slowdown, now)
 		if view != nil && report.Slowdown > 0 {
-			view.stats.observeSlowdown(report.Slowdown)
+			view.stats.observeSlowdown(report.Slowdown, now)
 		}
 	case !report.Answered:
 		m.load.addPenalty(1, meanLatency(view), now)
--- a/entry/route/query.go
+++ b/entry/route/query.go
@@ -15,6 +15,7 @@
 	zone         string
 	exclude      []instance.ID
 	preferred    []int // positions of the members that are considered first, nil for none
+	slowService  bool  // no instance reports its usual speed
 	softDeadline int64 // Unix nanoseconds, 0 for none
 	deadline     int64 // Unix nanoseconds, 0 for none
 }
--- a/entry/route/record.go
+++ b/entry/route/record.go
@@ -20,7 +20,7 @@
 	if report.Slowdown > 0 {
 		load.setSlowdown(report.Slowdown, now)
 		if view != nil {
-			view.stats.observeSlowdown(report.Slowdown)
+			view.stats.observeSlowdown(report.Slowdown, now)
 		}
 	}
 	if report.HedgeCancelled {
