--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/upstream"
@@ -95,7 +96,7 @@
 	if _, poisoned := h.cfg.Suspects.Refused(c.fingerprint, time.Now()); poisoned {
 		return false
 	}
-	return h.allowRetry(c)
+	return h.allowRetry(c, decision.Retry)
 }
 
 // repeatable reports whether the contract allows the request to run twice.
@@ -176,6 +177,8 @@
 	d.c.dispatched = d.c.dispatched || d.stale
 	d.report.Latency = time.Since(d.started)
 	d.recordDecision(attempt)
+	var failure *upstream.Failure
+	d.c.sent = d.c.sent || d.stale || !errors.As(err, &failure) || failure.Wrote()
 	if err != nil {
 		return result{problem: d.exchangeProblem(err), instance: id}
 	}
@@ -206,6 +209,7 @@
 	exchange, err := d.h.cfg.Pool.Send(d.context(), d.target.Address(), d.outgoing(attempt), opts...)
 	var failure *upstream.Failure
 	if errors.As(err, &failure) && failure.Cause() == upstream.Stale && d.c.repeatable() && d.c.body.replayable() {
+		d.c.addRepeat(decision.Resend, route.Uncharged)
 		d.stale = true // the instance may have run it before closing the connection
 		opts = append(opts, upstream.WithMaxIdle(0))
 		return d.h.cfg.Pool.Send(d.context(), d.target.Address(), d.outgoing(attempt), opts...)
--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -13,6 +13,7 @@
 	"github.com/snipebeam/snipebeam/entry/backlog"
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/poison"
+	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/world/outcome"
 	"github.com/snipebeam/snipebeam/world/rule"
 )
@@ -48,6 +49,7 @@
 	priorAttempts   int  // the same, of the host that relays it
 	fingerprint     poison.Fingerprint
 	dispatched      bool // a byte may have reached an instance that may have started
+	sent            bool // a byte may have reached an instance
 	headerSent      bool // of the response, to the caller
 	callerGone      bool // a write to the caller failed
 	callerLeft      bool // and not only because its deadline has passed
@@ -86,6 +88,11 @@
 	return newID()
 }
 
+// addRepeat records that the request is sent again.
+func (c *call) addRepeat(way decision.Way, charge route.Charge) {
+	c.decision.Repeats = append(c.decision.Repeats, decision.Repeat{Way: way, Charge: string(charge)})
+}
+
 // extendWriteDeadline gives the caller progressTimeout to read the next part of
 // the response. It has no effect on a connection without write deadlines.
 func (c *call) extendWriteDeadline() {
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -49,7 +49,8 @@
 
 // RetryBudget limits retries by service.
 type RetryBudget interface {
-	AllowRetry(service string) bool
+	// AllowRetry returns what a retry is charged to, empty if it is not allowed.
+	AllowRetry(service string) route.Charge
 }
 
 // Reach learns from exchanges whether this host reaches instances at all.
--- a/entry/caller/hedge.go
+++ b/entry/caller/hedge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/upstream"
 	"github.com/snipebeam/snipebeam/world/instance"
@@ -62,6 +63,7 @@
 			}
 			defer second.finish()
 			hedges.Inc()
+			c.addRepeat(decision.Hedge, second.ticket.Charge())
 			second.begin()
 			second.sendAsync(attempt+1, results)
 			defer second.cancel()
--- a/entry/caller/relay.go
+++ b/entry/caller/relay.go
@@ -7,6 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/entry/decision"
+	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/upstream"
 	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/outcome"
@@ -86,14 +88,29 @@
 		return false
 	}
 	if last.problem.Kind() == outcome.NotRun {
-		return last.problem.Reason() == outcome.UpstreamLost || last.problem.Reason() == outcome.NoInstance && h.cfg.Relay.Isolated()
+		if last.problem.Reason() != outcome.UpstreamLost && !(last.problem.Reason() == outcome.NoInstance && h.cfg.Relay.Isolated()) {
+			return false
+		}
+		if c.sent {
+			c.addRepeat(decision.Relay, route.Uncharged)
+		}
+		return true
 	}
 	maxAttempts := c.rule.Contract().Attempts()
-	return h.cfg.Relay.Isolated() && c.repeatable() && (maxAttempts == 0 || c.ranAttempts < maxAttempts) && h.allowRetry(c)
+	return h.cfg.Relay.Isolated() && c.repeatable() && (maxAttempts == 0 || c.ranAttempts < maxAttempts) && h.allowRetry(c, decision.Relay)
 }
 
-func (h *Handler) allowRetry(c *call) bool {
-	return h.cfg.Budget == nil || h.cfg.Budget.AllowRetry(c.service)
+// allowRetry reports whether the request may be sent again, and records it.
+func (h *Handler) allowRetry(c *call, way decision.Way) bool {
+	charge := route.Uncharged
+	if h.cfg.Budget != nil {
+		charge = h.cfg.Budget.AllowRetry(c.service)
+	}
+	if charge == "" {
+		return false
+	}
+	c.addRepeat(way, charge)
+	return true
 }
 
 // relay sends the request to other entry hosts until one responds. It returns last if
@@ -113,7 +130,7 @@
 		}
 		last = problem
 		c.dispatched = c.dispatched || problem.Kind() == outcome.Unknown
-		if !next || problem.Kind() == outcome.Unknown && !(c.repeatable() && h.allowRetry(c)) {
+		if !next || problem.Kind() == outcome.Unknown && !(c.repeatable() && h.allowRetry(c, decision.Relay)) {
 			break
 		}
 	}
--- a/entry/caller/retry_test.go
+++ b/entry/caller/retry_test.go
@@ -35,7 +35,7 @@
 
 type noBudget struct{}
 
-func (noBudget) AllowRetry(string) bool { return false }
+func (noBudget) AllowRetry(string) route.Charge { return "" }
 
 func TestRetriesFollowTheContract(t *testing.T) {
 	tests := map[string]struct {
--- a/entry/decision/counters.go
+++ b/entry/decision/counters.go
@@ -21,11 +21,18 @@
 	byKey sync.Map // counterKey to *metrics.Counter
 }
 
+func (c *outcomeCounters) countRepeats(d *Decision) {
+	for _, r := range d.Repeats {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`snipebeam_repeats_total{service=%q,way=%q,charge=%q}`, d.Service, r.Way, r.Charge)).Inc()
+	}
+}
+
 func (c *outcomeCounters) count(d *Decision) {
 	if d.Kind != Route {
 		return
 	}
 	key := counterKey{service: d.Service, outcome: d.Outcome, reason: d.Problem}
+	c.countRepeats(d)
 	if d.Rule == "" {
 		key.service = "" // no rule names it
 	}
--- a/entry/decision/decision.go
+++ b/entry/decision/decision.go
@@ -36,6 +36,23 @@
 	WhyExcluded  string  `json:"whyExcluded,omitempty"`
 }
 
+// Way is how a request was sent to an instance again.
+type Way string
+
+// Ways in which a request is sent again.
+const (
+	Resend Way = "resend" // on a new link, after the instance had closed an idle one
+	Retry  Way = "retry"  // after a failure or a refusal
+	Hedge  Way = "hedge"  // to a second instance, as the first one is late
+	Relay  Way = "relay"  // through another entry host
+)
+
+// Repeat is one send of a request after its first one.
+type Repeat struct {
+	Way    Way    `json:"way"`
+	Charge string `json:"charge"` // what it was charged to, "none" if nothing
+}
+
 // Decision is one line of the decision log. It is immutable once written.
 type Decision struct {
 	ID              string        `json:"id"`
@@ -59,7 +76,8 @@
 	Status          int           `json:"status,omitempty"`
 	Outcome         string        `json:"outcome,omitempty"`
 	Problem         string        `json:"problem,omitempty"`
-	Detail          string        `json:"detail,omitempty"` // human-readable reason
-	Hosts           []string      `json:"hosts,omitempty"`  // entry hosts of a placement
+	Detail          string        `json:"detail,omitempty"`  // human-readable reason
+	Hosts           []string      `json:"hosts,omitempty"`   // entry hosts of a placement
+	Repeats         []Repeat      `json:"repeats,omitempty"` // sends after the first one
 	Candidates      []Candidate   `json:"candidates,omitempty"`
 }
--- a/entry/limit/budget.go
+++ b/entry/limit/budget.go
@@ -15,24 +15,28 @@
 type Budget struct {
 	balance atomic.Int64
 	ready   atomic.Bool
+	earned  atomic.Int64
+	spent   atomic.Int64
 }
 
 // Earn records an event of which the given share may be spent.
 func (b *Budget) Earn(share float64) {
 	b.start()
+	b.earned.Add(int64(share * unit))
 	b.add(int64(share * unit))
 }
 
-// Spend takes one event from the budget, if it has one.
-func (b *Budget) Spend() bool {
+// Spend takes one event from the budget, if it has one. It reports whether the event
+// was earned, and not of the initial balance.
+func (b *Budget) Spend() (spent, earned bool) {
 	b.start()
 	for {
 		balance := b.balance.Load()
 		if balance < unit {
-			return false
+			return false, false
 		}
 		if b.balance.CompareAndSwap(balance, balance-unit) {
-			return true
+			return true, b.spent.Add(1)*unit <= b.earned.Load()
 		}
 	}
 }
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -46,7 +46,7 @@
 			if rapid.Bool().Draw(t, "first") {
 				b.Earn(share)
 				first++
-			} else if b.Spend() {
+			} else if spent, _ := b.Spend(); spent {
 				retries++
 			}
 		}
--- a/entry/route/admission.go
+++ b/entry/route/admission.go
@@ -109,18 +109,31 @@
 	allowanceRefill = 0.3
 )
 
+// Charge is what a retry was charged to, empty for a retry that is not allowed.
+type Charge string
+
+// Charges.
+const (
+	Uncharged Charge = "none"
+	Initial   Charge = "initial" // retries that a budget has from the start
+	Earned    Charge = "earned"  // the share of this host's requests
+	Allowance Charge = "allowance"
+)
+
 // spendRetry takes one retry from the retry budget, or else from this host's share
 // of the allowance.
-func (d *Dispatcher) spendRetry() bool {
-	if d.limits.retries.Spend() {
-		return true
+func (d *Dispatcher) spendRetry() Charge {
+	if spent, earned := d.limits.retries.Spend(); spent && earned {
+		return Earned
+	} else if spent {
+		return Initial
 	}
 	n, window := d.router.terms(d.service).RetryAllowance()
 	hostAllowance := float64(n) * d.router.share(d.service)
-	if hostAllowance < 1/allowanceBurst {
-		return false
+	if hostAllowance < 1/allowanceBurst || !d.limits.allowance.Allow(d.router.clock(), allowanceRefill*hostAllowance/window.Seconds(), allowanceBurst*hostAllowance) {
+		return ""
 	}
-	return d.limits.allowance.Allow(d.router.clock(), allowanceRefill*hostAllowance/window.Seconds(), allowanceBurst*hostAllowance)
+	return Allowance
 }
 
 // full reports whether the service's in-flight limit is reached.
--- a/entry/route/budget_test.go
+++ b/entry/route/budget_test.go
@@ -42,7 +42,7 @@
 		serve()
 		retries := 0
 		for _, r := range routers {
-			for r.AllowRetry(service) {
+			for r.AllowRetry(service) != "" {
 				retries++
 			}
 		}
--- a/entry/route/hedge.go
+++ b/entry/route/hedge.go
@@ -37,7 +37,7 @@
 	if ticket == nil {
 		return nil
 	}
-	if !d.spendRetry() {
+	if ticket.charge = d.spendRetry(); ticket.charge == "" {
 		ticket.cancel()
 		return nil
 	}
--- a/entry/route/queue_test.go
+++ b/entry/route/queue_test.go
@@ -187,7 +187,7 @@
 	must.Eq(t, 0, n)
 	retries := 0
 	for range 20 {
-		if f.router.AllowRetry(service) {
+		if f.router.AllowRetry(service) != "" {
 			retries++
 		}
 	}
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -198,8 +198,8 @@
 }
 
 // AllowRetry takes one retry from the service's retry budget, which grows with
-// its requests, and reports whether one was available.
-func (r *Router) AllowRetry(service string) bool {
+// its requests, and returns what it was charged to, empty if none was available.
+func (r *Router) AllowRetry(service string) Charge {
 	return r.Dispatcher(service).spendRetry()
 }
 
