--- a/entry/caller/relay_test.go
+++ b/entry/caller/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/upstream"
 	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/knownred"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
@@ -155,3 +156,27 @@
 	must.Eq(t, outcome.Unknown, got.outcome())
 	must.One(t, runs.Load()) // the rule allows 2
 }
+
+// Guards against a request that reaches instances through several other hosts, each of
+// which refuses it, although the retry budget is used up.
+func TestRelayAfterARefusalStaysWithinTheBudget(t *testing.T) {
+	knownred.Skip(t)
+	var received atomic.Int32
+	refusing := httpInstance(t, func(w http.ResponseWriter, _ *http.Request) {
+		received.Add(1)
+		w.Header().Set(caller.RefusedHeader, "full")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	others := []string{serveEntry(t, newEntry(t, viewsOf(refusing), newClaims())), serveEntry(t, newEntry(t, viewsOf(refusing), newClaims()))}
+	var cut atomic.Bool
+	relay := &fakeRelay{hosts: others}
+	relay.isolated.Store(true)
+	cut.Store(true)
+	host := newEntry(t, viewsOf(refusing), newClaims(), func(cfg *caller.Config) {
+		cfg.Pool = upstream.NewPool(upstream.WithDial(partitionedFrom(&cut, refusing)))
+		cfg.Relay, cfg.Budget = relay, noBudget{}
+	})
+	got := call(t, http.MethodGet, serveEntry(t, host), "/x", "")
+	must.Eq(t, outcome.NotRun, got.outcome())
+	must.Eq(t, 1, received.Load())
+}
--- a/entry/route/budget_test.go
+++ b/entry/route/budget_test.go
@@ -49,3 +49,28 @@
 		must.LessEq(t, int(share*hosts*perHost)+allowance, retries)
 	})
 }
+
+// Guards against retries that each start of a host adds to those of the service.
+func TestRetriesOfHostsThatStartAgainStayWithinTheAllowance(t *testing.T) {
+	const (
+		hosts, starts = 190, 3
+		allowance     = 303
+	)
+	knownred.Skip(t)
+	synctest.Test(t, func(t *testing.T) {
+		terms := contract.NewService(service, contract.WithRetryBudget(0.2), contract.WithRetryAllowance(allowance, 10*time.Second))
+		retries := 0
+		for range starts {
+			for range hosts {
+				r := realTimeRouter(1, 0,
+					route.WithTerms(func(string) *contract.Service { return terms }),
+					route.WithShare(func(string) float64 { return 1.0 / hosts }))
+				for r.AllowRetry(service) != "" {
+					retries++
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		must.LessEq(t, allowance, retries)
+	})
+}
