--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -28,6 +28,7 @@
 
 // Exchange is one request and its response on one link.
 type Exchange struct {
+	pool           *Pool
 	links          *instanceLinks
 	link           *Link
 	request        *http.Request
@@ -71,7 +72,7 @@
 // Send writes a request and reads the header of its response. A large body is
 // written while the response is awaited; closing it must unblock a pending Read.
 func (p *Pool) Send(ctx context.Context, address string, req *http.Request, opts ...SendOption) (*Exchange, error) {
-	e := &Exchange{request: req, maxIdle: unlimitedIdle}
+	e := &Exchange{pool: p, request: req, maxIdle: unlimitedIdle}
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -239,6 +240,7 @@
 		cause = Cancelled
 	case cause == Closed && e.link.reused && !e.link.responseStarted:
 		cause = Stale
+		e.pool.idle.foundClosed(e.link.reusedAfter, time.Now())
 	}
 	if cause == Silent {
 		e.links.retire(e.link.openedAt.Add(retirementMargin))
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -34,7 +34,8 @@
 	inHeader        bool
 	responseStarted bool // a byte of the current response was received
 	reused          bool
-	silent          atomic.Bool // closed because it exceeded the silent limit
+	reusedAfter     time.Duration // idle time before the current request, if reused
+	silent          atomic.Bool   // closed because it exceeded the silent limit
 }
 
 func newLink(conn net.Conn, progress time.Duration, maxHeaderBytes int) *Link {
--- a/entry/upstream/links.go
+++ b/entry/upstream/links.go
@@ -22,10 +22,16 @@
 // get returns an idle link if there is a usable one. If it returns neither a
 // link nor a channel, a slot is reserved and the calling code opens a new link.
 // Otherwise the limit is reached and the channel is closed when a retry may
-// succeed.
-func (s *instanceLinks) get(now time.Time, maxIdle time.Duration) (*Link, chan struct{}) {
+// succeed. Links that were idle for longer than the limit are closed; those that were
+// idle for longer than maxIdle are left to other requests.
+func (s *instanceLinks) get(now time.Time, maxIdle, limit time.Duration) (*Link, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for len(s.idle) > 0 && now.Sub(s.idle[0].idleSince) > limit {
+		s.idle[0].close()
+		s.idle = slices.Delete(s.idle, 0, 1)
+		s.open--
+	}
 	for len(s.idle) > 0 && maxIdle > 0 {
 		l := s.idle[len(s.idle)-1]
 		if now.Sub(l.idleSince) > maxIdle {
@@ -33,7 +39,7 @@
 		}
 		s.idle = s.idle[:len(s.idle)-1]
 		if l.usable(now, maxIdle) {
-			l.reused = true
+			l.reused, l.reusedAfter = true, now.Sub(l.idleSince)
 			s.inUse[l] = struct{}{}
 			return l, nil
 		}
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -51,7 +51,7 @@
 	dial           Dial
 	maxLinks       int
 	maxHeaderBytes int
-	idleLimit      time.Duration
+	idle           idleLimit
 	progress       time.Duration
 	silent         time.Duration
 	instances      sync.Map // *instanceLinks by address
@@ -71,7 +71,7 @@
 func WithMaxHeaderBytes(n int) Option { return func(p *Pool) { p.maxHeaderBytes = n } }
 
 // WithIdleLimit limits how long an idle link is kept.
-func WithIdleLimit(d time.Duration) Option { return func(p *Pool) { p.idleLimit = d } }
+func WithIdleLimit(d time.Duration) Option { return func(p *Pool) { p.idle.most = d } }
 
 // WithProgress limits how long a write of a request or a read of a response body
 // may make no progress.
@@ -98,7 +98,7 @@
 func NewPool(opts ...Option) *Pool {
 	p := &Pool{
 		dial: dialer(link.SilentLimit), maxLinks: DefaultMaxLinks, maxHeaderBytes: DefaultMaxHeaderBytes,
-		idleLimit: DefaultIdleLimit, progress: DefaultProgress, silent: link.SilentLimit,
+		idle: idleLimit{most: DefaultIdleLimit}, progress: DefaultProgress, silent: link.SilentLimit,
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -136,11 +136,11 @@
 }
 
 // Close closes all idle links.
-func (p *Pool) Close() { p.sweep(time.Now().Add(p.idleLimit + time.Hour)) }
+func (p *Pool) Close() { p.sweep(time.Now().Add(p.idle.most + time.Hour)) }
 
 func (p *Pool) sweep(now time.Time) {
 	p.instances.Range(func(key, value any) bool {
-		if value.(*instanceLinks).sweep(now, p.idleLimit) {
+		if value.(*instanceLinks).sweep(now, p.idle.most) {
 			p.instances.Delete(key)
 		}
 		return true
@@ -160,7 +160,8 @@
 func (p *Pool) open(ctx context.Context, address string, maxIdle time.Duration) (*Link, *instanceLinks, error) {
 	links := p.linksTo(address)
 	for {
-		l, wait := links.get(time.Now(), min(maxIdle, p.idleLimit))
+		now := time.Now()
+		l, wait := links.get(now, maxIdle, p.idle.get(now))
 		if l != nil {
 			return l, links, nil
 		}
@@ -191,17 +192,17 @@
 }
 
 // Reachable reports whether an instance can be reached: at least one idle link
-// is still open or, if there are no idle links, a new one can be opened.
+// is still open or, if there are no idle links, a new one can be opened, which is kept.
 func (p *Pool) Reachable(ctx context.Context, address string) bool {
 	links := p.linksTo(address)
 	if idle, open := links.countIdle(); idle > 0 {
 		return open > 0
 	}
-	conn, err := p.dial(ctx, address)
+	l, links, err := p.open(ctx, address, 0)
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
+	links.giveBack(l)
 	return true
 }
 
