--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -77,6 +77,12 @@
 		opt(e)
 	}
 	l, links, err := p.open(ctx, address, e.maxIdle)
+	if err == nil && e.identity != "" && l.identity == e.identity {
+		// A late response to the earlier request could not be told from that to this one.
+		l.close()
+		links.remove(l)
+		l, links, err = p.open(ctx, address, 0)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -85,6 +91,7 @@
 		return nil, &Failure{cause: Cancelled, err: ctx.Err(), address: address}
 	}
 	e.link, e.links = l, links
+	l.identity = e.identity
 	before := l.written.Load()
 	body := req.Body
 	e.stop = context.AfterFunc(ctx, func() {
@@ -192,6 +199,12 @@
 	return got != "" && got != e.identity
 }
 
+// Identified reports whether the response is certainly one to this request: it echoes the
+// identity, none is in use, or the link carried no earlier request.
+func (e *Exchange) Identified() bool {
+	return e.identityHeader == "" || !e.link.reused || e.response.Header.Get(e.identityHeader) == e.identity
+}
+
 // discard reads a response to another request to its end. Together with the
 // headers, all discarded responses are limited in size. The link is not reused
 // afterwards.
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -34,6 +34,7 @@
 	inHeader        bool
 	responseStarted bool // a byte of the current response was received
 	reused          bool
+	identity        string        // of the last request
 	reusedAfter     time.Duration // idle time before the current request, if reused
 	silent          atomic.Bool   // closed because it exceeded the silent limit
 }
