--- a/control/quota/quota.go
+++ b/control/quota/quota.go
@@ -24,6 +24,7 @@
 	"github.com/snipebeam/snipebeam/control/agreement"
 	"github.com/snipebeam/snipebeam/control/fleet"
 	"github.com/snipebeam/snipebeam/world/contract"
+	"github.com/snipebeam/snipebeam/world/steady"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"github.com/twitchtv/twirp"
 )
@@ -51,17 +52,20 @@
 
 // Service implements the Twirp service Quota.
 type Service struct {
-	name  string
-	log   agreement.Log
-	fleet *fleet.Fleet
-	now   func() time.Time
-	terms func(service string) *contract.Service
-
-	mu      sync.Mutex
-	term    uint64
-	buckets map[string]*bucket   // by instance
-	retries map[string]*bucket   // by service
-	hosts   map[string]time.Time // time of the last request of an entry host
+	name      string
+	log       agreement.Log
+	fleet     *fleet.Fleet
+	now       func() time.Time
+	terms     func(service string) *contract.Service
+	suspended func() time.Duration // of the machine, since the start
+
+	mu         sync.Mutex
+	term       uint64
+	buckets    map[string]*bucket   // by instance
+	retries    map[string]*bucket   // by service
+	hosts      map[string]time.Time // time of the last request of an entry host
+	suspension time.Duration        // as last known
+	resumedAt  time.Time            // end of the last suspension, zero for none
 }
 
 // Option changes one property of the service.
@@ -72,7 +76,7 @@
 
 // New returns the service of one control host.
 func New(name string, log agreement.Log, hosts *fleet.Fleet, opts ...Option) *Service {
-	s := &Service{name: name, log: log, fleet: hosts, now: time.Now, buckets: map[string]*bucket{}, retries: map[string]*bucket{}, terms: noAllowance, hosts: map[string]time.Time{}}
+	s := &Service{name: name, log: log, fleet: hosts, now: time.Now, buckets: map[string]*bucket{}, retries: map[string]*bucket{}, terms: noAllowance, suspended: steady.New().Suspended, hosts: map[string]time.Time{}}
 	for _, opt := range opts {
 		opt(s)
 	}
--- a/control/quota/quota_test.go
+++ b/control/quota/quota_test.go
@@ -29,7 +29,8 @@
 // replica is one control host.
 type replica struct {
 	*quota.Service
-	log *log
+	log       *log
+	suspended time.Duration
 }
 
 func newReplica(name string, now *time.Time) *replica {
--- a/control/quota/retries.go
+++ b/control/quota/retries.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/snipebeam/snipebeam/control/agreement"
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"github.com/twitchtv/twirp"
@@ -12,11 +13,14 @@
 
 // Constants of the retries that are granted from the allowance of a service.
 const (
-	// savedPart is the part of the allowance that is saved while nobody uses it. A leader
-	// that was replaced and does not know it yet may grant as much once more.
-	savedPart = 0.125
+	// retryValidity is how long an entry host may use a retry that was granted to it.
+	retryValidity = 500 * time.Millisecond
+	// savedPart is the part of the allowance that is saved while nobody uses it.
+	savedPart = 0.5
 	// reservedPart is the part of the saved retries that hedges leave to other retries.
 	reservedPart = 0.5
+	// suspensionLimit is the time of suspension after which another host may lead.
+	suspensionLimit = 100 * time.Millisecond
 )
 
 var grantedRetries = metrics.GetOrCreateCounter("snipebeam_granted_retries_total")
@@ -26,31 +30,36 @@
 	return func(s *Service) { s.terms = terms }
 }
 
+// WithSuspended sets the function that returns for how long the machine has been suspended
+// since the start.
+func WithSuspended(suspended func() time.Duration) Option {
+	return func(s *Service) { s.suspended = suspended }
+}
+
 // GrantRetries grants an entry host retries of a service. In any window all hosts together
-// use at most the allowance: what was saved, by this leader and by one that it has
-// replaced, and what was earned while grants that are used in the window were made. A new
-// leader has saved nothing.
+// use at most the allowance: what was saved, and what was earned while grants that are used
+// in the window were made. A leader has saved nothing when it begins to grant.
 func (s *Service) GrantRetries(_ context.Context, req *wire.RetryGrantRequest) (*wire.RetryGrantResponse, error) {
 	status, now := s.log.Status(), s.now()
 	if status.Leader() != s.name {
 		return &wire.RetryGrantResponse{LeaderAddress: status.LeaderAddress()}, nil
 	}
-	grantsSince := status.LeadsSince().Add(Validity)
-	if !status.Quorum() || now.Before(grantsSince) {
-		return nil, twirp.NewError(twirp.Unavailable, "this control host does not grant yet")
-	}
 	allowance, window := s.terms(req.GetService()).RetryAllowance()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startTerm(status.Term())
+	since := s.grantsSince(status, now)
+	if !status.Quorum() || now.Before(since) {
+		return nil, twirp.NewError(twirp.Unavailable, "this control host does not grant yet")
+	}
 	b := s.retries[req.GetService()]
 	if b == nil {
-		b = &bucket{at: grantsSince}
+		b = &bucket{at: since}
 		s.retries[req.GetService()] = b
 	}
-	saved := min(max(savedPart*float64(allowance), 1), float64(allowance)/2)
-	b.fill((float64(allowance)-2*saved)/(window+Validity).Seconds(), saved, now)
-	response := &wire.RetryGrantResponse{Leader: true, ValidNs: int64(Validity)}
+	saved := savedPart * float64(allowance)
+	b.fill((float64(allowance)-saved)/(window+retryValidity).Seconds(), saved, now)
+	response := &wire.RetryGrantResponse{Leader: true, ValidNs: int64(retryValidity)}
 	response.Retries = b.take(req.GetRetries(), 0)
 	response.Hedges = b.take(req.GetHedges(), reservedPart*saved)
 	grantedRetries.Add(int(response.Retries + response.Hedges))
@@ -60,6 +69,22 @@
 	return response, nil
 }
 
+// grantsSince returns the time since which this leader grants retries: once a former leader
+// has certainly heard of it, and once it would itself have heard of a successor after its
+// machine was suspended. The caller holds the lock.
+func (s *Service) grantsSince(status agreement.Status, now time.Time) time.Time {
+	if suspended := s.suspended(); suspended-s.suspension > suspensionLimit {
+		s.resumedAt = now
+		clear(s.retries)
+		s.suspension = suspended
+	}
+	since := status.LeadsSince()
+	if s.resumedAt.After(since) {
+		since = s.resumedAt
+	}
+	return since.Add(Validity)
+}
+
 // take takes up to n tokens and leaves the given number.
 func (b *bucket) take(n uint32, leave float64) uint32 {
 	taken := min(n, uint32(max(b.tokens-leave, 0)))
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -25,9 +25,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/snipebeam/snipebeam/entry/limit"
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/outcome"
+	"github.com/snipebeam/snipebeam/world/steady"
 )
 
 // Router selects an instance for each attempt of a request and issues a Ticket for it.
@@ -45,7 +45,7 @@
 	trace      bool
 	limits     Limits
 	limited    func(m Member, limit RateLimit)
-	steady     func() int64   // time by which retries are counted, see limit.SteadyClock
+	steady     func() int64   // time by which retries are counted, see steady.Clock
 	retryGrant RetryGrantFunc // nil: nobody grants
 	grant      GrantFunc      // nil: nobody grants
 	cutoff     atomic.Int64   // Unix nanoseconds, 0 for none
@@ -103,7 +103,7 @@
 		limited: func(Member, RateLimit) {},
 		views:   views, policy: policy, policies: newPolicyTable(ByName), terms: defaultTermsOf, share: wholeShare, trace: true, limits: DefaultLimits(),
 		clock:  func() int64 { return time.Now().UnixNano() },
-		steady: limit.NewSteadyClock().Now,
+		steady: steady.New().Now,
 		random: NewRandom(rand.Uint64),
 	}
 	for _, opt := range opts {
