--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -178,6 +178,9 @@
 		if response.StatusCode >= http.StatusOK {
 			e.response = response
 			e.link.inHeader = false
+			if e.link.reused {
+				e.pool.idle.record(e.link.reusedAfter, false, time.Now())
+			}
 			return e.checkFraming(response)
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
@@ -253,7 +256,7 @@
 		cause = Cancelled
 	case cause == Closed && e.link.reused && !e.link.responseStarted:
 		cause = Stale
-		e.pool.idle.foundClosed(e.link.reusedAfter, time.Now())
+		e.pool.idle.record(e.link.reusedAfter, true, time.Now())
 	}
 	if cause == Silent {
 		e.links.retire(e.link.openedAt.Add(retirementMargin))
--- a/entry/upstream/idlelimit_test.go
+++ b/entry/upstream/idlelimit_test.go
@@ -56,24 +56,52 @@
 	})
 }
 
-// Guards against links that are never reused again once an instance has closed one.
+// Guards against links that are never reused again once instances have closed some.
 func TestLimitOnIdleTimeRises(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var f forgetfulInstance
 		pool := upstream.NewPool(upstream.WithDial(f.dial(time.Second)))
 		defer pool.Close()
-		_, err := fetch(t, pool, "i:1", "/")
-		must.NoError(t, err)
+		for _, address := range []string{"i:1", "i:2"} {
+			_, err := fetch(t, pool, address, "/")
+			must.NoError(t, err)
+		}
 		time.Sleep(2 * time.Second)
-		_, err = fetch(t, pool, "i:1", "/")
-		must.Error(t, err)
+		for _, address := range []string{"i:1", "i:2"} {
+			_, err := fetch(t, pool, address, "/")
+			must.Error(t, err)
+		}
 		time.Sleep(20 * time.Second)
 		opened := f.opened
 		for range 5 {
-			_, err = fetch(t, pool, "i:1", "/")
+			_, err := fetch(t, pool, "i:1", "/")
 			must.NoError(t, err)
 			time.Sleep(900 * time.Millisecond)
 		}
 		must.Eq(t, opened+1, f.opened)
 	})
 }
+
+// Guards against new links to all instances because one of them breaks links off while
+// others keep theirs.
+func TestInstanceThatBreaksLinksOffDoesNotLowerTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var bad, good forgetfulInstance
+		dialBad, dialGood := bad.dial(0), good.dial(time.Hour)
+		pool := upstream.NewPool(upstream.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+			if address == "bad:1" {
+				return dialBad(ctx, address)
+			}
+			return dialGood(ctx, address)
+		}))
+		defer pool.Close()
+		for range 50 {
+			_, _ = fetch(t, pool, "bad:1", "/")
+			_, err := fetch(t, pool, "good:1", "/")
+			must.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.Eq(t, 1, good.opened)
+		must.Positive(t, bad.closed)
+	})
+}
