--- a/entry/limit/budget.go
+++ b/entry/limit/budget.go
@@ -40,10 +40,21 @@
 
 // Spend takes one event from the budget, if it has one.
 func (b *Budget) Spend(window time.Duration, now int64) bool {
+	return b.spend(0, window, now)
+}
+
+// SpendSaved takes one event of what was earned half of a window ago or earlier, if there
+// is one. The rest is left to events that matter more.
+func (b *Budget) SpendSaved(window time.Duration, now int64) bool {
+	return b.spend(validSlots/2, window, now)
+}
+
+// spend takes one event of what was earned at least minAge slots ago.
+func (b *Budget) spend(minAge int, window time.Duration, now int64) bool {
 	current := slotAt(window, now)
 	var taken [slotsPerWindow]uint64
 	left := uint64(unit)
-	for age := validSlots - 1; age >= 0 && left > 0; age-- { // the oldest expire first
+	for age := validSlots - 1; age >= minAge && left > 0; age-- { // the oldest expire first
 		if current < uint64(age) {
 			continue
 		}
--- a/entry/limit/limit_test.go
+++ b/entry/limit/limit_test.go
@@ -84,6 +84,17 @@
 	return n
 }
 
+func TestWhatWasEarnedLatelyIsLeftToRetries(t *testing.T) {
+	const window = 10 * time.Second
+	var b limit.Budget
+	for range 100 {
+		b.Earn(0.2, window, 0)
+	}
+	must.False(t, b.SpendSaved(window, int64(3*time.Second)))
+	must.True(t, b.SpendSaved(window, int64(4*time.Second)))
+	must.True(t, b.Spend(window, int64(4*time.Second)))
+}
+
 func TestSavedRetriesOfAWindowCanBeSpentAtOnceAndExpire(t *testing.T) {
 	const window = 10 * time.Second
 	spent := func(after time.Duration) int {
--- a/entry/route/budget_test.go
+++ b/entry/route/budget_test.go
@@ -121,6 +121,7 @@
 					must.NoError(t, err)
 					ticket.Finish(route.Report{Latency: time.Millisecond})
 				}
+				time.Sleep(5 * time.Second) // hedges get what retries have left
 				allowed := 0
 				for n := range 60 {
 					allow := r.AllowRetry
--- a/entry/route/retry.go
+++ b/entry/route/retry.go
@@ -49,14 +49,18 @@
 	return r.Dispatcher(service).allowRepeat(ctx, false)
 }
 
-// AllowHedge is AllowRetry for a hedge, which gets a grant only if retries leave some.
+// AllowHedge is AllowRetry for a hedge, which gets what retries leave.
 func (r *Router) AllowHedge(ctx context.Context, service string) Charge {
 	return r.Dispatcher(service).allowRepeat(ctx, true)
 }
 
 func (d *Dispatcher) allowRepeat(ctx context.Context, hedge bool) Charge {
 	allowance, window := d.router.terms(d.service).RetryAllowance()
-	if d.limits.retries.Spend(window, d.router.steady()) {
+	spend := d.limits.retries.Spend
+	if hedge {
+		spend = d.limits.retries.SpendSaved
+	}
+	if spend(window, d.router.steady()) {
 		return Earned
 	}
 	if allowance == 0 || d.router.retryGrant == nil || !d.retryGrants.wait(ctx, d, hedge) {
