--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -82,7 +82,8 @@
 // itself a retry by the layer above, or that the layer below has retried, is
 // not retried here, so that retries do not multiply across layers.
 //
-// An attempt that found its idle link closed does not count.
+// An attempt that found its idle link closed does not count for the retries of the
+// contract, but it may have run.
 func (h *Handler) mayRetry(c *call, last result, attempts int) bool {
 	if last.instance == "" || last.final || c.incomingAttempt > 1 || c.ctx.Err() != nil || !c.body.replayable() {
 		return false
@@ -92,8 +93,8 @@
 	if last.problem.Kind() == outcome.NotRun {
 		allowed = max(allowed, notRunRetries)
 	}
-	if maxAttempts := terms.Attempts(); maxAttempts > 0 {
-		allowed = min(allowed, maxAttempts-1-c.priorAttempts)
+	if maxAttempts := terms.Attempts(); maxAttempts > 0 && c.sentTo(attempts) >= maxAttempts {
+		return false
 	}
 	if (terms.Once() || terms.Single()) && last.problem.Kind() != outcome.NotRun || attempts > allowed {
 		return false
@@ -107,6 +108,15 @@
 	return h.allowRepeat(c, decision.Retry)
 }
 
+// sentTo returns the number of instances that may have run the request, after the given
+// number of attempts at this host that did not find their link closed.
+func (c *call) sentTo(attempts int) int {
+	if c.staleAt != "" {
+		attempts++
+	}
+	return attempts + c.priorAttempts
+}
+
 // repeatable reports whether the contract allows the request to run twice.
 func (c *call) repeatable() bool {
 	terms := c.rule.Contract()
--- a/entry/caller/hedge.go
+++ b/entry/caller/hedge.go
@@ -105,7 +105,7 @@
 // capacity or the contract allows no further attempt.
 func (h *Handler) hedge(first *dispatch, tried []instance.ID) *dispatch {
 	c := first.c
-	if maxAttempts := c.rule.Contract().Attempts(); maxAttempts > 0 && len(tried)+2+c.priorAttempts > maxAttempts {
+	if maxAttempts := c.rule.Contract().Attempts(); maxAttempts > 0 && c.sentTo(len(tried)+2) > maxAttempts {
 		return nil
 	}
 	exclude := append(append([]instance.ID{}, tried...), first.target.ID())
--- a/entry/caller/retry_test.go
+++ b/entry/caller/retry_test.go
@@ -236,3 +236,32 @@
 		must.Eq(t, outcome.Answer, call(t, http.MethodGet, serveEntry(t, entry), "/x", "").outcome())
 	}
 }
+
+// Guards against a request that runs on more instances than its rule allows, because the
+// first one ran it on a link that had been idle.
+func TestRequestOnAClosedIdleConnectionCountsAsRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, ran, addresses := newNetwork(), atomic.Int32{}, []string{"i:1", "i:2", "i:3"}
+		for _, address := range addresses {
+			n.serveRaw(t, address, func(conn net.Conn, r *bufio.Reader) {
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if strings.HasPrefix(req.URL.Path, "/late/") {
+						ran.Add(1)
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+		}
+		n.serve(t, "e:1", newEntry(t, viewsOf(addresses...), newClaims(), n.pool(t)).handler)
+		for range 10 {
+			must.Eq(t, outcome.Answer, n.call(t, newRequest(t, http.MethodGet, "e:1", "/plain/x", "")).outcome())
+		}
+		must.Eq(t, outcome.Unknown, n.call(t, newRequest(t, http.MethodGet, "e:1", "/late/x", "")).outcome())
+		must.Eq(t, 2, ran.Load())
+	})
+}
