--- a/entry/route/budget_test.go
+++ b/entry/route/budget_test.go
@@ -76,10 +76,11 @@
 
 // retryGrantor grants a number of retries.
 type retryGrantor struct {
-	mu    sync.Mutex
-	left  int
-	calls int
-	delay time.Duration
+	mu     sync.Mutex
+	left   int
+	hedges bool // grants hedges too
+	calls  int
+	delay  time.Duration
 }
 
 func (g *retryGrantor) grant(_ context.Context, _ string, retries, hedges int) (route.RetryGrants, error) {
@@ -89,8 +90,10 @@
 	g.calls++
 	granted := route.RetryGrants{Retries: min(retries, g.left), Validity: time.Second}
 	g.left -= granted.Retries
-	granted.Hedges = min(hedges, g.left)
-	g.left -= granted.Hedges
+	if g.hedges {
+		granted.Hedges = min(hedges, g.left)
+		g.left -= granted.Hedges
+	}
 	if granted.Retries+granted.Hedges < retries+hedges {
 		granted.Pause = 100 * time.Millisecond
 	}
@@ -115,7 +118,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := grantedRouter(&retryGrantor{left: 20}, c.budget, c.allowance)
+				r := grantedRouter(&retryGrantor{left: 20, hedges: true}, c.budget, c.allowance)
 				for range 101 { // one more for what is lost by rounding
 					ticket, err := r.Acquire(t.Context(), query())
 					must.NoError(t, err)
@@ -183,3 +186,12 @@
 		must.Eq(t, "", r.AllowRetry(t.Context(), service))
 	})
 }
+
+// Guards against retries of failed requests that are refused because a hedge was.
+func TestRefusedHedgeDoesNotKeepRetriesFromBeingRequested(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := grantedRouter(&retryGrantor{left: 1}, 0, 300)
+		must.Eq(t, "", r.AllowHedge(t.Context(), service))
+		must.Eq(t, route.Granted, r.AllowRetry(t.Context(), service))
+	})
+}
--- a/entry/route/retry.go
+++ b/entry/route/retry.go
@@ -72,11 +72,12 @@
 // retryGrants collects the retries and hedges of one service that wait for a grant, so
 // that one call at a time requests all of them.
 type retryGrants struct {
-	mu       sync.Mutex
-	retries  []chan bool
-	hedges   []chan bool
-	calling  bool
-	notUntil int64 // time of the next call
+	mu            sync.Mutex
+	retries       []chan bool
+	hedges        []chan bool
+	calling       bool
+	retryNotUntil int64 // time of the next call for retries
+	hedgeNotUntil int64 // time of the next call for hedges
 }
 
 // wait requests one retry or hedge and reports whether it was granted.
@@ -96,14 +97,14 @@
 func (g *retryGrants) enqueue(ctx context.Context, d *Dispatcher, granted chan bool, hedge bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if d.router.steady() < g.notUntil {
-		return false
-	}
+	waiting, notUntil := &g.retries, g.retryNotUntil
 	if hedge {
-		g.hedges = append(g.hedges, granted)
-	} else {
-		g.retries = append(g.retries, granted)
+		waiting, notUntil = &g.hedges, g.hedgeNotUntil
 	}
+	if d.router.steady() < notUntil {
+		return false
+	}
+	*waiting = append(*waiting, granted)
 	if !g.calling {
 		g.calling = true
 		go g.call(context.WithoutCancel(ctx), d) // others wait for it too
@@ -118,15 +119,24 @@
 		if len(retries)+len(hedges) == 0 {
 			return
 		}
-		grants := d.requestRetries(ctx, len(retries), len(hedges))
-		g.mu.Lock()
-		g.notUntil = max(g.notUntil, d.router.steady()+int64(grants.Pause))
-		g.mu.Unlock()
+		grants, err := d.requestRetries(ctx, len(retries), len(hedges))
+		g.pause(d.router.steady()+int64(grants.Pause), err != nil || grants.Retries < len(retries))
 		answer(retries, grants.Retries)
 		answer(hedges, grants.Hedges)
 	}
 }
 
+// pause sets the time of the next call. Hedges of which none was left do not keep retries
+// from being requested.
+func (g *retryGrants) pause(until int64, retries bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hedgeNotUntil = max(g.hedgeNotUntil, until)
+	if retries {
+		g.retryNotUntil = max(g.retryNotUntil, until)
+	}
+}
+
 // next takes all that wait. If none do, the next one starts another call.
 func (g *retryGrants) next() (retries, hedges []chan bool) {
 	g.mu.Lock()
@@ -145,7 +155,7 @@
 }
 
 // requestRetries makes one call. A grant that arrives after its validity is void.
-func (d *Dispatcher) requestRetries(ctx context.Context, retries, hedges int) RetryGrants {
+func (d *Dispatcher) requestRetries(ctx context.Context, retries, hedges int) (RetryGrants, error) {
 	ctx, cancel := context.WithTimeout(ctx, retryGrantTimeout)
 	defer cancel()
 	retryGrantCalls.Inc()
@@ -153,10 +163,10 @@
 	grants, err := d.router.retryGrant(ctx, d.service, retries, hedges)
 	if err != nil {
 		retryGrantFailures.Inc()
-		return RetryGrants{Pause: grants.Pause}
+		return RetryGrants{Pause: grants.Pause}, err
 	}
 	if d.router.steady()-sent > int64(grants.Validity) {
-		return RetryGrants{Pause: grants.Pause}
+		return RetryGrants{Pause: grants.Pause}, nil
 	}
-	return grants
+	return grants, nil
 }
