--- a/bench/local/access_test.go
+++ b/bench/local/access_test.go
@@ -120,8 +120,12 @@
 
 // announceSlots is like announce for an instance that states its slots.
 func announceSlots(ctx context.Context, c *http.Client, platform, address string, slots int) error {
+	return announceInstance(ctx, c, platform, "a-1", address, slots)
+}
+
+func announceInstance(ctx context.Context, c *http.Client, platform, id, address string, slots int) error {
 	body := fmt.Sprintf(`{"service":"a","address":%q,"slots":%d,"incarnation":1}`, address, slots)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+platform+"/v1/instances/a-1", strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+platform+"/v1/instances/"+id, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
