--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -303,9 +303,8 @@
 		d.report.Unreachable = !pool.CanConnect(ctx, address) && !d.h.stop.ended()
 		d.report.Failed = d.report.Unreachable
 	case upstream.Closed, upstream.Stale:
+		d.report.Failed = true
 		d.report.Unreachable = !pool.Reachable(ctx, address) && !d.h.stop.ended()
-		// An instance may close any idle link, and does not fail by it.
-		d.report.Failed = d.report.Unreachable || failure.Cause() == upstream.Closed
 		if failure.Cause() == upstream.Stale {
 			d.c.staleAt = d.target.ID()
 		}
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -257,6 +257,7 @@
 	case cause == Closed && e.link.reused && !e.link.responseStarted:
 		cause = Stale
 		e.pool.idle.record(e.link.reusedAfter, true, time.Now())
+		e.links.closeIdleSince(e.link.idleSince)
 	}
 	if cause == Silent {
 		e.links.retire(e.link.openedAt.Add(retirementMargin))
--- a/entry/upstream/idlelimit_test.go
+++ b/entry/upstream/idlelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -105,3 +106,32 @@
 		must.Positive(t, bad.closed)
 	})
 }
+
+// Guards against one failed send for each link to an instance that has ended meanwhile.
+func TestLinksThatWereIdleForAsLongAreClosedWithAClosedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const links = 8
+		var f forgetfulInstance
+		pool := upstream.NewPool(upstream.WithDial(f.dial(time.Second)))
+		defer pool.Close()
+		var all []*upstream.Exchange
+		for range links {
+			exchange, err := pool.Send(t.Context(), "i:1", get(t, "/"))
+			must.NoError(t, err)
+			all = append(all, exchange)
+		}
+		for _, exchange := range all {
+			_, err := io.ReadAll(exchange)
+			must.NoError(t, err)
+			exchange.Close()
+		}
+		time.Sleep(2 * time.Second)
+		failed := 0
+		for range links {
+			if _, err := fetch(t, pool, "i:1", "/"); err != nil {
+				failed++
+			}
+		}
+		must.Eq(t, 1, failed)
+	})
+}
--- a/entry/upstream/links.go
+++ b/entry/upstream/links.go
@@ -148,6 +148,18 @@
 	s.wakeOne()
 }
 
+// closeIdleSince closes the links that have been idle since the given time or longer.
+func (s *instanceLinks) closeIdleSince(since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.idle) > 0 && !s.idle[0].idleSince.After(since) {
+		s.idle[0].close()
+		s.idle = slices.Delete(s.idle, 0, 1)
+		s.open--
+		s.wakeOne()
+	}
+}
+
 // closeSilent closes the links in use that exceed the silent limit and retires
 // the links that are at least as old.
 func (s *instanceLinks) closeSilent(limit time.Duration) {
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -5,7 +5,8 @@
 //
 // A link is reused only if the whole request was sent, the whole response was
 // read, and no bytes have arrived since. Links that exceed the idle limit are
-// closed. When a link falls silent, all links to the same instance that are at
+// closed. When the instance has closed one, those that have been idle for as long are
+// closed with it. When a link falls silent, all links to the same instance that are at
 // least as old are retired with it.
 //
 // Usage:
