--- a/entry/caller/stray_test.go
+++ b/entry/caller/stray_test.go
@@ -19,7 +19,7 @@
 func identified(cfg *caller.Config) {
 	cfg.Dialect = &caller.Dialect{
 		Service: caller.ServiceHeader, RequestID: "Request-Id", CloseDelimited: true,
-		Refused: func(_ int, h http.Header) bool { return h.Get("Not-Executed") != "" },
+		Refused: func(_ int, h http.Header) bool { return h.Get(caller.RefusedHeader) != "" },
 		Load:    func(http.Header) (caller.LoadReport, bool) { return caller.LoadReport{}, false },
 		WriteProblem: func(w http.ResponseWriter, response caller.ErrorResponse) {
 			w.Header().Set(outcome.Header, string(response.Problem.Kind()))
@@ -41,7 +41,7 @@
 				defer time.Sleep(2 * time.Second) // until the instance has ended
 				n, ran := newNetwork(), 0
 				n.serveRaw(t, "i:1", func(conn net.Conn, r *bufio.Reader) {
-					refusal := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nNot-Executed: 1\r\n"
+					refusal := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" + caller.RefusedHeader + ": full\r\n"
 					var last string
 					for {
 						req, err := http.ReadRequest(r)
