entry/poison, control/fleet, world/evidence: what is refused does not depend on when and how often it is told

What callers saw: a request that ends instances was refused after two of them, then sent again from every host that was told of the third loss, and of each further one.

Cause: a message listed instances without the time of their losses. The same made every echo renew a suspect for ever, and at control hosts 256 suspects evicted each other.

A loss is now identified by the incarnation of its instance; messages state its age; the earliest known time holds; an excuse (a response to the request) is never taken back and is shared, where only the host that got the response knew of it. What is refused is a function of these losses: correlated ones within a second count as one, not as none. Records with most losses that are not excused stay when there is no room. A host reports at most 64 suspects, in place of all. Control hosts tell a host that polled an earlier process everything.

Builds side by side: an old host gets the instances without ages as before; from an old one they are as old as their receipt.

--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -75,7 +75,7 @@
 // end of the poll, and for PollGrace after that.
 func (f *Fleet) BeginPoll(report *wire.HostReport, now time.Time) (previous *wire.HostReport, end func()) {
 	previous = f.Report(report, now)
-	f.suspects.add(report.GetSuspects())
+	f.suspects.add(report.GetSuspects(), now)
 	f.AddRateLimits(report.GetRateLimits(), now)
 	if report.GetState() == placement.StateIsolated && previous.GetState() != placement.StateIsolated {
 		f.isolations.add(now)
--- a/control/fleet/suspects.go
+++ b/control/fleet/suspects.go
@@ -1,77 +1,75 @@
 package fleet
 
 import (
-	"slices"
+	"maps"
 	"sync"
+	"time"
 
+	"github.com/snipebeam/snipebeam/world/evidence"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
-// maxSuspects limits the fingerprints that are kept. An evicted poison request
-// is reported again when it arrives again.
-const maxSuspects = 256
-
-// suspects holds the fingerprints, reported by entry hosts, of requests that were
-// in flight when connections to instances were lost.
+// suspects holds what entry hosts report of requests that were in flight when instances
+// were lost.
 type suspects struct {
 	mu        sync.Mutex
-	all       []*wire.Suspect // ordered by last change
-	revisions []uint64        // revision of each suspect's last change
+	book      *evidence.Book
+	revisions map[uint64]uint64 // revision of each record's last change
 	revision  uint64
-	notify    chan struct{} // closed at the next change
+	notify    chan struct{} // closed at the next loss
 }
 
-func newSuspects() suspects { return suspects{notify: make(chan struct{})} }
+func newSuspects() suspects {
+	// Hosts that polled an earlier process have lower revisions.
+	return suspects{book: evidence.NewBook(), revisions: map[uint64]uint64{}, revision: uint64(time.Now().UnixNano()), notify: make(chan struct{})}
+}
 
-// add merges the suspects that a host reported.
-func (s *suspects) add(reported []*wire.Suspect) {
+// add merges the suspects that a host reported. Excuses wait for the next poll of each host.
+func (s *suspects) add(reported []*wire.Suspect, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.revision
+	lost := false
 	for _, suspect := range reported {
-		s.merge(suspect)
+		change := s.book.Merge(suspect, now)
+		if change == evidence.Unchanged {
+			continue
+		}
+		s.revision++
+		s.revisions[suspect.GetFingerprint()] = s.revision
+		lost = lost || change == evidence.Added
+	}
+	if len(s.revisions) > s.book.Len() {
+		maps.DeleteFunc(s.revisions, func(fp, _ uint64) bool { return s.book.Record(fp) == nil })
 	}
-	if s.revision != before {
+	if lost {
 		close(s.notify)
 		s.notify = make(chan struct{})
 	}
 }
 
-func (s *suspects) merge(reported *wire.Suspect) {
-	at := slices.IndexFunc(s.all, func(old *wire.Suspect) bool { return old.GetFingerprint() == reported.GetFingerprint() })
-	merged := &wire.Suspect{Fingerprint: reported.GetFingerprint(), Instances: slices.Clone(reported.GetInstances()), RefusedUntil: reported.GetRefusedUntil()}
-	if at >= 0 {
-		old := s.all[at]
-		for _, id := range old.GetInstances() {
-			if !slices.Contains(merged.Instances, id) {
-				merged.Instances = append(merged.Instances, id)
-			}
-		}
-		merged.RefusedUntil = max(merged.RefusedUntil, old.GetRefusedUntil())
-		if len(merged.Instances) == len(old.GetInstances()) && merged.RefusedUntil == old.GetRefusedUntil() {
-			return
-		}
-		s.all, s.revisions = slices.Delete(s.all, at, at+1), slices.Delete(s.revisions, at, at+1)
-	}
-	s.revision++
-	s.all, s.revisions = append(s.all, merged), append(s.revisions, s.revision)
-	if len(s.all) > maxSuspects {
-		s.all, s.revisions = s.all[1:], s.revisions[1:]
-	}
-}
-
 // Suspects returns the suspects that changed after the given revision, and the
 // latest revision. Revisions are local to this control host.
-func (f *Fleet) Suspects(after uint64) ([]*wire.Suspect, uint64) {
+func (f *Fleet) Suspects(after uint64, now time.Time) ([]*wire.Suspect, uint64) {
 	s := &f.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	first, _ := slices.BinarySearch(s.revisions, after+1)
-	return slices.Clone(s.all[first:]), s.revision
+	if after == s.revision {
+		return nil, s.revision
+	}
+	if after > s.revision { // of an earlier process, before the clock went back
+		after = 0
+	}
+	var all []*wire.Suspect
+	for fp, revision := range s.revisions {
+		if revision > after {
+			all = append(all, s.book.Record(fp).Message(fp, now))
+		}
+	}
+	return all, s.revision
 }
 
-// SuspectsChanged returns a channel that is closed at the next change of a
-// suspect.
+// SuspectsChanged returns a channel that is closed at the next loss of an instance under a
+// request.
 func (f *Fleet) SuspectsChanged() <-chan struct{} {
 	f.suspects.mu.Lock()
 	defer f.suspects.mu.Unlock()
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -87,7 +87,7 @@
 	}
 	response.Instances, response.InstancesRevision = s.machine.Instances(req.GetKnownInstances())
 	response.Isolations, _ = s.fleet.Isolations()
-	response.Suspects, response.SuspectsRevision = s.fleet.Suspects(req.GetKnownSuspects())
+	response.Suspects, response.SuspectsRevision = s.fleet.Suspects(req.GetKnownSuspects(), time.Now())
 }
 
 // await waits for a newer version and reports whether there is one. The wait
@@ -162,8 +162,8 @@
 	if isolations, _ := s.fleet.Isolations(); isolations > req.GetKnownIsolations() {
 		return true
 	}
-	_, suspects := s.fleet.Suspects(req.GetKnownSuspects())
-	return s.machine.InstancesRevision() > req.GetKnownInstances() || suspects > req.GetKnownSuspects()
+	suspects, _ := s.fleet.Suspects(req.GetKnownSuspects(), time.Now())
+	return s.machine.InstancesRevision() > req.GetKnownInstances() || len(suspects) > 0
 }
 
 // confirmWatch must run before the version is read, so that the version is at
--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -199,7 +199,7 @@
 // begin records the start of the attempt.
 func (d *dispatch) begin() {
 	c := d.c
-	d.poisonAttempt = d.h.cfg.Suspects.Begin(c.ctx, c.fingerprint, string(d.target.ID()))
+	d.poisonAttempt = d.h.cfg.Suspects.Begin(c.ctx, c.fingerprint, d.target.Incarnated())
 	c.backlogEntry.Dispatched(d.target.ID(), time.Now())
 	if c.body.complete {
 		c.backlogEntry.Sent(time.Now())
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -31,8 +31,8 @@
 
 func newSettler(client *control.Client) *control.Settler { return control.NewSettler(client) }
 
-func newSuspects(cfg *settings.Settings) *poison.Tracker {
-	return poison.NewTracker(poison.WithLossLimit(cfg.Poison.Losses), poison.WithRefusalPeriod(seconds(cfg.Poison.RefusalSeconds)))
+func newSuspects(cfg *settings.Settings, logger hclog.Logger) *poison.Tracker {
+	return poison.NewTracker(poison.WithLossLimit(cfg.Poison.Losses), poison.WithRefusalPeriod(seconds(cfg.Poison.RefusalSeconds)), poison.WithLogger(logger.Named("poison")))
 }
 
 // callerDeps holds the dependencies of the handler of caller requests.
--- a/entry/poison/attempt.go
+++ b/entry/poison/attempt.go
@@ -4,10 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/snipebeam/snipebeam/world/evidence"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
-// Attempt is one request dispatched to one instance. It is not safe for
+// Attempt is one request dispatched to one incarnation of an instance. It is not safe for
 // concurrent use.
 type Attempt struct {
 	tracker   *Tracker
@@ -21,7 +22,7 @@
 // waits until no other suspect runs, for exclusiveWait at most.
 func (t *Tracker) Begin(ctx context.Context, fp Fingerprint, instance string) *Attempt {
 	a := &Attempt{tracker: t, fp: fp, instance: instance}
-	if t.hasSuspects.Load() && t.isSuspect(fp) {
+	if t.Suspect(fp) {
 		a.exclusive = t.acquireExclusive(ctx)
 	}
 	t.mu.Lock()
@@ -33,12 +34,6 @@
 	return a
 }
 
-func (t *Tracker) isSuspect(fp Fingerprint) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.suspects[fp] != nil
-}
-
 func (t *Tracker) acquireExclusive(ctx context.Context) bool {
 	timer := time.NewTimer(exclusiveWait)
 	defer timer.Stop()
@@ -52,8 +47,9 @@
 	}
 }
 
-// Answered clears the request of suspicion: an instance has responded to it
-// without being lost. A request that is already refused stays refused.
+// Answered excuses the losses under the request: an instance has run it without being
+// lost. A request that is already refused stays refused. An instance that refuses the
+// request says nothing of it.
 func (a *Attempt) Answered() {
 	t := a.tracker
 	if !t.hasSuspects.Load() {
@@ -61,39 +57,42 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.suspects[a.fp]; s != nil && s.refusedUntil.IsZero() {
-		delete(t.suspects, a.fp)
-		t.hasSuspects.Store(len(t.suspects) > 0)
+	if _, refused := t.refused[a.fp]; refused || t.book.Excuse(uint64(a.fp)) == evidence.Unchanged {
+		return
 	}
+	excusesTotal.Inc()
+	t.changed[a.fp] = time.Now()
 }
 
 // InstanceLost records the loss of the instance. All requests in flight there
 // become suspects. It broadcasts them before it returns, within the context, so
 // that the other hosts have them before the caller can retry the request.
 func (a *Attempt) InstanceLost(ctx context.Context) {
-	lossesTotal.Inc()
-	a.tracker.broadcast(ctx, a.tracker.recordInstanceLoss(a.instance, time.Now()))
+	if suspects := a.tracker.recordInstanceLoss(a.instance, time.Now()); len(suspects) > 0 {
+		a.tracker.broadcast(ctx, suspects)
+	}
 }
 
+// recordInstanceLoss returns the suspects for which the loss is new.
 func (t *Tracker) recordInstanceLoss(instance string, now time.Time) []*wire.Suspect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.recordLoss(instance, now)
-	fps := map[Fingerprint]struct{}{}
+	var fps []Fingerprint
+	var names []string
 	for a := range t.attempts[instance] {
-		fps[a.fp] = struct{}{}
-	}
-	for fp := range fps {
-		t.recordSuspect(fp, instance, now)
-	}
-	t.discardCorrelated(now)
-	var msgs []*wire.Suspect
-	for fp := range fps {
-		if s := t.suspects[fp]; s != nil {
-			msgs = append(msgs, s.message(fp))
+		if t.book.AddLoss(uint64(a.fp), instance, now) == evidence.Added {
+			fps = append(fps, a.fp)
+			names = append(names, a.fp.String())
+			t.changed[a.fp] = now
 		}
 	}
-	return msgs
+	if len(fps) == 0 {
+		return nil
+	}
+	lossesTotal.Inc()
+	t.logger.Info("instance lost under requests", "instance", instance, "fingerprints", names)
+	t.judge(now)
+	return t.messages(fps, now)
 }
 
 // End ends the attempt. It is idempotent and accepts a nil receiver.
--- a/entry/poison/tracker.go
+++ b/entry/poison/tracker.go
@@ -1,18 +1,20 @@
 // Package poison detects requests that bring instances down and refuses them.
 //
 // Each request has a fingerprint. When an instance is lost, the fingerprints in
-// flight there become suspects. A suspect that gets a response from another
-// instance is cleared. One that is in flight at the loss of a second instance is
-// refused for a set time. Suspects run one at a time, so that a harmless request
+// flight there become suspects. A response of an instance to a suspect excuses the
+// losses known until then. A suspect that was in flight at the losses of two instances
+// is refused for a set time. Suspects run one at a time, so that a harmless request
 // is not in flight on its second instance together with the poison request.
-// Correlated losses, such as those of a whole rack, do not count against any
-// request.
+// Correlated losses, such as those of a whole rack, count as one.
+//
+// What is refused follows from the losses alone, which hosts share (package evidence). Hosts
+// that know the same losses refuse the same requests, in whatever order they were told.
 //
 // Usage:
 //
 //	tracker := poison.NewTracker(poison.WithBroadcast(node.BroadcastSuspects))
 //	if until, refused := tracker.Refused(fp, now); refused { ... }
-//	attempt := tracker.Begin(ctx, fp, instanceID)
+//	attempt := tracker.Begin(ctx, fp, incarnation)
 //	defer attempt.End()
 //	attempt.Answered() // or attempt.InstanceLost(ctx)
 package poison
@@ -21,12 +23,15 @@
 	"context"
 	"encoding/binary"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/snipebeam/snipebeam/world/evidence"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -34,16 +39,22 @@
 const (
 	DefaultLossLimit     = 2 // lost instances after which a request is refused
 	DefaultRefusalPeriod = 10 * time.Minute
-	DefaultSuspectTTL    = 10 * time.Minute // since the last loss
-	correlatedLosses     = 3                // number of losses within correlationWindow from which they count against no request
-	correlationWindow    = time.Second
-	exclusiveWait        = 2 * time.Second // maximum wait of a suspect for another one to end
-	maxSuspects          = 10_000
+	DefaultSuspectTTL    = 10 * time.Minute // of a loss; at least the refusal period
+	correlatedLosses     = 3                // number of losses within correlationWindow from which they count as one
+	correlationWindow    = time.Second      // also the longest time of losses that count as one
+	exclusiveWait        = 2 * time.Second  // maximum wait of a suspect for another one to end
+	maxReported          = 64               // suspects in one message, at most half of them observed by this host lately
+	recentChange         = 10 * time.Second
 )
 
 var (
 	refusalsTotal = metrics.GetOrCreateCounter("snipebeam_poison_refusals_total")
 	lossesTotal   = metrics.GetOrCreateCounter("snipebeam_instances_lost_total")
+
+	excusesTotal    = metrics.GetOrCreateCounter("snipebeam_poison_excuses_total")
+	liftedTotal     = metrics.GetOrCreateCounter("snipebeam_poison_refusals_lifted_total")
+	refusedSuspects atomic.Int64
+	_               = metrics.GetOrCreateGauge("snipebeam_poison_refused", func() float64 { return float64(refusedSuspects.Load()) })
 )
 
 // Fingerprint is a hash that identifies a request.
@@ -62,6 +73,9 @@
 	return Fingerprint(digest.Sum64())
 }
 
+// String returns the fingerprint as it is logged.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
 // Broadcast sends suspects to the other entry hosts. It blocks until they are
 // delivered or the context is done.
 type Broadcast func(ctx context.Context, suspects []*wire.Suspect)
@@ -71,25 +85,15 @@
 	lossLimit     int
 	refusalPeriod time.Duration
 	broadcast     Broadcast
+	logger        hclog.Logger
 	exclusive     chan struct{} // slot of the one suspect that may run
 
-	mu           sync.Mutex
-	attempts     map[string]map[*Attempt]struct{} // by instance
-	suspects     map[Fingerprint]*suspect
-	recentLosses []loss // within the last correlationWindow
-	hasSuspects  atomic.Bool
-}
-
-// suspect records the instances that were lost while a fingerprint was in flight.
-type suspect struct {
-	instances    []string
-	lastSeen     time.Time
-	refusedUntil time.Time
-}
-
-type loss struct {
-	instance string
-	at       time.Time
+	mu          sync.Mutex
+	attempts    map[string]map[*Attempt]struct{} // by incarnation of an instance
+	book        *evidence.Book
+	refused     map[Fingerprint]time.Time // until then
+	changed     map[Fingerprint]time.Time // last change that this host observed
+	hasSuspects atomic.Bool
 }
 
 // Option configures a tracker.
@@ -98,18 +102,22 @@
 // WithLossLimit sets the number of lost instances after which a request is refused.
 func WithLossLimit(n int) Option { return func(t *Tracker) { t.lossLimit = n } }
 
-// WithRefusalPeriod sets the time for which a request is refused.
+// WithRefusalPeriod sets the time for which a request is refused after the last loss.
 func WithRefusalPeriod(d time.Duration) Option { return func(t *Tracker) { t.refusalPeriod = d } }
 
 // WithBroadcast sets the function that sends suspects to the other entry hosts.
 func WithBroadcast(broadcast Broadcast) Option { return func(t *Tracker) { t.broadcast = broadcast } }
 
+// WithLogger sets the logger of losses and refusals.
+func WithLogger(logger hclog.Logger) Option { return func(t *Tracker) { t.logger = logger } }
+
 // NewTracker returns an empty tracker.
 func NewTracker(opts ...Option) *Tracker {
 	t := &Tracker{
 		lossLimit: DefaultLossLimit, refusalPeriod: DefaultRefusalPeriod, exclusive: make(chan struct{}, 1),
-		broadcast: func(context.Context, []*wire.Suspect) {},
-		attempts:  map[string]map[*Attempt]struct{}{}, suspects: map[Fingerprint]*suspect{},
+		broadcast: func(context.Context, []*wire.Suspect) {}, logger: hclog.NewNullLogger(),
+		attempts: map[string]map[*Attempt]struct{}{}, book: evidence.NewBook(),
+		refused: map[Fingerprint]time.Time{}, changed: map[Fingerprint]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -128,126 +136,159 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.suspects[fp]
-	if s == nil || !now.Before(s.refusedUntil) {
+	until, refused := t.refused[fp]
+	if !refused || !now.Before(until) {
 		return time.Time{}, false
 	}
 	refusalsTotal.Inc()
-	return s.refusedUntil, true
+	return until, true
 }
 
-// Suspects returns all suspects in the form sent to other hosts.
-func (t *Tracker) Suspects() []*wire.Suspect {
+// Suspect reports whether a request was in flight at the loss of an instance and has had no
+// response since.
+func (t *Tracker) Suspect(fp Fingerprint) bool {
+	if !t.hasSuspects.Load() {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := make([]*wire.Suspect, 0, len(t.suspects))
-	for fp, s := range t.suspects {
-		all = append(all, s.message(fp))
-	}
-	return all
+	return len(t.open(uint64(fp), time.Now())) > 0
 }
 
-func (s *suspect) message(fp Fingerprint) *wire.Suspect {
-	m := &wire.Suspect{Fingerprint: uint64(fp), Instances: slices.Clone(s.instances)}
-	if !s.refusedUntil.IsZero() {
-		m.RefusedUntil = s.refusedUntil.UnixNano()
+// open returns the losses that count against a request.
+func (t *Tracker) open(fp uint64, now time.Time) []evidence.Loss {
+	r := t.book.Record(fp)
+	if r == nil {
+		return nil
 	}
-	return m
+	lifetime := max(DefaultSuspectTTL, t.refusalPeriod)
+	return slices.DeleteFunc(r.Open(), func(l evidence.Loss) bool { return now.Sub(l.At()) > lifetime })
 }
 
-// Merge merges suspects received from another entry host.
-func (t *Tracker) Merge(msgs []*wire.Suspect, now time.Time) {
+// Suspects returns what this host tells others: what it observed lately, and the most
+// important of what it was told.
+func (t *Tracker) Suspects() []*wire.Suspect { return t.suspectsAt(time.Now()) }
+
+func (t *Tracker) suspectsAt(now time.Time) []*wire.Suspect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, m := range msgs {
-		for _, instance := range m.GetInstances() {
-			t.recordSuspect(Fingerprint(m.GetFingerprint()), instance, now)
-			t.recordLoss(instance, now)
+	var fps []Fingerprint
+	for fp, at := range t.changed {
+		if now.Sub(at) > recentChange {
+			delete(t.changed, fp)
+			continue
 		}
-		if until := time.Unix(0, m.GetRefusedUntil()); m.GetRefusedUntil() > 0 {
-			t.mergeRefusal(Fingerprint(m.GetFingerprint()), until, now)
+		fps = append(fps, fp)
+	}
+	slices.SortFunc(fps, func(a, b Fingerprint) int { return t.changed[b].Compare(t.changed[a]) })
+	fps = fps[:min(len(fps), maxReported/2)]
+	observed := map[Fingerprint]bool{}
+	for _, fp := range fps {
+		observed[fp] = true
+	}
+	for _, fp := range t.book.Suspected(1) {
+		if len(fps) == maxReported {
+			break
+		}
+		if !observed[Fingerprint(fp)] {
+			fps = append(fps, Fingerprint(fp))
 		}
 	}
-	t.discardCorrelated(now)
+	return t.messages(fps, now)
 }
 
-// mergeRefusal merges a refusal of another host. It is capped at the refusal
-// period of this host, so that no host can prolong a refusal elsewhere.
-func (t *Tracker) mergeRefusal(fp Fingerprint, until, now time.Time) {
-	s := t.suspects[fp]
-	if s == nil {
-		return
-	}
-	until = earlier(until, now.Add(t.refusalPeriod))
-	if until.After(s.refusedUntil) {
-		s.refusedUntil = until
+func (t *Tracker) messages(fps []Fingerprint, now time.Time) []*wire.Suspect {
+	all := make([]*wire.Suspect, 0, len(fps))
+	for _, fp := range fps {
+		r := t.book.Record(uint64(fp))
+		if r == nil {
+			continue
+		}
+		m := r.Message(uint64(fp), now)
+		if until, refused := t.refused[fp]; refused {
+			m.RefusedUntil = until.UnixNano()
+		}
+		all = append(all, m)
 	}
+	return all
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+// Merge merges suspects received from another entry host.
+func (t *Tracker) Merge(msgs []*wire.Suspect, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range msgs {
+		t.book.Merge(m, now)
 	}
-	return b
+	t.judge(now)
 }
 
-// recordSuspect records that an instance was lost while a request was in flight
-// there.
-func (t *Tracker) recordSuspect(fp Fingerprint, instance string, now time.Time) {
-	t.evictExpired(now)
-	s := t.suspects[fp]
-	if s == nil {
-		if len(t.suspects) >= maxSuspects {
-			return
+// judge decides from the known losses which requests are refused.
+func (t *Tracker) judge(now time.Time) {
+	t.book.Expire(now)
+	refused := map[Fingerprint]time.Time{}
+	var losses []time.Time
+	for _, id := range t.book.Suspected(t.lossLimit) {
+		if losses == nil {
+			losses = t.book.Losses()
+		}
+		open := t.open(id, now)
+		if len(open) < t.lossLimit {
+			continue
+		}
+		if events(open, losses) >= t.lossLimit {
+			refused[Fingerprint(id)] = open[len(open)-1].At().Add(t.refusalPeriod)
 		}
-		s = &suspect{}
-		t.suspects[fp] = s
-		t.hasSuspects.Store(true)
-	}
-	s.lastSeen = now
-	if !slices.Contains(s.instances, instance) {
-		s.instances = append(s.instances, instance)
-	}
-	if len(s.instances) >= t.lossLimit && s.refusedUntil.IsZero() {
-		s.refusedUntil = now.Add(t.refusalPeriod)
 	}
+	t.logVerdicts(refused, now)
+	t.refused = refused
+	refusedSuspects.Store(int64(len(refused)))
+	t.hasSuspects.Store(t.book.Len() > 0)
 }
 
-// recordLoss records the loss of an instance for correlationWindow, in which it
-// may prove to be correlated.
-func (t *Tracker) recordLoss(instance string, now time.Time) {
-	t.recentLosses = slices.DeleteFunc(t.recentLosses, func(l loss) bool { return now.Sub(l.at) > correlationWindow || l.instance == instance })
-	t.recentLosses = append(t.recentLosses, loss{instance: instance, at: now})
-}
-
-// discardCorrelated discards the evidence of correlated losses. A fingerprint in
-// flight at several of them remains a suspect with one lost instance.
-func (t *Tracker) discardCorrelated(now time.Time) {
-	if len(t.recentLosses) < correlatedLosses {
-		return
-	}
-	correlated := func(instance string) bool {
-		return slices.ContainsFunc(t.recentLosses, func(l loss) bool { return l.instance == instance && now.Sub(l.at) <= correlationWindow })
+func (t *Tracker) logVerdicts(refused map[Fingerprint]time.Time, now time.Time) {
+	for fp, until := range refused {
+		if _, before := t.refused[fp]; before {
+			continue
+		}
+		var instances []string
+		for _, l := range t.open(uint64(fp), now) {
+			instances = append(instances, l.Instance())
+		}
+		t.logger.Warn("request is refused, as instances were lost under it", "fingerprint", fp.String(), "instances", instances, "until", until.UTC().Format(time.RFC3339))
 	}
-	for _, s := range t.suspects {
-		remaining := slices.DeleteFunc(slices.Clone(s.instances), correlated)
-		if len(remaining) == len(s.instances) {
+	for fp := range t.refused {
+		if _, still := refused[fp]; still {
 			continue
 		}
-		s.instances = append(remaining, s.instances[len(s.instances)-1])
-		if len(s.instances) < t.lossLimit {
-			s.refusedUntil = time.Time{}
+		liftedTotal.Inc()
+		t.logger.Info("request is no longer refused", "fingerprint", fp.String(), "known", t.book.Record(uint64(fp)) != nil)
+	}
+}
+
+// events returns how many losses of a request count, given the times of all losses. Correlated
+// losses within correlationWindow count as one.
+func events(open []evidence.Loss, all []time.Time) int {
+	n := 0
+	var began time.Time
+	for _, l := range open {
+		if n > 0 && l.At().Sub(began) <= correlationWindow && correlated(all, l.At()) {
+			continue
 		}
+		n++
+		began = l.At()
 	}
+	return n
 }
 
-// evictExpired drops suspects that have not been seen for DefaultSuspectTTL and
-// are no longer refused.
-func (t *Tracker) evictExpired(now time.Time) {
-	for fp, s := range t.suspects {
-		if now.Sub(s.lastSeen) > DefaultSuspectTTL && !now.Before(s.refusedUntil) {
-			delete(t.suspects, fp)
+// correlated reports whether a loss is one of correlatedLosses within correlationWindow.
+func correlated(all []time.Time, at time.Time) bool {
+	first, _ := slices.BinarySearchFunc(all, at.Add(-correlationWindow), time.Time.Compare)
+	for n := first; n+correlatedLosses <= len(all) && !all[n].After(at); n++ {
+		last := all[n+correlatedLosses-1]
+		if !last.Before(at) && last.Sub(all[n]) <= correlationWindow {
+			return true
 		}
 	}
-	t.hasSuspects.Store(len(t.suspects) > 0)
+	return false
 }
--- a/world/instance/instance.go
+++ b/world/instance/instance.go
@@ -7,7 +7,11 @@
 //	if i.Draining() { ... }
 package instance
 
-import "github.com/snipebeam/snipebeam/world/wire"
+import (
+	"strconv"
+
+	"github.com/snipebeam/snipebeam/world/wire"
+)
 
 // Defaults for values that an instance does not announce.
 const (
@@ -100,5 +104,13 @@
 // Draining reports whether the instance accepts no new requests.
 func (i *Instance) Draining() bool { return i.draining }
 
+// Incarnated returns the identifier together with the incarnation.
+func (i *Instance) Incarnated() string {
+	if i.incarnation == 0 {
+		return string(i.id)
+	}
+	return string(i.id) + "/" + strconv.FormatUint(i.incarnation, 10)
+}
+
 // Incarnation returns the number that the instance increments on each start.
 func (i *Instance) Incarnation() uint64 { return i.incarnation }
