entry/caller: an instance that rejects a request does not clear it of suspicion

Any response cleared a suspect, also that of an instance that had not run the request, one without the request's ID, or an outcome of the layer below. A poison request that met a full instance between two losses started anew. The test failed before: no suspect, 1 expected.

--- /dev/null
+++ b/entry/caller/poison_test.go
@@ -0,0 +1,59 @@
+package caller_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/caller"
+)
+
+// crashingInstances returns instances that end when they read a request to /x/poison, and the
+// number of those that have ended.
+func crashingInstances(t *testing.T, n int) ([]string, *atomic.Int32) {
+	t.Helper()
+	var ended atomic.Int32
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		addresses = append(addresses, listener.Addr().String())
+		go serveScript(listener, func(conn net.Conn, r *bufio.Reader) {
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if strings.HasSuffix(req.URL.Path, "/poison") {
+					_ = listener.Close()
+					ended.Add(1)
+					return
+				}
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			}
+		})
+	}
+	return addresses, &ended
+}
+
+// An instance that rejected a poison request cleared it of suspicion.
+func TestRefusalByAnInstanceExcusesNoRequest(t *testing.T) {
+	instances, _ := crashingInstances(t, 1)
+	refusing := httpInstance(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(caller.RefusedHeader, "full")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	host := newEntry(t, viewsOf(append(instances, refusing)...), newClaims())
+	entry := serveEntry(t, host)
+	for range 3 {
+		call(t, http.MethodPost, entry, "/x/poison", "")
+	}
+	must.Len(t, 1, host.suspects.Suspects())
+	must.Len(t, 1, host.suspects.Suspects()[0].GetInstances())
+}
+
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -65,7 +65,6 @@
 	d.report.RateLimit = d.c.dialect.Limit(response.Header)
 	d.report.Answered = true
 	d.c.decision.Status = response.StatusCode
-	d.poisonAttempt.Answered()
 	if !exchange.Identified() {
 		response.Close = true
 		d.report.Failed = true
@@ -78,16 +77,16 @@
 		}
 		return result{problem: d.c.problem(outcome.NotRun, outcome.UpstreamRefused, "the instance refused the request before starting it"), instance: id}
 	}
-	if !d.c.dialect.Outcomes {
-		return result{problem: d.forward(exchange), instance: id, final: true}
-	}
-	switch outcome.Kind(response.Header.Get(outcome.Header)) {
-	case outcome.NotRun:
-		return result{problem: d.c.problem(outcome.NotRun, outcome.UpstreamRefused, "the layer below did not run the request"), instance: id, final: true}
-	case outcome.Unknown:
-		return result{problem: d.c.problem(outcome.Unknown, outcome.UpstreamLost, "the layer below reported an unknown outcome"), instance: id, final: true}
-	case outcome.Answer:
+	if d.c.dialect.Outcomes {
+		switch outcome.Kind(response.Header.Get(outcome.Header)) {
+		case outcome.NotRun:
+			return result{problem: d.c.problem(outcome.NotRun, outcome.UpstreamRefused, "the layer below did not run the request"), instance: id, final: true}
+		case outcome.Unknown:
+			return result{problem: d.c.problem(outcome.Unknown, outcome.UpstreamLost, "the layer below reported an unknown outcome"), instance: id, final: true}
+		case outcome.Answer:
+		}
 	}
+	d.poisonAttempt.Answered()
 	return result{problem: d.forward(exchange), instance: id, final: true}
 }
 
