entry/caller: suspects are not hedged

Suspects of a host run one at a time, for which the second send waited in the loop that also waits for the response to the first: for up to 2 s callers did not get a response that had arrived. A hedge also doubles the instances that a poison request ends. The test failed before in 5 of 5 runs: 504 at the deadline of 1.5 s for a response after 0.2 s.

--- a/entry/caller/hedge.go
+++ b/entry/caller/hedge.go
@@ -21,7 +21,7 @@
 // the first one has not responded.
 func (h *Handler) mayHedge(c *call) bool {
 	terms := c.rule.Contract()
-	return terms.Hedge() && c.repeatable() && c.body.complete && c.incomingAttempt == 1
+	return terms.Hedge() && c.repeatable() && c.body.complete && c.incomingAttempt == 1 && !h.cfg.Suspects.Suspect(c.fingerprint)
 }
 
 // exchangeResult is the result of one of two exchanges.
@@ -105,6 +105,9 @@
 // capacity or the contract allows no further attempt.
 func (h *Handler) hedge(first *dispatch, tried []instance.ID) *dispatch {
 	c := first.c
+	if h.cfg.Suspects.Suspect(c.fingerprint) { // suspects run one at a time
+		return nil
+	}
 	if maxAttempts := c.rule.Contract().Attempts(); maxAttempts > 0 && c.sentTo(len(tried)+2) > maxAttempts {
 		return nil
 	}
--- a/entry/caller/poison_test.go
+++ b/entry/caller/poison_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/world/pause"
+	"github.com/snipebeam/snipebeam/world/wire"
 )
 
 // crashingInstances returns instances that end when they read a request to /x/poison, and the
@@ -57,3 +61,32 @@
 	must.Len(t, 1, host.suspects.Suspects()[0].GetInstances())
 }
 
+// A hedge of a suspect waited for its own request to end, and kept its response.
+func TestSuspectIsNotHedged(t *testing.T) {
+	var late atomic.Bool
+	var ran atomic.Int32
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		if late.Load() {
+			pause.For(r.Context(), 200*time.Millisecond)
+		}
+		_, _ = w.Write([]byte("late"))
+	}
+	crashing, _ := crashingInstances(t, 1)
+	host := newEntry(t, viewsOf(append(crashing, httpInstance(t, handle), httpInstance(t, handle))...), newClaims())
+	entry := serveEntry(t, host)
+	for len(host.suspects.Suspects()) == 0 {
+		call(t, http.MethodGet, entry, "/late/poison", "")
+	}
+	for range 40 { // until the usual latency has been measured
+		must.Eq(t, http.StatusOK, call(t, http.MethodGet, entry, "/late/poison", "").status)
+	}
+	suspect := host.suspects.Suspects()[0].GetFingerprint()
+	late.Store(true)
+	for n := range 5 {
+		host.suspects.Merge([]*wire.Suspect{{Fingerprint: suspect, Losses: []*wire.Loss{{Instance: fmt.Sprint("another-", n)}}}}, time.Now())
+		before := ran.Load()
+		must.Eq(t, http.StatusOK, call(t, http.MethodGet, entry, "/late/poison", "", "Snipebeam-Deadline-Ms", "1500").status)
+		must.Eq(t, before+1, ran.Load())
+	}
+}
