--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -48,6 +48,7 @@
 	incomingAttempt int  // number of the attempt by the layer above, 1 for the first
 	ranAttempts     int  // attempts at instances that may have run it
 	priorAttempts   int  // the same, of the host that relays it
+	named           string // service or host name in the request
 	fingerprint     poison.Fingerprint
 	dispatched      bool        // a byte may have reached an instance that may have started
 	sent            bool        // a byte may have reached an instance
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -222,8 +222,9 @@
 		return outcome.New(outcome.NotRun, outcome.NotReady, "this host has not learned the rules in force yet")
 	}
 	c.rulesOutdated = time.Since(h.cfg.Table.ConfirmedAt()) > maxRulesAge
-	if inForce.Set().HasHost(rule.RequestHost(c.r)) {
-		c.service = "" // the rule names it
+	c.named = c.service
+	if host := rule.RequestHost(c.r); inForce.Set().HasHost(host) {
+		c.named, c.service = host, "" // the rule names the service
 	}
 	found, problem := h.find(c, inForce.Set())
 	if problem != nil {
--- a/entry/caller/once.go
+++ b/entry/caller/once.go
@@ -151,13 +151,14 @@
 	return digest.Sum(nil)
 }
 
-// poisonFingerprint returns the fingerprint that identifies a poison request:
-// its rule, its idempotency key or else its target, and its body. A body that is
-// not buffered in full is identified by its length and buffered prefix, and only
-// among the requests of the same caller.
+// poisonFingerprint returns the fingerprint that identifies a poison request at any
+// host and under any version of the rules: the host name or service that it names, its
+// idempotency key or else its target, and its body. A body that is not buffered in full
+// is identified by its length and buffered prefix, and only among the requests of the
+// same caller.
 func (h *Handler) poisonFingerprint(c *call) poison.Fingerprint {
 	terms := c.rule.Contract()
-	parts := []string{c.service, c.rule.String(), c.r.Method}
+	parts := []string{c.named, c.r.Method}
 	if terms.Once() {
 		parts = append(parts, c.caller, c.r.Header.Get(terms.OnceHeader()))
 	} else {
--- a/entry/caller/poison_test.go
+++ b/entry/caller/poison_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
@@ -45,6 +46,22 @@
 	return addresses, &ended
 }
 
+// A request that ends instances ended as many again after each change of its rule.
+func TestPoisonRequestStaysRefusedAfterAChangeOfItsRule(t *testing.T) {
+	instances, ended := crashingInstances(t, 6)
+	var table *rules.Table
+	entry := serveEntry(t, newEntry(t, viewsOf(instances...), newClaims(), func(cfg *caller.Config) { table = cfg.Table }))
+	call(t, http.MethodGet, entry, "/x/poison", "")
+	must.Eq(t, 2, ended.Load())
+	for n, retries := range []string{"1", "3", "2"} {
+		_, err := table.Advance(&wire.Version{Number: uint64(n + 2)}, strings.ReplaceAll(ruleText, "retries 2", "retries "+retries))
+		must.NoError(t, err)
+		table.Confirm(uint64(n+2), time.Now())
+		must.Eq(t, http.StatusForbidden, call(t, http.MethodGet, entry, "/x/poison", "").status)
+	}
+	must.Eq(t, 2, ended.Load())
+}
+
 // An instance that rejected a poison request cleared it of suspicion.
 func TestRefusalByAnInstanceExcusesNoRequest(t *testing.T) {
 	instances, _ := crashingInstances(t, 1)
