--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/poison"
@@ -27,6 +28,8 @@
 	reachabilityTimeout = 250 * time.Millisecond
 )
 
+var lossesInIsolation = metrics.GetOrCreateCounter("snipebeam_instances_lost_in_isolation_total")
+
 // result describes the end of one attempt.
 type result struct {
 	problem  *outcome.Problem // nil: a response was sent to the caller
@@ -309,7 +312,7 @@
 			d.c.staleAt = d.target.ID()
 		}
 		if d.report.Unreachable {
-			d.poisonAttempt.InstanceLost(ctx)
+			d.reportLoss(ctx)
 		}
 	case upstream.Malformed:
 		d.report.Failed = true
@@ -318,3 +321,13 @@
 		d.h.cfg.Reach.SuspectLink()
 	}
 }
+
+// reportLoss reports that the instance is lost, unless this host reaches no other one
+// either: then its own links are lost, which says nothing of the requests on them.
+func (d *dispatch) reportLoss(ctx context.Context) {
+	if !d.h.cfg.Reach.Reaches(ctx, d.target.Address()) {
+		lossesInIsolation.Inc()
+		return
+	}
+	d.poisonAttempt.InstanceLost(ctx)
+}
--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -44,10 +44,10 @@
 	responseBytes   int64     // limit of the response body, 0 for none
 	softDeadline    time.Time // by which the response should arrive, zero for none
 	progressTimeout time.Duration
-	relayed         bool // by another entry host
-	incomingAttempt int  // number of the attempt by the layer above, 1 for the first
-	ranAttempts     int  // attempts at instances that may have run it
-	priorAttempts   int  // the same, of the host that relays it
+	relayed         bool   // by another entry host
+	incomingAttempt int    // number of the attempt by the layer above, 1 for the first
+	ranAttempts     int    // attempts at instances that may have run it
+	priorAttempts   int    // the same, of the host that relays it
 	named           string // service or host name in the request
 	fingerprint     poison.Fingerprint
 	dispatched      bool        // a byte may have reached an instance that may have started
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -61,6 +61,9 @@
 	Contact()        // an instance responded
 	SuspectLink()    // an instance did not respond on an open link
 	SuspectConnect() // no link to an instance could be opened
+	// Reaches reports whether this host reaches instances other than the one at the given
+	// address, as far as it can tell. It may open connections to find out.
+	Reaches(ctx context.Context, except string) bool
 }
 
 // Config holds the dependencies and settings of a handler.
@@ -151,6 +154,8 @@
 func (unknownReach) SuspectLink()    {}
 func (unknownReach) SuspectConnect() {}
 
+func (unknownReach) Reaches(context.Context, string) bool { return true }
+
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(w, r, h.cfg.Limits, h.cfg.Dialect)
--- a/entry/caller/poison_test.go
+++ b/entry/caller/poison_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/isolation"
 	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/entry/upstream"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
@@ -107,3 +111,40 @@
 		must.Eq(t, before+1, ran.Load())
 	}
 }
+
+// A host that was cut from all instances accused the requests on its links, at all hosts.
+func TestHostThatLosesAllInstancesAccusesNoRequest(t *testing.T) {
+	var cut atomic.Bool
+	var began sync.WaitGroup
+	handle := func(_ http.ResponseWriter, r *http.Request) {
+		began.Done()
+		<-r.Context().Done()
+	}
+	instances := []string{httpInstance(t, handle), httpInstance(t, handle)}
+	var conns sync.Map
+	dial := partitionedFrom(&cut, instances...)
+	pool := upstream.NewPool(upstream.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		if err == nil {
+			conns.Store(conn, nil)
+		}
+		return conn, err
+	}))
+	views := viewsOf(instances...)
+	host := newEntry(t, views, newClaims(), func(cfg *caller.Config) { cfg.Pool, cfg.Reach = pool, isolation.New(pool.CanConnect, views) })
+	entry := serveEntry(t, host)
+	var calls sync.WaitGroup
+	began.Add(len(instances))
+	for n := range instances {
+		calls.Go(func() { _, _ = do(newRequest(t, http.MethodPost, entry, fmt.Sprint("/x/", n), "")) })
+	}
+	began.Wait()
+	cut.Store(true)
+	conns.Range(func(conn, _ any) bool {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.(*net.TCPConn).CloseRead()
+		return true
+	})
+	calls.Wait()
+	must.SliceEmpty(t, host.suspects.Suspects())
+}
--- a/entry/isolation/isolation.go
+++ b/entry/isolation/isolation.go
@@ -16,6 +16,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +47,9 @@
 // ConnectFunc reports whether a connection to an address can be opened.
 type ConnectFunc func(ctx context.Context, address string) bool
 
+// reachFor is the time for which the result of Reaches is used again.
+const reachFor = 100 * time.Millisecond
+
 // Detector detects that this host reaches no instance.
 type Detector struct {
 	connect  ConnectFunc
@@ -52,6 +57,10 @@
 	isolated atomic.Bool
 	contact  atomic.Int64 // time of the last response of any instance, Unix nanoseconds
 	wake     chan struct{}
+
+	reachMu sync.Mutex
+	reachAt time.Time
+	reaches bool
 }
 
 // New returns a detector for the instances of the views.
@@ -82,6 +91,23 @@
 	}
 }
 
+// Reaches reports whether this host reaches an instance other than the one at the given
+// address. It reports true if there is no other one.
+func (d *Detector) Reaches(ctx context.Context, except string) bool {
+	if d.Isolated() {
+		return false
+	}
+	d.reachMu.Lock()
+	defer d.reachMu.Unlock()
+	if time.Since(d.reachAt) < reachFor {
+		return d.reaches
+	}
+	targets := slices.DeleteFunc(d.targets(suspects+1), func(address string) bool { return address == except })
+	d.reaches = len(targets) == 0 || d.reached(ctx, targets[:min(len(targets), suspects)]) > 0
+	d.reachAt = time.Now()
+	return d.reaches
+}
+
 // Run checks until the context ends. It calls changed after each change.
 func (d *Detector) Run(ctx context.Context, changed func(isolated bool)) {
 	for {
--- a/entry/isolation/isolation_test.go
+++ b/entry/isolation/isolation_test.go
@@ -112,3 +112,16 @@
 		must.One(t, n.count())
 	})
 }
+
+func TestReachesTellsALostInstanceFromALostNetwork(t *testing.T) {
+	run(t, func(t *testing.T, d *isolation.Detector, n *network) {
+		n.set(false, "a:1")
+		must.True(t, d.Reaches(t.Context(), "a:1"))
+		time.Sleep(time.Second)
+		n.set(false, addresses...)
+		must.False(t, d.Reaches(t.Context(), "a:1")) // before the host knows
+		time.Sleep(time.Second)
+		n.set(true, addresses...)
+		must.True(t, d.Reaches(t.Context(), "a:1"))
+	})
+}
