entry/isolation, entry/host, control: isolated hosts relay to hosts that can serve, and busy hosts are not isolated

A host is isolated only if another machine accepts a connection meanwhile. - A control host dropped the news of isolations within a second of others, so that hosts isolated then stayed on the relay lists. It follows at the end of the second. - The list had hosts that callers of the zone use; it has all where these are too few for the load.

--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -165,17 +165,19 @@
 
 // relayCandidates are the entry hosts that callers in one zone use.
 type relayCandidates struct {
-	hosts []*wire.HostReport
-	at    time.Time
+	hosts  []*wire.HostReport
+	needed int // hosts for the load of all services, at least one
+	at     time.Time
 }
 
 // Relays returns the addresses for callers of up to maxRelays entry hosts to which the
-// named one, in the given zone, can relay requests: hosts that callers of its zone use,
-// or any if it is the only one.
+// named one, in the given zone, can relay requests: hosts that callers of its zone use, or
+// any if these are too few for the load of all services.
 func (d *Directory) Relays(name, zone string) []string {
 	now := time.Now()
-	hosts := readyExcept(d.relayCandidates(zone, now), name)
-	if len(hosts) == 0 {
+	hosts, needed := d.relayCandidates(zone, now)
+	hosts = readyExcept(hosts, name)
+	if len(hosts) < needed {
 		hosts = readyExcept(d.fleet.Polling(now), name)
 	}
 	var addresses []string
@@ -196,23 +198,27 @@
 }
 
 // relayCandidates returns the entry hosts that callers in a zone use, as of at most
-// relaysTTL ago.
-func (d *Directory) relayCandidates(zone string, now time.Time) []*wire.HostReport {
+// relaysTTL ago, and how many hosts the load of all services needs.
+func (d *Directory) relayCandidates(zone string, now time.Time) (hosts []*wire.HostReport, needed int) {
 	d.mu.Lock()
 	cached, names := d.relays[zone], slices.Collect(maps.Keys(d.groups))
 	d.mu.Unlock()
 	if now.Sub(cached.at) < relaysTTL {
-		return cached.hosts
+		return cached.hosts, cached.needed
 	}
-	var hosts []*wire.HostReport
 	for _, name := range names {
 		resolved, _ := d.Resolve(name, zone)
 		hosts = append(hosts, resolved...)
 	}
 	slices.SortFunc(hosts, func(a, b *wire.HostReport) int { return strings.Compare(a.GetName(), b.GetName()) })
 	hosts = slices.CompactFunc(hosts, func(a, b *wire.HostReport) bool { return a.GetName() == b.GetName() })
+	demand := d.demand(d.fleet.Polling(now))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.relays[zone] = relayCandidates{hosts: hosts, at: now}
-	return hosts
+	needed = 1
+	if d.set != nil {
+		needed = max(needed, demand.hosts(d.set.Services()))
+	}
+	d.relays[zone] = relayCandidates{hosts: hosts, needed: needed, at: now}
+	return hosts, needed
 }
--- a/control/directory/directory_test.go
+++ b/control/directory/directory_test.go
@@ -151,3 +151,19 @@
 	must.Eq(t, []string{next[0].GetCallersAddress()}, d.Relays(used[0].GetName(), "z0"))
 	must.SliceNotContains(t, d.Relays(next[0].GetName(), "z0"), next[0].GetCallersAddress())
 }
+
+// The few hosts that callers of a zone used got the requests of all isolated hosts, while others
+// had room.
+func TestRelaysAreAllHostsIfCallersUseTooFewForTheLoad(t *testing.T) {
+	d, f := newDirectoryAndFleet(29, 1000, 100)
+	d.Resolve("c.example", "z0") // of a service with few requests
+	isolated := "e0"
+	report(f, isolated, "z0", placement.StateIsolated)
+	seen := map[string]bool{}
+	for range 200 {
+		for _, address := range d.Relays(isolated, "z0") {
+			seen[address] = true
+		}
+	}
+	must.MapLen(t, 28, seen)
+}
--- a/control/fleet/isolations.go
+++ b/control/fleet/isolations.go
@@ -15,6 +15,7 @@
 	mu       sync.Mutex
 	revision uint64
 	at       time.Time
+	due      bool          // a revision follows at the end of the interval
 	notify   chan struct{} // closed at the next revision
 }
 
@@ -23,9 +24,25 @@
 func (i *isolations) add(now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if now.Sub(i.at) < isolationInterval {
+	if rest := isolationInterval - now.Sub(i.at); rest > 0 {
+		if !i.due {
+			i.due = true
+			time.AfterFunc(rest, func() { i.revise(now.Add(rest)) })
+		}
 		return
 	}
+	i.next(now)
+}
+
+func (i *isolations) revise(now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.due = false
+	i.next(now)
+}
+
+// next begins a revision. The caller holds the lock.
+func (i *isolations) next(now time.Time) {
 	i.revision, i.at = i.revision+1, now
 	close(i.notify)
 	i.notify = make(chan struct{})
--- a/control/fleet/isolations_test.go
+++ b/control/fleet/isolations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -29,3 +30,20 @@
 	must.One(t, report("a", placement.StateIsolated, now.Add(time.Minute)))
 	must.Eq(t, 2, report("c", placement.StateIsolated, now.Add(time.Minute)))
 }
+
+// Hosts that were isolated within a second of others went on being relayed to, as nobody was told.
+func TestHostsThatAreIsolatedShortlyAfterOthersAreToldOf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleet.New()
+		report := func(name string) {
+			f.BeginPoll(&wire.HostReport{Name: name, Role: placement.RoleEntry, State: placement.StateIsolated}, time.Now())
+		}
+		report("a")
+		time.Sleep(10 * time.Millisecond)
+		report("b")
+		report("c")
+		time.Sleep(time.Second)
+		revision, _ := f.Isolations()
+		must.Eq(t, 2, revision)
+	})
+}
--- a/entry/caller/relay.go
+++ b/entry/caller/relay.go
@@ -45,13 +45,17 @@
 	// Hosts returns the addresses at which other entry hosts take callers, in the order
 	// in which they are tried.
 	Hosts() []string
+	// Began records that a request is relayed to a host, until the returned function is
+	// called. usable reports whether the host may be able to serve another one.
+	Began(address string) (ended func(usable bool))
 }
 
 // noRelay relays nothing.
 type noRelay struct{}
 
-func (noRelay) Isolated() bool  { return false }
-func (noRelay) Hosts() []string { return nil }
+func (noRelay) Isolated() bool          { return false }
+func (noRelay) Hosts() []string         { return nil }
+func (noRelay) Began(string) func(bool) { return func(bool) {} }
 
 // acceptRelayed takes the caller from a request that another entry host relays.
 func (h *Handler) acceptRelayed(c *call) {
@@ -147,10 +151,13 @@
 	target := instance.New(instance.ID("host "+address), c.service, address)
 	c.backlogEntry.Dispatched(target.ID(), time.Now())
 	c.decision.Reason = "relayed to " + address
+	usable, ended := true, h.cfg.Relay.Began(address)
+	defer func() { ended(usable) }()
 	exchange, err := h.cfg.RelayPool.Send(c.ctx, address, h.relayRequest(c), h.relayOptions(c)...)
 	c.counted = true
 	if err != nil {
 		relaysFailed.Inc()
+		usable = c.ctx.Err() != nil
 		var failure *upstream.Failure
 		c.sent = c.sent || !errors.As(err, &failure) || failure.Wrote()
 		return c.relayProblem(address, err), true
@@ -161,6 +168,7 @@
 	switch kind := outcome.Kind(header.Get(outcome.Header)); kind {
 	case outcome.NotRun, outcome.Unknown:
 		relaysFailed.Inc()
+		usable = reason != outcome.NoInstance && reason != outcome.HostStopping && reason != outcome.NotReady
 		c.sent = c.sent || kind == outcome.Unknown || reason == outcome.UpstreamRefused || reason == outcome.UpstreamLost
 		return c.problem(kind, reason, "as entry host "+address+" reports"), reason != outcome.Overload && reason != outcome.DeadlineExceeded
 	case outcome.Answer:
--- a/entry/caller/relay_test.go
+++ b/entry/caller/relay_test.go
@@ -50,6 +50,8 @@
 func (r *fakeRelay) Isolated() bool  { return r.isolated.Load() }
 func (r *fakeRelay) Hosts() []string { return r.hosts }
 
+func (*fakeRelay) Began(string) func(bool) { return func(bool) {} }
+
 // newPartitioned returns an entry host that reaches none of the instances, and relays to
 // the given hosts.
 func newPartitioned(t *testing.T, cut *atomic.Bool, instances []string, hosts ...string) (*entryHost, *fakeRelay) {
--- a/entry/isolation/isolation.go
+++ b/entry/isolation/isolation.go
@@ -2,12 +2,13 @@
 // hosts may still reach it.
 //
 // A failure that may come from this host's side makes the detector open connections to
-// instances. The host is isolated once none of several different ones accepts, and no
-// longer once two do.
+// instances. The host is isolated once none of several different ones accepts, while another
+// machine does, and no longer once two do. If no machine accepts, the host is overloaded or cut
+// off altogether, and other hosts cannot help.
 //
 // Usage:
 //
-//	d := isolation.New(pool.CanConnect, views)
+//	d := isolation.New(pool.CanConnect, views, isolation.WithReference(peers))
 //	go d.Run(ctx, func(isolated bool) { ... })
 //	d.SuspectLink()
 //	if d.Isolated() { ... }
@@ -30,6 +31,8 @@
 	connectTimeout = 150 * time.Millisecond
 	// suspects is the number of instances that must all refuse or not answer.
 	suspects = 4
+	// references is the number of other machines of which one must accept.
+	references = 3
 	// confirmations is the number of instances that end an isolation.
 	confirmations = 2
 	// checkInterval is the least time between two checks.
@@ -40,8 +43,9 @@
 )
 
 var (
-	checks  = metrics.GetOrCreateCounter("snipebeam_isolation_checks_total")
-	entered = metrics.GetOrCreateCounter("snipebeam_isolations_total")
+	checks    = metrics.GetOrCreateCounter("snipebeam_isolation_checks_total")
+	overloads = metrics.GetOrCreateCounter("snipebeam_isolation_checks_inconclusive_total")
+	entered   = metrics.GetOrCreateCounter("snipebeam_isolations_total")
 )
 
 // ConnectFunc reports whether a connection to an address can be opened.
@@ -52,20 +56,34 @@
 
 // Detector detects that this host reaches no instance.
 type Detector struct {
-	connect  ConnectFunc
-	views    *route.Views
-	isolated atomic.Bool
-	contact  atomic.Int64 // time of the last response of any instance, Unix nanoseconds
-	wake     chan struct{}
+	connect   ConnectFunc
+	views     *route.Views
+	reference func() []string
+	isolated  atomic.Bool
+	contact   atomic.Int64 // time of the last response of any instance, Unix nanoseconds
+	wake      chan struct{}
 
 	reachMu sync.Mutex
 	reachAt time.Time
 	reaches bool
 }
 
+// Option configures a detector.
+type Option func(*Detector)
+
+// WithReference sets the function that returns the addresses of other machines that are no
+// instances. Without one, this host is not taken for overloaded.
+func WithReference(addresses func() []string) Option {
+	return func(d *Detector) { d.reference = addresses }
+}
+
 // New returns a detector for the instances of the views.
-func New(connect ConnectFunc, views *route.Views) *Detector {
-	return &Detector{connect: connect, views: views, wake: make(chan struct{}, 1)}
+func New(connect ConnectFunc, views *route.Views, opts ...Option) *Detector {
+	d := &Detector{connect: connect, views: views, wake: make(chan struct{}, 1)}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 // Isolated reports whether this host reaches no instance.
@@ -136,10 +154,28 @@
 		return
 	}
 	targets := d.targets(suspects)
-	if len(targets) == 0 || d.reached(ctx, targets[:1]) > 0 || d.reached(ctx, targets[1:]) > 0 {
+	if len(targets) == 0 || d.reached(ctx, targets[:1]) > 0 {
 		return
 	}
-	d.set(ctx, true)
+	others := make(chan bool, 1)
+	go func() { others <- d.reachesOthers(ctx) }()
+	if reached := d.reached(ctx, targets[1:]); <-others && reached == 0 {
+		d.set(ctx, true)
+	}
+}
+
+// reachesOthers reports whether a machine that is no instance accepts a connection.
+func (d *Detector) reachesOthers(ctx context.Context) bool {
+	if d.reference == nil {
+		return true
+	}
+	addresses := d.reference()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	if len(addresses) == 0 || d.reached(ctx, addresses[:min(len(addresses), references)]) > 0 {
+		return true
+	}
+	overloads.Inc()
+	return false
 }
 
 func (d *Detector) set(ctx context.Context, isolated bool) {
--- a/entry/isolation/isolation_test.go
+++ b/entry/isolation/isolation_test.go
@@ -125,3 +125,24 @@
 		must.True(t, d.Reaches(t.Context(), "a:1"))
 	})
 }
+
+// A host that had too little processor time took itself for isolated, and handed its requests, and
+// those of isolated hosts, on.
+func TestOverloadedHostDoesNotTakeItselfForIsolated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{reachable: map[string]bool{}, hangs: true}
+		n.set(false, addresses...)
+		n.set(false, "control:1")
+		d := isolation.New(n.connect, views(), isolation.WithReference(func() []string { return []string{"control:1"} }))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go d.Run(ctx, func(bool) {})
+		d.SuspectConnect()
+		time.Sleep(time.Second)
+		must.False(t, d.Isolated())
+		n.set(true, "control:1")
+		d.SuspectConnect()
+		time.Sleep(time.Second)
+		must.True(t, d.Isolated())
+	})
+}
