--- a/control/directory/demand.go
+++ b/control/directory/demand.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
@@ -101,6 +102,9 @@
 	all, _ := d.machine.Instances(0)
 	slots := map[string]int{}
 	for _, m := range all {
+		if m.GetSlots() > instance.MaxSlots { // entry hosts skip such a record
+			continue
+		}
 		slots[m.GetService()] += int(m.GetSlots())
 	}
 	d.slotsRevision, d.slotsByService = revision, slots
--- a/control/state/instances.go
+++ b/control/state/instances.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -198,7 +199,7 @@
 			all = append(all, m)
 		}
 	}
-	slices.SortFunc(all, func(a, b *wire.Instance) int { return int(a.GetRevision()) - int(b.GetRevision()) })
+	slices.SortFunc(all, func(a, b *wire.Instance) int { return cmp.Compare(a.GetRevision(), b.GetRevision()) })
 	return all
 }
 
@@ -207,7 +208,7 @@
 	for _, m := range s.byID {
 		out.Instances = append(out.Instances, m)
 	}
-	slices.SortFunc(out.Instances, func(a, b *wire.Instance) int { return int(a.GetRevision()) - int(b.GetRevision()) })
+	slices.SortFunc(out.Instances, func(a, b *wire.Instance) int { return cmp.Compare(a.GetRevision(), b.GetRevision()) })
 }
 
 func (s *instancesState) load(in *wire.StateSnapshot) {
--- a/entry/gossip/datagram.go
+++ b/entry/gossip/datagram.go
@@ -1,8 +1,10 @@
 package gossip
 
 import (
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/lenient"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"google.golang.org/protobuf/proto"
 )
@@ -12,6 +14,8 @@
 	macBytes      = key.MACBytes
 )
 
+var skippedEntries = metrics.GetOrCreateCounter("snipebeam_gossip_skipped_entries_total")
+
 // Errors of a datagram.
 var (
 	ErrMalformed       = errors.New("malformed datagram")
@@ -39,7 +43,7 @@
 	return data, nil
 }
 
-// Decode authenticates and decodes a datagram.
+// Decode authenticates and decodes a datagram, without entries of lists that are malformed.
 func (c *Codec) Decode(data []byte) (*wire.GossipDatagram, error) {
 	if len(data) < 1+macBytes || len(data) > MaxDatagramBytes || data[0] != formatVersion {
 		return nil, ErrMalformed
@@ -49,7 +53,9 @@
 		return nil, ErrUnauthenticated
 	}
 	d := &wire.GossipDatagram{}
-	if err := proto.Unmarshal(body, d); err != nil {
+	skipped, err := lenient.Unmarshal(body, d)
+	skippedEntries.Add(len(skipped))
+	if err != nil {
 		return nil, ErrMalformed
 	}
 	return d, nil
--- a/entry/gossip/datagram_test.go
+++ b/entry/gossip/datagram_test.go
@@ -9,9 +9,13 @@
 	"github.com/snipebeam/snipebeam/entry/gossip"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/wire"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
+// instancesField is the number of the list of instances in a datagram.
+const instancesField = 9
+
 func sample() *wire.GossipDatagram {
 	return &wire.GossipDatagram{
 		From: "e1", Epoch: 1, Sequence: 1, Kind: wire.GossipKind_GOSSIP_SUMMARY, Buckets: []uint32{1, 900},
@@ -61,3 +65,20 @@
 		must.LessEq(t, gossip.MaxDatagramBytes, len(data))
 	}
 }
+
+// One record that cannot be decoded made a host lose the datagram, with all other records.
+func TestOddRecordOfADatagramIsSkipped(t *testing.T) {
+	codec := gossip.NewCodec(key.New())
+	data, err := proto.Marshal(sample())
+	must.NoError(t, err)
+	odd := protowire.AppendBytes(protowire.AppendTag(nil, instancesField, protowire.BytesType), []byte{1<<3 | 2, 1, 0xff})
+	last, err := proto.Marshal(&wire.GossipDatagram{Instances: []*wire.Instance{{Id: "last"}}})
+	must.NoError(t, err)
+	datagram := append([]byte{1}, make([]byte, key.MACBytes)...)
+	datagram = append(datagram, append(append(data, odd...), last...)...)
+	copy(datagram[1:], key.New().MAC(datagram[1+key.MACBytes:]))
+	got, err := codec.Decode(datagram)
+	must.NoError(t, err)
+	must.Len(t, 2, got.GetInstances())
+	must.Eq(t, "last", got.GetInstances()[1].GetId())
+}
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -56,8 +56,12 @@
 	})
 }
 
+func newMembers(reg *registry.Registry, suspects *poison.Tracker, logger hclog.Logger) *registry.Membership {
+	return registry.NewMembership(reg, suspects, registry.WithLogger(logger))
+}
+
 func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, members *registry.Membership, suspects *poison.Tracker, current *controlHosts, limits *rateLimitNews, hosts *relay, logger hclog.Logger) *control.Watch {
-	client := ring.Client(&http.Client{Transport: control.NewTransport()})
+	client := ring.Client(&http.Client{Transport: control.Lenient(control.NewTransport(), logger)})
 	opts := []control.WatchOption{
 		control.WithRates(rates.Store), control.WithRateLimits(limits.apply),
 		control.WithRestore(func(previous *wire.HostReport) { state.requests.RestoreAlarms(previous.GetBacklog()) }),
--- a/entry/peer/node.go
+++ b/entry/peer/node.go
@@ -25,6 +25,7 @@
 	"github.com/snipebeam/snipebeam/entry/gossip"
 	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/registry"
+	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
@@ -138,7 +139,12 @@
 	changes := make([]registry.Change, 0, len(ids))
 	for _, id := range ids {
 		if n.core.Usable(id) {
-			changes = append(changes, registry.Announced(n.core.Instance(id)))
+			record := n.core.Instance(id)
+			if err := instance.Check(record); err != nil {
+				n.logger.Warn("record of an instance is skipped", "instance", id, "from", record.GetHeardBy(), "error", err)
+				continue
+			}
+			changes = append(changes, registry.Announced(record))
 			continue
 		}
 		changes = append(changes, registry.Removed(id))
--- a/entry/registry/membership.go
+++ b/entry/registry/membership.go
@@ -1,19 +1,26 @@
 package registry
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/entry/poison"
+	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
+var skippedRecords = metrics.GetOrCreateCounter("snipebeam_skipped_records_total")
+
 // Membership updates a registry with the instance records of the control hosts, in
 // the order of their revisions.
 type Membership struct {
 	registry *Registry
 	suspects *poison.Tracker
+	logger   hclog.Logger
 
 	mu       sync.Mutex
 	revision uint64
@@ -28,9 +35,19 @@
 // 1, for this host.
 func (m *Membership) ActiveHosts() int { return max(int(m.active.Load()), 1) }
 
+// Option configures a membership.
+type Option func(*Membership)
+
+// WithLogger sets the logger of skipped records.
+func WithLogger(logger hclog.Logger) Option { return func(m *Membership) { m.logger = logger } }
+
 // NewMembership returns a membership with no records.
-func NewMembership(registry *Registry, suspects *poison.Tracker) *Membership {
-	return &Membership{registry: registry, suspects: suspects}
+func NewMembership(registry *Registry, suspects *poison.Tracker, opts ...Option) *Membership {
+	m := &Membership{registry: registry, suspects: suspects, logger: hclog.NewNullLogger()}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
 }
 
 // Revision returns the revision up to which records have been applied.
@@ -40,7 +57,8 @@
 	return m.revision
 }
 
-// Apply applies records up to a revision. Control hosts apply the same log, so the
+// Apply applies records up to a revision. A record that cannot be followed is skipped, and the
+// instance stays as it was. Control hosts apply the same log, so the
 // records that one of them sends up to a revision are complete for all of them.
 func (m *Membership) Apply(instances []*wire.Instance, revision uint64) {
 	m.mu.Lock()
@@ -49,7 +67,7 @@
 		return
 	}
 	changes := make([]Change, 0, len(instances))
-	for _, record := range instances {
+	for n, record := range instances {
 		if record.GetRevision() <= m.revision {
 			continue
 		}
@@ -57,6 +75,11 @@
 			changes = append(changes, Removed(record.GetId()))
 			continue
 		}
+		if err := instance.Check(record); err != nil {
+			skippedRecords.Inc()
+			m.logger.Warn("record of an instance is skipped", "place", fmt.Sprintf("instances[%d]", n), "instance", record.GetId(), "revision", record.GetRevision(), "error", err)
+			continue
+		}
 		changes = append(changes, Announced(record))
 	}
 	m.revision = revision
