entry/upstream: a request that is given up in a network partition does not arrive after it

A link without an acknowledgement for 0.1 s is reset. The test failed before: the instance read the end of the stream, no reset.

Resetting each link that is given up was tried: it made TestUploadIsTruncatedWhenTheCallerDisconnects fail, as it should.

--- a/entry/upstream/cancel_test.go
+++ b/entry/upstream/cancel_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,3 +125,35 @@
 		must.False(t, failureOf(t, err).Wrote())
 	}
 }
+
+// What hung in a network partition reached instances when it ended, long after the requests had
+// their outcome, and counted as repeats.
+func TestRequestThatIsGivenUpIsReset(t *testing.T) {
+	for name, giveUp := range map[string]func(cancel context.CancelFunc){
+		"cancelled": func(cancel context.CancelFunc) {
+			time.Sleep(300 * time.Millisecond)
+			cancel()
+		},
+		"deadline": func(context.CancelFunc) {},
+	} {
+		ended := make(chan error, 1)
+		read := make(chan struct{})
+		i := serve(t, func(_ int, conn *net.TCPConn, r *bufio.Reader) {
+			readRequest(r)
+			close(read)
+			_, err := r.ReadByte()
+			ended <- err
+			_ = conn.Close()
+		})
+		pool := upstream.NewPool()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		go func() {
+			<-read
+			giveUp(cancel)
+		}()
+		_, err := pool.Send(ctx, i.address(), get(t, "/x"))
+		must.Error(t, err)
+		cancel()
+		must.ErrorIs(t, <-ended, syscall.ECONNRESET, must.Sprint(name))
+	}
+}
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -95,7 +95,7 @@
 	before := l.written.Load()
 	body := req.Body
 	e.stop = context.AfterFunc(ctx, func() {
-		l.close()
+		l.abort()
 		if body != nil {
 			_ = body.Close() // ends a read that waits for the caller
 		}
@@ -137,7 +137,7 @@
 	// can get the cause.
 	e.sent <- err
 	if cause := causeOf(err); err != nil && (cause == Body || cause == Silent) {
-		e.link.close()
+		e.link.abort()
 	}
 }
 
@@ -269,7 +269,7 @@
 // upload that had already ended.
 func (e *Exchange) abort() error {
 	e.stop()
-	e.link.close()
+	e.link.abort()
 	e.links.remove(e.link)
 	if e.sent == nil {
 		return nil
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -14,7 +14,9 @@
 
 const (
 	writeBufferBytes = 16 << 10
-	progressBytes    = 1 << 10 // that count as progress within one read of a body
+	// heldUpAfter is the time without an acknowledgement after which bytes may be held up.
+	heldUpAfter   = 100 * time.Millisecond
+	progressBytes = 1 << 10 // that count as progress within one read of a body
 )
 
 var errHeaderTooLarge = errors.New("too many bytes before the end of the response header")
@@ -102,6 +104,17 @@
 
 func (l *Link) close() { _ = l.conn.Close() }
 
+// abort closes a link in use. If the instance has acknowledged nothing lately, what it has not
+// received yet is discarded: after a network partition it would otherwise get requests whose
+// outcome was decided long before.
+func (l *Link) abort() {
+	if link.SilentFor(l.conn) >= heldUpAfter {
+		link.Reset(l.conn)
+		return
+	}
+	l.close()
+}
+
 func isClosed(err error) bool {
 	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, net.ErrClosed, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, target) {
--- a/entry/upstream/links.go
+++ b/entry/upstream/links.go
@@ -165,7 +165,7 @@
 func (s *instanceLinks) closeSilent(limit time.Duration) {
 	for _, l := range s.silentLinks(limit) {
 		l.silent.Store(true)
-		l.close()
+		l.abort()
 		s.retire(l.openedAt.Add(retirementMargin))
 	}
 }
