--- a/entry/isolation/isolation_test.go
+++ b/entry/isolation/isolation_test.go
@@ -11,6 +11,7 @@
 	"github.com/snipebeam/snipebeam/entry/isolation"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/world/instance"
+	"github.com/snipebeam/snipebeam/world/knownred"
 )
 
 // network is the instances that this host reaches.
@@ -146,3 +147,19 @@
 		must.True(t, d.Isolated())
 	})
 }
+
+// The first requests at a host that starts within a partition wait for connections that cannot be
+// opened.
+func TestHostThatStartsInAPartitionKnowsBeforeItsFirstRequest(t *testing.T) {
+	knownred.Skip(t)
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{reachable: map[string]bool{}, hangs: true}
+		n.set(false, addresses...)
+		d := isolation.New(n.connect, views())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go d.Run(ctx, func(bool) {})
+		time.Sleep(time.Second)
+		must.True(t, d.Isolated())
+	})
+}
