entry/poison, world/evidence: a burst of losses under one request refuses it

Callers saw: a request under which three instances were lost within a second was refused after the second loss and passed on again after the third.

Cause: losses counted as correlated by their number within a second, whoever was at the instances. The class is a threshold on a count where the cause is in the association.

A loss is now correlated with others only if three or more of them have another explanation than the request: it was not in flight there, or another request was that has had no response since. An excuse of another request is judged at once, as it takes away that explanation.

Ruled out: counting losses at different instants apart, since losses of a rack are noticed over some hundred milliseconds.

--- a/entry/poison/attempt.go
+++ b/entry/poison/attempt.go
@@ -61,7 +61,9 @@
 		return
 	}
 	excusesTotal.Inc()
-	t.changed[a.fp] = time.Now()
+	now := time.Now()
+	t.changed[a.fp] = now
+	t.judge(now) // it no longer explains the losses of other requests
 }
 
 // InstanceLost records the loss of the instance. All requests in flight there
--- a/entry/poison/evidence_test.go
+++ b/entry/poison/evidence_test.go
@@ -180,3 +180,82 @@
 		must.True(t, refused(told, 1))
 	})
 }
+
+// Three instances that were lost within a second counted as one loss, whoever was there: the
+// third loss lifted the refusal.
+func TestBurstOfLossesUnderOneRequestRefusesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := poison.NewTracker()
+		for n := range 6 {
+			lose(tracker, 1, fmt.Sprint("i-", n))
+			must.Eq(t, n >= 1, refused(tracker, 1))
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+}
+
+// Requests beside the poison request are served elsewhere, which leaves it as the only cause.
+func TestBurstOfLossesUnderManyRequestsRefusesTheOneThatIsNotServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := poison.NewTracker()
+		for n := range 3 {
+			lose(tracker, 1, fmt.Sprint("i-", n), poison.Fingerprint(100+n))
+			time.Sleep(100 * time.Millisecond)
+		}
+		for n := range 3 {
+			fp := poison.Fingerprint(100 + n)
+			ran := tracker.Begin(t.Context(), fp, "sound")
+			ran.Answered()
+			ran.End()
+			must.False(t, refused(tracker, fp))
+		}
+		must.True(t, refused(tracker, 1))
+	})
+}
+
+// A poison request and the loss of a rack in the same seconds: hosts observe the losses in
+// turn, and the verdict on a request follows from who was at the instances.
+func TestRackAndPoisonRequestAreToldApart(t *testing.T) {
+	const poisoned, harmless = 1, 2
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		hosts := make([]*poison.Tracker, rapid.IntRange(1, 4).Draw(t, "hosts"))
+		for n := range hosts {
+			hosts[n] = poison.NewTracker()
+		}
+		var losses []*wire.Suspect
+		lost := func(fp uint64, instance string, age int) {
+			loss := &wire.Loss{Instance: instance, AgeMs: int64(age)}
+			losses = append(losses, &wire.Suspect{Fingerprint: fp, Losses: []*wire.Loss{loss}})
+		}
+		for n := range rapid.IntRange(2, 6).Draw(t, "poisoned") {
+			lost(poisoned, fmt.Sprint("sound-", n), rapid.IntRange(0, 1000).Draw(t, "age"))
+		}
+		// The harmless request was at two instances of the rack, as it was sent again.
+		for n := range rapid.IntRange(5, 10).Draw(t, "rack") {
+			instance, age := fmt.Sprint("rack-", n), 2500+rapid.IntRange(0, 400).Draw(t, "spread")
+			lost(uint64(100+n), instance, age)
+			if n < 2 {
+				lost(harmless, instance, age)
+			}
+		}
+		for _, n := range rapid.Permutation(indexes(len(losses))).Draw(t, "order") {
+			hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "observer")].Merge([]*wire.Suspect{losses[n]}, now)
+		}
+		for range 2 {
+			for _, from := range hosts {
+				for _, to := range hosts {
+					to.Merge(from.SuspectsAt(now), now)
+				}
+			}
+		}
+		for n, host := range hosts {
+			if _, got := host.Refused(poisoned, now); !got {
+				t.Fatalf("host %d does not refuse the poison request", n)
+			}
+			if _, got := host.Refused(harmless, now); got {
+				t.Fatalf("host %d refuses the request that was in the rack", n)
+			}
+		}
+	})
+}
--- a/entry/poison/tracker.go
+++ b/entry/poison/tracker.go
@@ -5,7 +5,9 @@
 // losses known until then. A suspect that was in flight at the losses of two instances
 // is refused for a set time. Suspects run one at a time, so that a harmless request
 // is not in flight on its second instance together with the poison request.
-// Correlated losses, such as those of a whole rack, count as one.
+// Correlated losses, such as those of a whole rack, count as one. Losses are correlated if
+// several of them in a short time have another explanation than the request: it was not in
+// flight there, or another request was that has had no response since.
 //
 // What is refused follows from the losses alone, which hosts share (package evidence). Hosts
 // that know the same losses refuse the same requests, in whatever order they were told.
@@ -40,7 +42,7 @@
 	DefaultLossLimit     = 2 // lost instances after which a request is refused
 	DefaultRefusalPeriod = 10 * time.Minute
 	DefaultSuspectTTL    = 10 * time.Minute // of a loss; at least the refusal period
-	correlatedLosses     = 3                // number of losses within correlationWindow from which they count as one
+	correlatedLosses     = 3                // number of unexplained losses within correlationWindow from which a loss counts as one with others
 	correlationWindow    = time.Second      // also the longest time of losses that count as one
 	exclusiveWait        = 2 * time.Second  // maximum wait of a suspect for another one to end
 	maxReported          = 64               // suspects in one message, at most half of them observed by this host lately
@@ -227,16 +229,16 @@
 func (t *Tracker) judge(now time.Time) {
 	t.book.Expire(now)
 	refused := map[Fingerprint]time.Time{}
-	var losses []time.Time
+	var timeline *evidence.Timeline
 	for _, id := range t.book.Suspected(t.lossLimit) {
-		if losses == nil {
-			losses = t.book.Losses()
+		if timeline == nil {
+			timeline = t.book.Timeline()
 		}
 		open := t.open(id, now)
 		if len(open) < t.lossLimit {
 			continue
 		}
-		if events(open, losses) >= t.lossLimit {
+		if events(open, timeline.Unexplained(t.book.Record(id))) >= t.lossLimit {
 			refused[Fingerprint(id)] = open[len(open)-1].At().Add(t.refusalPeriod)
 		}
 	}
@@ -266,13 +268,13 @@
 	}
 }
 
-// events returns how many losses of a request count, given the times of all losses. Correlated
-// losses within correlationWindow count as one.
-func events(open []evidence.Loss, all []time.Time) int {
+// events returns how many losses of a request count, given the times of those that it does
+// not explain. Correlated losses within correlationWindow count as one.
+func events(open []evidence.Loss, unexplained []time.Time) int {
 	n := 0
 	var began time.Time
 	for _, l := range open {
-		if n > 0 && l.At().Sub(began) <= correlationWindow && correlated(all, l.At()) {
+		if n > 0 && l.At().Sub(began) <= correlationWindow && correlated(unexplained, l.At()) {
 			continue
 		}
 		n++
@@ -281,12 +283,21 @@
 	return n
 }
 
-// correlated reports whether a loss is one of correlatedLosses within correlationWindow.
-func correlated(all []time.Time, at time.Time) bool {
-	first, _ := slices.BinarySearchFunc(all, at.Add(-correlationWindow), time.Time.Compare)
-	for n := first; n+correlatedLosses <= len(all) && !all[n].After(at); n++ {
-		last := all[n+correlatedLosses-1]
-		if !last.Before(at) && last.Sub(all[n]) <= correlationWindow {
+// correlated reports whether correlatedLosses lie around a time, within correlationWindow.
+func correlated(losses []time.Time, at time.Time) bool {
+	first, _ := slices.BinarySearchFunc(losses, at.Add(-correlationWindow), time.Time.Compare)
+	for n := first; n+correlatedLosses <= len(losses); n++ {
+		begin, end := losses[n], losses[n+correlatedLosses-1]
+		if begin.After(at.Add(correlationWindow)) {
+			break
+		}
+		if begin.After(at) {
+			begin = at
+		}
+		if end.Before(at) {
+			end = at
+		}
+		if end.Sub(begin) <= correlationWindow {
 			return true
 		}
 	}
--- a/world/evidence/book.go
+++ b/world/evidence/book.go
@@ -146,22 +146,3 @@
 	}
 	return 1
 }
-
-// Losses returns the times of all losses, each incarnation of an instance once, the
-// earliest first.
-func (b *Book) Losses() []time.Time {
-	earliest := map[string]time.Time{}
-	for _, r := range b.records {
-		for instance, l := range r.losses {
-			if at, known := earliest[instance]; !known || l.at.Before(at) {
-				earliest[instance] = l.at
-			}
-		}
-	}
-	all := make([]time.Time, 0, len(earliest))
-	for _, at := range earliest {
-		all = append(all, at)
-	}
-	slices.SortFunc(all, time.Time.Compare)
-	return all
-}
