control/disk, control/peer: a control host whose disk was full takes part again

Operators saw: the disk of one of three control hosts was full for ten seconds; after it had room again, another one lost its disk.

Cause: any failed write was final for the process. That is right for a failed sync, after which what the disk holds is unknown, and wrong for a full disk, whose error says what was not taken.

A store that is out of space can be reopened: it drops the bytes after the last write that succeeded, reads the folder as at a start, and writes its vote to show that there is room. Any other error, also while it reopens, stays final (TestFailedDiskStopsAcceptancePermanently is unchanged).

Failed before: TestHostWhoseDiskWasFullTakesPartAgain, as leader and as follower. TestRecoveredStoreHoldsWhatWasWritten fills the disk at any byte and crashes afterwards.

--- a/control/disk/disk_test.go
+++ b/control/disk/disk_test.go
@@ -231,6 +231,67 @@
 	}
 }
 
+// The disk is full at any byte, for some attempts to recover, and the power fails at any time
+// afterwards: what was written successfully is there, and nothing that was not written.
+func TestRecoveredStoreHoldsWhatWasWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		folder := memory.New()
+		s, err := disk.Create(folder, &wire.ReplicaIdentity{Identity: "one"}, disk.WithSegmentBytes(300))
+		must.NoError(t, err)
+		var held []*wire.LogEntry
+		vote := &wire.SavedVote{}
+		snapshotIndex := uint64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "writes") {
+			if rapid.IntRange(0, 3).Draw(t, "fills") == 0 {
+				folder.SetFreeSpace(rapid.IntRange(0, 400).Draw(t, "free"))
+			}
+			last := snapshotIndex + uint64(len(held))
+			next := entries(1, last+1, last+2)[:rapid.IntRange(0, 2).Draw(t, "entries")]
+			nextVote := &wire.SavedVote{Term: vote.GetTerm() + 1}
+			if rapid.IntRange(0, 4).Draw(t, "snapshot") == 0 && last > 0 {
+				err = s.SaveSnapshot(&wire.LogSnapshot{Index: last, Term: 1})
+				if err == nil {
+					snapshotIndex, held = last, nil
+					err = s.Compact(last)
+				}
+			} else if err = s.Write(nextVote, next); err == nil {
+				held, vote = append(held, next...), nextVote
+			}
+			if err != nil {
+				must.True(t, s.OutOfSpace())
+				saved, err := s.Recover()
+				must.True(t, err == nil || s.OutOfSpace())
+				folder.SetFreeSpace(-1)
+				if err != nil {
+					saved, err = s.Recover()
+				}
+				must.NoError(t, err)
+				// A write that failed may be whole.
+				if len(saved.Entries) > len(held) {
+					held = append(held, next...)
+				}
+				if saved.Vote.GetTerm() > vote.GetTerm() {
+					vote = nextVote
+				}
+				if saved.Snapshot.GetIndex() > snapshotIndex {
+					snapshotIndex, held = last, nil
+				}
+			}
+		}
+		folder.SetFreeSpace(-1)
+		if rapid.Bool().Draw(t, "crash") {
+			folder.Crash(func(unsynced int) int { return rapid.IntRange(0, unsynced).Draw(t, "kept") })
+		} else {
+			must.NoError(t, s.Close())
+		}
+		_, saved, err := disk.Open(folder)
+		must.NoError(t, err)
+		must.Eq(t, vote.GetTerm(), saved.Vote.GetTerm())
+		must.Eq(t, snapshotIndex, saved.Snapshot.GetIndex())
+		must.Eq(t, len(held), len(saved.Entries))
+	})
+}
+
 func TestVoteSurvivesACrashBetweenSegments(t *testing.T) {
 	folder := memory.New()
 	s := newStore(t, folder)
--- a/control/disk/memory/file.go
+++ b/control/disk/memory/file.go
@@ -3,10 +3,14 @@
 import (
 	"io"
 	"slices"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
 
+// errNoSpace is the error of a full disk.
+var errNoSpace = errors.WithStack(syscall.ENOSPC)
+
 // errCrashed is the error of a file that was opened before a crash.
 var errCrashed = errors.New("the file was open when the folder crashed")
 
@@ -48,7 +52,7 @@
 		f.folder.freeBytes -= n
 	}
 	if n < len(p) {
-		return n, errors.New("no space left on device")
+		return n, errNoSpace
 	}
 	return n, nil
 }
--- a/control/disk/memory/memory.go
+++ b/control/disk/memory/memory.go
@@ -131,6 +131,9 @@
 	if f.writeErr != nil {
 		return nil, f.writeErr
 	}
+	if f.freeBytes == 0 {
+		return nil, errNoSpace
+	}
 	c := &fileContent{}
 	f.names[name] = c
 	return &file{folder: f, content: c, crashes: f.crashes}, nil
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -158,6 +158,9 @@
 const initialElectionPercent = 75
 
 func withoutState(s *wire.LogSnapshot) *wire.LogSnapshot {
+	if s == nil {
+		return nil
+	}
 	return &wire.LogSnapshot{Index: s.GetIndex(), Term: s.GetTerm(), Members: s.GetMembers()}
 }
 
@@ -176,7 +179,7 @@
 	}
 	ticker := time.NewTicker(n.cfg.Tick)
 	defer ticker.Stop()
-	for n.failure() == nil {
+	for n.failure() == nil || n.takePartAgain(ctx) {
 		select {
 		case <-ctx.Done():
 			n.abortWaiting()
@@ -256,11 +259,11 @@
 	return n.store.Write(out.Vote(), out.Entries())
 }
 
-// fail stops the node permanently: after a failed write or sync, nothing that this
-// host acknowledges could be relied on.
+// fail stops the node: after a failed write or sync, nothing that this host acknowledges
+// could be relied on. It is permanent unless the disk was full.
 func (n *Node) fail(err error) {
 	n.fault.CompareAndSwap(nil, &err)
-	n.logger.Error("storage failed, this control host has stopped participating in the control group", "error", err)
+	n.logger.Error("storage failed, this control host has stopped participating in the control group", "error", err, "untilThereIsRoom", n.store.OutOfSpace())
 }
 
 // failure returns the error that stopped the node, or nil.
@@ -305,6 +308,9 @@
 }
 
 func (n *Node) applyEntry(e *wire.LogEntry) {
+	if e.GetIndex() <= n.applied { // applied before the disk was full
+		return
+	}
 	var result *wire.Result
 	switch e.GetKind() {
 	case wire.EntryKind_ENTRY_COMMAND:
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -41,6 +41,40 @@
 	must.True(t, g.submit(g.others(failed)[0], 1).GetAccepted())
 }
 
+// A control host whose disk had been full never took part again, so that the next loss of a
+// disk left the group without a quorum.
+func TestHostWhoseDiskWasFullTakesPartAgain(t *testing.T) {
+	for _, role := range []string{"leader", "follower"} {
+		t.Run(role, func(t *testing.T) {
+			g := newGroup(t, 3)
+			g.submit(g.hosts[0], 0)
+			full := g.leader()
+			if role == "follower" {
+				full = g.others(full)[0]
+			}
+			others := g.others(full)
+			full.folder.SetFreeSpace(30)
+			for n := range uint64(5) {
+				must.True(t, g.submit(others[n%2], 1+n).GetAccepted())
+			}
+			g.eventually("a host that is out", func() bool { return !full.node.Status().Quorum() })
+			must.ErrorIs(t, full.node.Confirm(context.Background()), agreement.ErrNoQuorum)
+			full.folder.SetFreeSpace(-1)
+			g.eventually("a host that is back", func() bool { return full.node.Confirm(context.Background()) == nil })
+			version, _ := full.machine.InForce()
+			must.Eq(t, 6, version.GetNumber())
+
+			g.loseDisk(others[0])
+			must.True(t, g.submit(others[1], 6).GetAccepted())
+			full.stop()
+			g.start(full)
+			g.eventually("a restarted host", func() bool { return full.node.Confirm(context.Background()) == nil })
+			version, _ = full.machine.InForce()
+			must.Eq(t, 7, version.GetNumber())
+		})
+	}
+}
+
 func TestHostWithoutQuorumAcceptsAndConfirmsNothing(t *testing.T) {
 	g := newGroup(t, 3)
 	g.submit(g.hosts[0], 0)
--- a/control/peer/snapshot.go
+++ b/control/peer/snapshot.go
@@ -27,6 +27,9 @@
 	if !n.snapshots.due() || n.failure() != nil {
 		return
 	}
+	if n.replica.AppliedIndex() < n.applied {
+		return // since the disk was full, the replica is behind the state
+	}
 	n.snapshots.running = true
 	n.snapshots.logBytes = 0
 	meta := n.replica.SnapshotMeta()
--- a/control/schedule/heal.go
+++ b/control/schedule/heal.go
@@ -20,6 +20,7 @@
 	sim.blocked = map[[2]string]bool{}
 	for _, h := range sim.hosts {
 		h.folder.FailSyncs(nil)
+		h.folder.SetFreeSpace(-1)
 		if !h.up && !h.diskLost {
 			h.start()
 		}
--- a/control/schedule/host.go
+++ b/control/schedule/host.go
@@ -26,6 +26,8 @@
 	machine  *state.Machine
 	up       bool
 	diskLost bool // the disk is lost, and the identity with it
+	diskFull bool // the process runs and takes no part
+	applied  uint64
 	pending  map[uint64]*attempt
 	reads    map[uint64]*attempt
 }
@@ -54,8 +56,12 @@
 	h.start()
 }
 
-// start starts the process from the data folder.
+// start starts the process from the data folder, or makes room on its full disk.
 func (h *host) start() {
+	if h.diskFull {
+		h.takePartAgain()
+		return
+	}
 	store, saved, err := disk.Open(h.folder, disk.WithSegmentBytes(segmentBytes))
 	if err != nil {
 		h.sim.violate(CrashConsistency, h.id+": "+err.Error())
@@ -68,18 +74,49 @@
 			h.sim.violate(CrashConsistency, h.id+": "+err.Error())
 		}
 	}
+	h.pending, h.reads = map[uint64]*attempt{}, map[uint64]*attempt{}
+	h.startReplica(saved)
+	h.applied = h.replica.AppliedIndex()
+}
+
+func (h *host) startReplica(saved quorum.PersistentState) {
 	h.replica = quorum.New(h.id, saved, quorum.WithElectionTicks(electionTicks), quorum.WithHeartbeatTicks(heartbeatTicks),
 		quorum.WithSeed(xxhash.Sum64String(fmt.Sprint(h.id, h.sim.now))), quorum.WithMaxBatchBytes(256), quorum.WithMaxInFlight(16))
-	h.pending, h.reads = map[uint64]*attempt{}, map[uint64]*attempt{}
 	h.up = true
 }
 
+// runOutOfSpace leaves the process running with a full disk.
+func (h *host) runOutOfSpace() {
+	h.up, h.diskFull = false, true
+	h.sim.report.fullDisks++
+	h.abandonRequests()
+}
+
+// takePartAgain recovers the store, keeps what was applied, and starts the replica anew.
+func (h *host) takePartAgain() {
+	h.folder.SetFreeSpace(-1)
+	h.diskFull = false
+	saved, err := h.store.Recover()
+	if err != nil {
+		h.crash()
+		return
+	}
+	if s := saved.Snapshot; s.GetIndex() > h.applied {
+		if err := h.machine.Restore(s.GetState()); err != nil {
+			h.sim.violate(CrashConsistency, h.id+": "+err.Error())
+		}
+		h.applied = s.GetIndex()
+	}
+	h.startReplica(saved)
+}
+
 // crash stops the process and discards a random part of what was not synced.
 func (h *host) crash() {
 	h.up = false
 	h.sim.report.crashes++
 	h.abandonRequests()
 	h.folder.FailSyncs(nil)
+	h.folder.SetFreeSpace(-1)
 	h.folder.Crash(func(unsynced int) int { return h.sim.source.Int(unsynced + 1) })
 }
 
@@ -122,14 +159,26 @@
 	if h.sim.faultOneIn(120) {
 		h.folder.FailSyncs(errPowerFailure)
 	}
+	if h.sim.faultOneIn(120) {
+		h.folder.SetFreeSpace(h.sim.source.Int(300))
+	}
 	err := h.save(out)
 	if err == nil && !h.sim.faultOneIn(300) {
 		return true
 	}
-	h.crash()
+	h.stopAfter(err)
 	return false
 }
 
+// stopAfter stops the process after a failed write, unless the disk is only full.
+func (h *host) stopAfter(err error) {
+	if err != nil && h.store.OutOfSpace() {
+		h.runOutOfSpace()
+		return
+	}
+	h.crash()
+}
+
 func (h *host) save(out *quorum.Output) error {
 	s := out.Snapshot()
 	if s == nil {
@@ -150,9 +199,13 @@
 			h.sim.violate(CrashConsistency, err.Error())
 		}
 		h.abandonRequests()
+		h.applied = s.GetIndex()
 	}
 	for _, e := range out.Committed() {
-		h.applyEntry(e)
+		if e.GetIndex() > h.applied {
+			h.applyEntry(e)
+			h.applied = e.GetIndex()
+		}
 	}
 }
 
@@ -218,7 +271,7 @@
 
 // snapshot saves a snapshot and compacts the log.
 func (h *host) snapshot(keepBytes int) {
-	if h.replica.AppliedIndex() == 0 {
+	if h.replica.AppliedIndex() == 0 || h.replica.AppliedIndex() < h.applied {
 		return
 	}
 	s := h.replica.SnapshotMeta()
@@ -232,11 +285,11 @@
 		h.folder.FailSyncs(errPowerFailure)
 	}
 	if err := h.store.SaveSnapshot(s); err != nil {
-		h.crash()
+		h.stopAfter(err)
 		return
 	}
 	if err := h.store.Compact(s.GetIndex()); err != nil {
-		h.crash()
+		h.stopAfter(err)
 		return
 	}
 	h.replica.Compact(s.GetIndex(), keepBytes)
--- a/control/schedule/schedule.go
+++ b/control/schedule/schedule.go
@@ -1,7 +1,7 @@
 // Package schedule implements a deterministic simulation of a whole control
 // group. It runs in one goroutine, without clocks or sockets, and executes a
 // generated schedule of events: dropped, duplicated and reordered messages,
-// one-way partitions, crashes that discard what was not synced, lost disks,
+// one-way partitions, crashes that discard what was not synced, lost and full disks,
 // membership changes, submissions, claims and reads. It reports each invariant
 // that the group violated.
 //
@@ -69,6 +69,7 @@
 	dispatched        int
 	crashes           int
 	diskLosses        int
+	fullDisks         int
 	elections         int
 	membershipChanges int
 }
@@ -91,6 +92,9 @@
 // DiskLosses returns how often a host lost its disk.
 func (r *Report) DiskLosses() int { return r.diskLosses }
 
+// FullDisks returns how often a host's disk was full.
+func (r *Report) FullDisks() int { return r.fullDisks }
+
 // Elections returns how many terms had a leader.
 func (r *Report) Elections() int { return r.elections }
 
--- a/control/schedule/schedule_test.go
+++ b/control/schedule/schedule_test.go
@@ -39,9 +39,10 @@
 	must.Greater(t, 200, total.crashes)
 	must.Greater(t, 20, total.diskLosses)
 	must.Greater(t, 20, total.membershipChanges)
+	must.Greater(t, 100, total.fullDisks)
 }
 
-type totals struct{ accepted, dispatched, crashes, diskLosses, membershipChanges int }
+type totals struct{ accepted, dispatched, crashes, diskLosses, membershipChanges, fullDisks int }
 
 func (t *totals) add(r *schedule.Report) {
 	t.accepted += r.Accepted()
@@ -49,6 +50,7 @@
 	t.crashes += r.Crashes()
 	t.diskLosses += r.DiskLosses()
 	t.membershipChanges += r.MembershipChanges()
+	t.fullDisks += r.FullDisks()
 }
 
 // describe lists the violations of a run, one per line.
