control: what a poll or a look-up costs no longer grows with the fleet

- Each change of an instance record woke all polls, of which nine in ten do not ask for instances.
The state has a signal for each part.

--- a/control/directory/demand.go
+++ b/control/directory/demand.go
@@ -1,8 +1,7 @@
 package directory
 
 import (
-	"time"
-
+	"github.com/snipebeam/snipebeam/control/fleet"
 	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -29,12 +28,12 @@
 	hostBytes float64 // body bytes per second
 }
 
-func (d *Directory) demand(entries []*wire.HostReport) demand {
+func (d *Directory) demand(snapshot *fleet.Snapshot) demand {
 	all := demand{rates: map[string]*wire.ServiceRate{}, slots: d.slots(), hostRate: d.hostRate}
-	for _, rate := range d.fleet.Rates(time.Now()) {
+	for _, rate := range snapshot.Rates() {
 		all.rates[rate.GetService()] = rate
 	}
-	for _, report := range entries {
+	for _, report := range snapshot.Polling() {
 		all.hostRate = minCapacity(all.hostRate, report.GetRateCapacity())
 		all.hostBytes = minCapacity(all.hostBytes, report.GetByteCapacity())
 	}
--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipebeam/snipebeam/control/fleet"
@@ -46,6 +47,8 @@
 	groups  map[string][]string        // services by host name, filled on demand
 	relays  map[string]relayCandidates // by zone
 
+	plan atomic.Pointer[plan]
+
 	slotsRevision  uint64 // revision of the instances in slotsByService
 	slotsByService map[string]int
 }
@@ -72,23 +75,19 @@
 // Resolve returns the entry hosts that callers in a zone use for a host name,
 // those of their zone first, and whether any rule applies to the host name.
 func (d *Directory) Resolve(host, zone string) (hosts []*wire.HostReport, found bool) {
-	services := d.serviceGroup(strings.ToLower(host))
+	host = strings.ToLower(host)
+	services := d.serviceGroup(host)
 	if len(services) == 0 {
 		return nil, false
 	}
-	entries := d.fleet.Polling(time.Now())
-	demand := d.demand(entries)
-	if n := demand.hosts(services); n <= placement.Zones(entries) {
-		return placement.Choose(entries, services[0], zone, placement.Plan{Spread: max(n, d.minHosts)}).Hosts(), true
-	}
-	return placement.ChooseFromPool(entries, zone, d.pool(host, demand, entries)), true
+	return d.answer(d.currentPlan(time.Now()), question{host: host, zone: zone}, services), true
 }
 
 // pool returns the pool of entry hosts that callers of a host name share with
 // callers of other names.
 func (d *Directory) pool(host string, demand demand, entries []*wire.HostReport) placement.Pool {
 	d.mu.Lock()
-	all, bulk := d.set.Services(), d.set.Bulk(strings.ToLower(host))
+	all, bulk := d.set.Services(), d.set.Bulk(host)
 	d.mu.Unlock()
 	small, large := demand.pools(all)
 	pool := placement.Pool{Size: small, MaxHosts: maxHosts, Bulk: bulk}
@@ -100,18 +99,6 @@
 	return pool
 }
 
-// ActiveHosts returns the largest number of entry hosts that serve one host
-// name.
-func (d *Directory) ActiveHosts() int {
-	n := d.minHosts
-	entries := d.fleet.Polling(time.Now())
-	demand := d.demand(entries)
-	for _, services := range d.serviceGroups() {
-		n = max(n, min(demand.hosts(services), len(entries)))
-	}
-	return n
-}
-
 // serviceGroups returns the service groups of all host names resolved under the
 // current rules.
 func (d *Directory) serviceGroups() [][]string {
@@ -212,7 +199,7 @@
 	}
 	slices.SortFunc(hosts, func(a, b *wire.HostReport) int { return strings.Compare(a.GetName(), b.GetName()) })
 	hosts = slices.CompactFunc(hosts, func(a, b *wire.HostReport) bool { return a.GetName() == b.GetName() })
-	demand := d.demand(d.fleet.Polling(now))
+	demand := d.currentPlan(now).demand
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	needed = 1
--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -33,6 +33,7 @@
 	reports  map[string]*wire.HostReport
 	lastSeen map[string]time.Time
 	polls    map[string]int // open long polls by host
+	snapshot *Snapshot      // the latest one, nil if a host has changed since
 
 	suspects   suspects
 	rateLimits rateLimits
@@ -60,6 +61,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	previous := f.reports[name]
+	if previous.GetState() != report.GetState() || previous.GetCallersAddress() != report.GetCallersAddress() {
+		f.snapshot = nil
+	}
 	if report.GetState() == StateLeft {
 		delete(f.reports, name)
 		delete(f.lastSeen, name)
@@ -101,21 +105,6 @@
 // for busy hosts.
 const PollGrace = 500 * time.Millisecond
 
-// Polling returns the latest reports of the hosts that currently poll this
-// control host, sorted by name.
-func (f *Fleet) Polling(now time.Time) []*wire.HostReport {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var all []*wire.HostReport
-	for name, report := range f.reports {
-		if f.polls[name] > 0 || now.Sub(f.lastSeen[name]) <= PollGrace {
-			all = append(all, report)
-		}
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].GetName() < all[j].GetName() })
-	return all
-}
-
 // Hosts returns the latest reports sorted by name, with the state of silent
 // hosts set to StateSilent. It removes hosts whose reports have expired.
 func (f *Fleet) Hosts(now time.Time) []*wire.HostReport {
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/world/delta"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/placement"
@@ -100,8 +101,7 @@
 	defer timer.Stop()
 	lost := s.quorumLost(ctx, req)
 	for {
-		_, isolations := s.fleet.Isolations()
-		applied, suspects, rateLimits := s.machine.Changed(), s.fleet.SuspectsChanged(), s.fleet.RateLimitsChanged()
+		changed := s.signals(req)
 		if s.hasNewerVersion(req) {
 			return true
 		}
@@ -110,10 +110,11 @@
 			return s.hasNewerVersion(req)
 		}
 		select {
-		case <-applied:
-		case <-suspects:
-		case <-rateLimits:
-		case <-isolations:
+		case <-changed.version:
+		case <-changed.instances:
+		case <-changed.suspects:
+		case <-changed.rateLimits:
+		case <-changed.isolations:
 		case <-lost:
 			return false
 		case <-timer.C:
@@ -124,6 +125,25 @@
 	}
 }
 
+// signals are closed at the next change of what a poll asks for; they are nil for the rest.
+type signals struct {
+	version, instances               state.Signal
+	suspects, rateLimits, isolations <-chan struct{}
+}
+
+// signals must be called before the state is read, so that no change is missed.
+func (s *Rules) signals(req *wire.WatchRequest) signals {
+	changed := signals{version: s.machine.VersionChanged()}
+	if req.GetRateLimits() {
+		changed.rateLimits = s.fleet.RateLimitsChanged()
+	}
+	if req.GetInstances() {
+		changed.instances, changed.suspects = s.machine.InstancesChanged(), s.fleet.SuspectsChanged()
+		_, changed.isolations = s.fleet.Isolations()
+	}
+	return changed
+}
+
 // quorumLost returns a channel that is closed when this host loses its quorum.
 // It returns nil for a poll without instances, and if there is no quorum at the
 // start.
--- a/control/state/changed.go
+++ b/control/state/changed.go
@@ -1,15 +1,32 @@
 package state
 
-// Changed returns a channel that is closed when another version comes into force
-// or an instance record changes. To miss no change, get the channel before reading
-// the state.
-func (m *Machine) Changed() <-chan struct{} {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.changed == nil {
-		m.changed = make(chan struct{})
-	}
-	return m.changed
+// Signal is closed at the next change of a part of the state. To miss no change, get the
+// signal before reading the state.
+type Signal <-chan struct{}
+
+// changes holds the signals that watchers wait on. Watchers of one part are not woken by
+// the other: there are many of them.
+type changes struct {
+	version   chan struct{}
+	instances chan struct{}
+}
+
+func newChanges() changes {
+	return changes{version: make(chan struct{}), instances: make(chan struct{})}
+}
+
+// VersionChanged returns the signal of another version in force.
+func (m *Machine) VersionChanged() Signal {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changes.version
+}
+
+// InstancesChanged returns the signal of a change of an instance record.
+func (m *Machine) InstancesChanged() Signal {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changes.instances
 }
 
 // watchRevision is the revision of the state that watchers wait on.
@@ -20,11 +37,15 @@
 	return watchRevision{version: version.GetNumber(), instances: m.instances.revision}
 }
 
-// notifyWatchers wakes the watchers if the state has changed since a revision.
+// notifyWatchers wakes the watchers of what has changed since a revision.
 func (m *Machine) notifyWatchers(before watchRevision) {
-	if m.watchRevision() == before || m.changed == nil {
-		return
+	now := m.watchRevision()
+	if now.version != before.version {
+		close(m.changes.version)
+		m.changes.version = make(chan struct{})
+	}
+	if now.instances != before.instances {
+		close(m.changes.instances)
+		m.changes.instances = make(chan struct{})
 	}
-	close(m.changed)
-	m.changed = nil
 }
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -29,12 +29,12 @@
 
 	instances instancesState
 
-	changed chan struct{} // closed on the next change of the version in force or an instance
+	changes changes
 }
 
 // New returns an empty machine.
 func New() *Machine {
-	m := &Machine{}
+	m := &Machine{changes: newChanges()}
 	m.rules.reset()
 	m.claims.reset()
 	m.instances.reset()
--- a/world/placement/placement.go
+++ b/world/placement/placement.go
@@ -11,6 +11,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sort"
@@ -125,9 +126,18 @@
 	if len(ready) == 0 {
 		ready = inState(entries, StateIsolated)
 	}
-	sort.Slice(ready, func(i, j int) bool {
-		return weight(service, ready[i].GetName()) > weight(service, ready[j].GetName())
-	})
+	type rankedHost struct {
+		host   *wire.HostReport
+		weight uint64
+	}
+	ranked := make([]rankedHost, len(ready))
+	for n, host := range ready {
+		ranked[n] = rankedHost{host: host, weight: weight(service, host.GetName())}
+	}
+	slices.SortFunc(ranked, func(a, b rankedHost) int { return cmp.Compare(b.weight, a.weight) })
+	for n := range ranked {
+		ready[n] = ranked[n].host
+	}
 	return ready
 }
 
