control/upstream: announcements that arrive together are one command

900 instances that start together took a command each, and a command takes the leader of ten control hosts some 36 messages. Refused calls came again at another control host, and since that changes which host holds the lease they were commands too: overload that kept itself up.

- Announcements that arrive while a batch is in flight share the next one; one that hangs, as its leader is lost, holds the others up for 200 ms at most.
Those whose callers are gone are not committed.
- An instance that visits another control host once keeps its lease where it is.
The second visit within a lease moves it.
- Reports of silent instances are committed together too.

--- a/control/upstream/upstream.go
+++ b/control/upstream/upstream.go
@@ -2,7 +2,8 @@
 // announcement that changes a record is committed to the replicated log before
 // it is acknowledged. So an acknowledged drain reaches every entry host that
 // reaches the control group. A renewal changes no record and is acknowledged by
-// any control host that has a quorum.
+// any control host that has a quorum. Announcements that arrive together are committed
+// together.
 //
 // The control host that last received an announcement of an instance holds its
 // lease, and reports to the group when the lease expires. For leases of control
@@ -17,15 +18,16 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/control/agreement"
 	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
+	"google.golang.org/protobuf/proto"
 )
 
 // Lease times.
@@ -51,8 +53,11 @@
 	lease   time.Duration
 	logger  hclog.Logger
 
+	batches *batcher
+
 	mu      sync.Mutex
 	renewed map[string]time.Time // time of the last renewal, by instance id
+	visits  map[string]time.Time // of instances whose lease another host holds, by instance id
 }
 
 // Option configures Instances.
@@ -66,7 +71,7 @@
 func New(name string, log agreement.Log, machine *state.Machine, logger hclog.Logger, opts ...Option) *Instances {
 	i := &Instances{
 		name: name, log: log, machine: machine, lease: DefaultLease, logger: logger.Named("upstream"),
-		renewed: map[string]time.Time{},
+		batches: newBatcher(log), renewed: map[string]time.Time{}, visits: map[string]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(i)
@@ -78,14 +83,18 @@
 // announcement are committed. After an error they may or may not be committed.
 func (i *Instances) Announce(ctx context.Context, m *wire.Instance) error {
 	m.HeardBy = i.name
-	if !state.ChangesRecord(i.machine.Instance(m.GetId()), m) {
+	known := i.machine.Instance(m.GetId())
+	if !state.ChangesRecord(known, m) {
 		if !i.log.Status().Quorum() {
 			return ErrNoQuorum
 		}
 		i.renew(m.GetId())
 		return nil
 	}
-	result, err := i.propose(ctx, m)
+	if i.log.Status().Quorum() && i.isVisit(known, m) {
+		return nil
+	}
+	result, err := i.batches.commit(ctx, m)
 	if err != nil {
 		return err
 	}
@@ -104,7 +113,7 @@
 // Withdraw accepts an instance's announcement that it leaves.
 func (i *Instances) Withdraw(ctx context.Context, m *wire.Instance) error {
 	m.HeardBy, m.Gone, m.Left, m.Draining = i.name, true, true, true
-	result, err := i.propose(ctx, m)
+	result, err := i.batches.commit(ctx, m)
 	if err != nil {
 		return err
 	}
@@ -115,16 +124,31 @@
 	return nil
 }
 
-func (i *Instances) propose(ctx context.Context, m *wire.Instance) (*wire.AnnouncementResult, error) {
-	cmd := &wire.Command{At: time.Now().UnixNano(), Body: &wire.Command_Announce{Announce: &wire.Announcement{Instance: m}}}
-	result, err := i.log.Propose(ctx, cmd)
-	return result.GetAnnounce(), errors.Wrap(err, "commit announcement")
-}
-
 func (i *Instances) renew(id string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.renewed[id] = time.Now()
+	delete(i.visits, id)
+}
+
+// isVisit reports whether an announcement only comes to another host than the last one did,
+// for the first time within a lease. The lease moves with the next announcement: most
+// instances return to the host before, and a move is a commit that all hosts follow.
+func (i *Instances) isVisit(known, m *wire.Instance) bool {
+	same := proto.Clone(m).(*wire.Instance)
+	same.HeardBy = known.GetHeardBy()
+	if state.ChangesRecord(known, same) {
+		return false
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := time.Now()
+	last, visited := i.visits[m.GetId()]
+	if visited && now.Sub(last) < i.lease {
+		return false
+	}
+	i.visits[m.GetId()] = now
+	return true
 }
 
 // Run reports instances whose lease has expired, until the context is done.
@@ -133,12 +157,21 @@
 		if !i.log.Status().Quorum() {
 			continue
 		}
+		var group sync.WaitGroup
 		for _, m := range i.expired(time.Now()) {
-			i.reportSilent(ctx, m)
+			group.Go(func() { i.reportSilent(ctx, m) })
 		}
+		group.Wait()
+		i.forgetVisits(time.Now())
 	}
 }
 
+func (i *Instances) forgetVisits(now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	maps.DeleteFunc(i.visits, func(_ string, at time.Time) bool { return now.Sub(at) >= i.lease })
+}
+
 // expired returns the instances with an expired lease that this host is
 // responsible for.
 func (i *Instances) expired(now time.Time) []*wire.Instance {
@@ -187,7 +220,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	silent := &wire.Instance{Id: m.GetId(), Incarnation: m.GetIncarnation(), HeardBy: m.GetHeardBy(), Silent: true}
-	result, err := i.propose(ctx, silent)
+	result, err := i.batches.commit(ctx, silent)
 	if err != nil || !result.GetChanged() {
 		return // retried at the next check
 	}
