control/operator, control/state: fewer polls of a large fleet, and cheaper ones

- Changes of instances are collected for 150 ms and 1 ms a polling host, at most 0.5 s.
News of lost instances under a request still take 150 ms.
- Changes since a revision are found in the order of their revisions, not by a walk over all records.
- Hosts that learn of others from control hosts say so and are no longer sent a sample of all hosts in nine of ten polls.

TestReadersThatFollowChangesMissNone: readers by changes and from the start agree.

--- a/control/operator/instances_test.go
+++ b/control/operator/instances_test.go
@@ -77,3 +77,46 @@
 		must.GreaterEq(t, 3*time.Second, time.Since(start))
 	})
 }
+
+// Polls of a large fleet returned at each change of 900 instances that come and go.
+func TestWatchOfALargeFleetCollectsChangesForLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &partitionedLog{quorumLog: &quorumLog{machine: state.New()}}
+		hosts := fleet.New()
+		for n := range 450 {
+			hosts.BeginPoll(&wire.HostReport{Name: fmt.Sprint("entry-", n), Role: "entry", State: "ready"}, time.Now())
+		}
+		rules := operator.New("control-1", log, log.machine, hosts)
+		submit(t, rules, 1)
+		const changes = 100
+		go func() {
+			for n := range changes {
+				time.Sleep(50 * time.Millisecond)
+				announce(log.machine, fmt.Sprint(n), 1, n == changes-1)
+			}
+		}()
+		polls, revision := 0, uint64(0)
+		for revision < changes {
+			got, err := rules.Watch(t.Context(), &wire.WatchRequest{KnownVersion: 1, WaitMs: 3000, Instances: true, KnownInstances: revision})
+			must.NoError(t, err)
+			polls++
+			revision = got.GetInstancesRevision()
+		}
+		must.LessEq(t, 11, polls)
+	})
+}
+
+func TestHostThatTakesNoPartInTheGossipGetsNoSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := fleet.New()
+		hosts.BeginPoll(&wire.HostReport{Name: "entry-1", Role: "entry", State: "ready", PeersAddress: "10.0.0.1:80"}, time.Now())
+		log := &partitionedLog{quorumLog: &quorumLog{machine: state.New()}}
+		rules := operator.New("control-1", log, log.machine, hosts)
+		submit(t, rules, 1)
+		for _, without := range []bool{false, true} {
+			got, err := rules.Watch(t.Context(), &wire.WatchRequest{KnownVersion: 1, NoSeeds: without})
+			must.NoError(t, err)
+			must.Eq(t, without, len(got.GetSeeds()) == 0)
+		}
+	})
+}
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -16,9 +16,13 @@
 const (
 	// maxWatchWait limits the duration of a long poll.
 	maxWatchWait = 10 * time.Second
-	// batchDelay is how long a poll collects changes of instances before it
-	// returns them. It is short because drains must take effect within seconds.
-	batchDelay = 150 * time.Millisecond
+	// batchDelay is how long a poll collects changes before it returns them, and
+	// hostBatchDelay how much longer it collects those of instances for each polling entry
+	// host, so that the polls of a large fleet stay few. It is short because drains must
+	// take effect within seconds.
+	batchDelay     = 150 * time.Millisecond
+	hostBatchDelay = time.Millisecond
+	maxBatchDelay  = 500 * time.Millisecond
 	// quorumCheckInterval is how often a poll for instances checks that this host
 	// still has a quorum. Without one the poll ends, so that the entry host gets
 	// the changes from another control host.
@@ -80,6 +84,9 @@
 		response.ControlHosts = append(response.ControlHosts, m.GetAddress())
 	}
 	if !req.GetInstances() {
+		if req.GetNoSeeds() {
+			return
+		}
 		response.Seeds = s.fleet.Seeds(req.GetReport().GetName(), time.Now())
 		return
 	}
@@ -106,7 +113,7 @@
 			return true
 		}
 		if s.hasChanges(req) {
-			pause.For(ctx, batchDelay)
+			pause.For(ctx, s.delay(req))
 			return s.hasNewerVersion(req)
 		}
 		select {
@@ -125,6 +132,15 @@
 	}
 }
 
+// delay returns how long a poll collects changes.
+func (s *Rules) delay(req *wire.WatchRequest) time.Duration {
+	if suspects, _ := s.fleet.Suspects(req.GetKnownSuspects(), time.Now()); len(suspects) > 0 {
+		return batchDelay
+	}
+	hosts := len(s.fleet.Polling(time.Now()))
+	return min(batchDelay+time.Duration(hosts)*hostBatchDelay, maxBatchDelay)
+}
+
 // signals are closed at the next change of what a poll asks for; they are nil for the rest.
 type signals struct {
 	version, instances               state.Signal
--- a/control/state/instances.go
+++ b/control/state/instances.go
@@ -30,9 +30,20 @@
 	byID      map[string]*wire.Instance
 	byAddress map[string]string // id of the instance that uses the address
 	revision  uint64
+	changes   []change        // oldest first; of each instance the latest one counts
 	ended     []endedInstance // oldest first
 }
 
+// change is the revision of one change of an instance's record.
+type change struct {
+	id       string
+	revision uint64
+}
+
+// minChanges is the number of changes from which superseded ones are dropped, if they are
+// more than half.
+const minChanges = 256
+
 // endedInstance is an instance with the time on the group's clock when it ended.
 type endedInstance struct {
 	id          string
@@ -174,6 +185,10 @@
 	s.revision++
 	m.Revision = s.revision
 	s.byID[m.GetId()] = m
+	s.changes = append(s.changes, change{id: m.GetId(), revision: s.revision})
+	if len(s.changes) >= minChanges && len(s.changes) > 2*len(s.byID) {
+		s.changes = slices.DeleteFunc(s.changes, func(c change) bool { return s.byID[c.id].GetRevision() != c.revision })
+	}
 }
 
 // expire removes instances whose tombstone retention has ended.
@@ -193,13 +208,14 @@
 	if revision >= s.revision {
 		return nil
 	}
+	first, _ := slices.BinarySearchFunc(s.changes, revision+1, func(c change, r uint64) int { return cmp.Compare(c.revision, r) })
 	var all []*wire.Instance
-	for _, m := range s.byID {
-		if m.GetRevision() > revision && (revision > 0 || !m.GetGone()) {
+	for _, c := range s.changes[first:] {
+		m := s.byID[c.id]
+		if m.GetRevision() == c.revision && (revision > 0 || !m.GetGone()) {
 			all = append(all, m)
 		}
 	}
-	slices.SortFunc(all, func(a, b *wire.Instance) int { return cmp.Compare(a.GetRevision(), b.GetRevision()) })
 	return all
 }
 
@@ -212,8 +228,9 @@
 }
 
 func (s *instancesState) load(in *wire.StateSnapshot) {
-	for _, m := range in.GetInstances() {
+	for _, m := range in.GetInstances() { // in the order of their revisions
 		s.byID[m.GetId()] = m
+		s.changes = append(s.changes, change{id: m.GetId(), revision: m.GetRevision()})
 		if m.GetGone() {
 			s.addEnded(m, endedAt(m, in.GetClock()))
 			continue
--- a/control/state/instances_test.go
+++ b/control/state/instances_test.go
@@ -9,6 +9,7 @@
 	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 )
 
 type change func(*wire.Instance)
@@ -231,3 +232,47 @@
 	missing, _ := other.Version(8)
 	must.Nil(t, missing)
 }
+
+// A reader that asks for changes again and again, and one that starts anew, know the same
+// records, whatever was superseded, ended or restored meanwhile.
+func TestReadersThatFollowChangesMissNone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ids = 12
+		m := state.New()
+		known, revision := map[string]*wire.Instance{}, uint64(0)
+		for n := range rapid.IntRange(1, 900).Draw(t, "changes") {
+			id := rapid.IntRange(0, ids-1).Draw(t, "id")
+			instance := instanceOf(fmt.Sprint(id), uint64(n/50+1), uint64(n+1), func(i *wire.Instance) {
+				i.Address = fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(0, ids-1).Draw(t, "address"))
+				i.Cold = n%2 == 0
+			})
+			if rapid.IntRange(0, 9).Draw(t, "leaves") == 0 {
+				leaving(instance)
+			}
+			announce(m, instance)
+			switch rapid.IntRange(0, 40).Draw(t, "then") {
+			case 0:
+				data, err := m.Snapshot()
+				must.NoError(t, err)
+				m = state.New()
+				must.NoError(t, m.Restore(data))
+			case 1, 2, 3:
+				var changed []*wire.Instance
+				changed, revision = m.Instances(revision)
+				for _, i := range changed {
+					known[i.GetId()] = i
+				}
+			}
+		}
+		changed, _ := m.Instances(revision)
+		for _, i := range changed {
+			known[i.GetId()] = i
+		}
+		for id := range ids {
+			got, want := known[fmt.Sprint(id)], m.Instance(fmt.Sprint(id))
+			if !want.GetGone() || got != nil {
+				must.True(t, proto.Equal(got, want), must.Sprintf("%d: %v, want %v", id, got, want))
+			}
+		}
+	})
+}
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -309,7 +309,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: wait.Milliseconds(), Whole: poll.whole}
+	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: wait.Milliseconds(), Whole: poll.whole, NoSeeds: w.members != nil}
 	if poll.primary {
 		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Revision(), poll.knownSuspects
 		request.KnownIsolations = poll.knownIsolations
