control/quorum: a malformed message does not end a control host

Reported by other operators: one malformed message took a whole process down. It can happen here: an append whose entries do not follow each other, or that changes a committed one, met a check of an invariant (a panic) on the goroutine that drives the replica, and again each time the sender repeated it.

Such messages are ignored now, before they are applied: entries with gaps, falling terms, a term above the message's, a membership without members, a different entry where one is committed, an acknowledgement beyond the log. The checks of invariants stay for this replica's own mistakes.

--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -152,10 +152,10 @@
 	}
 }
 
-// Step handles a message from another replica. Messages to other recipients are
-// ignored.
+// Step handles a message from another replica. Messages to other recipients and malformed
+// ones are ignored.
 func (r *Replica) Step(m *wire.QuorumMessage) {
-	if m.GetTo() != r.id || m.GetFrom() == r.id {
+	if m.GetTo() != r.id || m.GetFrom() == r.id || !r.wellFormed(m) {
 		return
 	}
 	switch {
