entry/upstream: bodies are sent at a pace, so that other requests do not wait behind them

On a link of 2.1 Mbit/s a body of 60 kB that is written at once occupies the way out of an entry host for 0.23 s: responses to callers, requests and probes wait behind it. Bodies to all instances now leave in pieces of 4 kB at three quarters of the link's rate (host.linkMbps); smaller requests are not delayed. On a link on which a piece takes less than a millisecond nothing changes.

--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -26,7 +26,8 @@
 	return upstream.NewPool(
 		upstream.WithMaxLinks(cfg.Links.PerInstance), upstream.WithIdleLimit(seconds(cfg.Links.IdleSeconds)),
 		upstream.WithMaxHeaderBytes(cfg.Links.HeaderBytes),
-		upstream.WithProgress(seconds(cfg.Links.ProgressSeconds)), upstream.WithSilentLimit(seconds(cfg.Links.SilentSeconds)))
+		upstream.WithProgress(seconds(cfg.Links.ProgressSeconds)), upstream.WithSilentLimit(seconds(cfg.Links.SilentSeconds)),
+		upstream.WithPace(cfg.Host.BodyPace()))
 }
 
 func newSettler(client *control.Client) *control.Settler { return control.NewSettler(client) }
--- a/entry/settings/host.go
+++ b/entry/settings/host.go
@@ -34,6 +34,7 @@
 const (
 	coreSecondsPerRequest = 0.0005 // includes its share of the probes
 	coreShare             = 0.6
+	bodyPaceShare         = 0.75
 	linkShare             = 0.1 // low because a large body delays all others on the network link
 	bytesPerMegabit       = 125_000
 )
@@ -47,3 +48,7 @@
 // ByteCapacity returns the body bytes per second that this host can forward, 0 if
 // the bandwidth is unknown.
 func (h Host) ByteCapacity() float64 { return h.LinkMbps * bytesPerMegabit * linkShare }
+
+// BodyPace returns the bytes per second at which request bodies are sent to instances, 0
+// for no limit. It leaves room for requests that come meanwhile.
+func (h Host) BodyPace() float64 { return h.LinkMbps * bytesPerMegabit * bodyPaceShare }
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -29,6 +29,7 @@
 	openedAt        time.Time
 	idleSince       time.Time
 	written         atomic.Int64
+	pace            *pacer        // nil for none
 	progress        time.Duration // limit on a write that transfers no byte, and on a read of a body without progress
 	bytesRead       int           // of a body since the read deadline was last set
 	maxHeaderBytes  int           // of a response header, including interim responses
@@ -48,9 +49,26 @@
 	return l
 }
 
-// Write implements io.Writer. It counts the bytes written and sets a deadline
-// for progress.
+// Write implements io.Writer. It sends large writes at the pace of the pool.
 func (l *Link) Write(p []byte) (int, error) {
+	if l.pace == nil || len(p) <= paceChunk {
+		return l.write(p)
+	}
+	written := 0
+	for written < len(p) {
+		piece := p[written:min(written+paceChunk, len(p))]
+		l.pace.wait(len(piece))
+		n, err := l.write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// write counts the bytes written and sets a deadline for progress.
+func (l *Link) write(p []byte) (int, error) {
 	if err := l.conn.SetWriteDeadline(time.Now().Add(l.progress)); err != nil {
 		return 0, err
 	}
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -55,6 +55,7 @@
 	idle           idleLimit
 	progress       time.Duration
 	silent         time.Duration
+	pace           *pacer   // nil for none
 	instances      sync.Map // *instanceLinks by address
 }
 
@@ -188,6 +189,7 @@
 		return nil, links, &Failure{cause: Unopened, err: err, address: address}
 	}
 	l := newLink(conn, p.progress, p.maxHeaderBytes)
+	l.pace = p.pace
 	links.add(l)
 	return l, links, nil
 }
