--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 # ONLY=route runs one area, ONLY=control/distribution one part of it.
 bench:
 	@go run ./bench --only=$(ONLY)
+	@case "$(ONLY)" in ""|control) go test -run '^$$' -bench . -benchmem ./platform/api;; esac
 
 demo: build
 	@go run ./bench/demo --programs=$(BIN)
