entry/isolation, entry/host: a host checks at its start whether it reaches an instance

A host that started within a partition learned of it from its first callers, whose requests waited for connections that could not be opened. The detector now checks when it starts and when the first instances are known, unless one has responded lately.

Ruled out: a host that looks for instances again and again until it knows one, which kept entry/caller's tests in virtual time busy for ever.

--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/entry/control"
@@ -68,7 +69,7 @@
 	}
 	join := node.Join
 	if cfg.Peers.Membership == settings.MembershipControl {
-		opts = append(opts, control.WithMembership(members), control.WithZone(cfg.Host.Zone), control.WithRelays(hosts.store), control.WithIsolations(hosts.SuspectConnect))
+		opts = append(opts, control.WithMembership(&checkedMembership{Membership: members, check: hosts.SuspectLink}), control.WithZone(cfg.Host.Zone), control.WithRelays(hosts.store), control.WithIsolations(hosts.SuspectConnect))
 		join = func([]*wire.GossipHost) {}
 	}
 	watch := control.NewWatch(current.Addresses, client, table, state.Report, join, logger, opts...)
@@ -77,3 +78,18 @@
 	}
 	return watch
 }
+
+// checkedMembership checks once it knows the first instances whether this host reaches any.
+type checkedMembership struct {
+	*registry.Membership
+	check func()
+	once  sync.Once
+}
+
+// Apply applies instance records, oldest first, up to a revision.
+func (m *checkedMembership) Apply(instances []*wire.Instance, revision uint64) {
+	m.Membership.Apply(instances, revision)
+	if len(instances) > 0 {
+		m.once.Do(m.check)
+	}
+}
--- a/entry/isolation/isolation.go
+++ b/entry/isolation/isolation.go
@@ -126,8 +126,11 @@
 	return d.reaches
 }
 
-// Run checks until the context ends. It calls changed after each change.
+// Run checks until the context ends, for the first time at once: a host that starts within a
+// partition would otherwise learn of it from the first callers. It calls changed after each
+// change.
 func (d *Detector) Run(ctx context.Context, changed func(isolated bool)) {
+	d.SuspectLink()
 	for {
 		if !d.Isolated() {
 			select {
--- a/entry/isolation/isolation_test.go
+++ b/entry/isolation/isolation_test.go
@@ -11,7 +11,6 @@
 	"github.com/snipebeam/snipebeam/entry/isolation"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/world/instance"
-	"github.com/snipebeam/snipebeam/world/knownred"
 )
 
 // network is the instances that this host reaches.
@@ -151,7 +150,6 @@
 // The first requests at a host that starts within a partition wait for connections that cannot be
 // opened.
 func TestHostThatStartsInAPartitionKnowsBeforeItsFirstRequest(t *testing.T) {
-	knownred.Skip(t)
 	synctest.Test(t, func(t *testing.T) {
 		n := &network{reachable: map[string]bool{}, hangs: true}
 		n.set(false, addresses...)
