entry/caller: test of instances that reset connections while they are full

They accuse no request, as before: a connection that is reset counts as the loss of its instance only if the instance cannot be reached on another connection, kept or new.

--- a/entry/caller/poison_test.go
+++ b/entry/caller/poison_test.go
@@ -148,3 +148,38 @@
 	calls.Wait()
 	must.SliceEmpty(t, host.suspects.Suspects())
 }
+
+// An instance that resets connections while it is full has lost nothing: others of its connections
+// live on, and new ones are accepted.
+func TestInstancesThatResetWhenFullAccuseNoRequest(t *testing.T) {
+	var full atomic.Bool
+	var instances []string
+	for range 3 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		instances = append(instances, listener.Addr().String())
+		go serveScript(listener, func(conn net.Conn, r *bufio.Reader) {
+			for {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				if full.Load() {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+					return
+				}
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			}
+		})
+	}
+	host := newEntry(t, viewsOf(instances...), newClaims())
+	entry := serveEntry(t, host)
+	full.Store(true)
+	for range 4 {
+		must.NotEq(t, http.StatusOK, call(t, http.MethodGet, entry, "/x/lookup", "").status)
+		call(t, http.MethodPost, entry, "/x/booking", "")
+	}
+	must.SliceEmpty(t, host.suspects.Suspects())
+	full.Store(false)
+	must.Eq(t, http.StatusOK, call(t, http.MethodGet, entry, "/x/lookup", "").status)
+}
