--- a/entry/settings/host.go
+++ b/entry/settings/host.go
@@ -12,7 +12,7 @@
 type Host struct {
 	Name             string  `toml:"name" comment:"unique name of this host"`
 	Zone             string  `toml:"zone" comment:"availability zone"`
-	Cores            float64 `toml:"cores" comment:"cores that this process may use, 0 if not known; callers are spread over more hosts by it, and bodies to instances are sent at three quarters of it"`
+	Cores            float64 `toml:"cores" comment:"cores that this process may use, 0 if not known; callers are spread over more hosts by it"`
 	LinkMbps         float64 `toml:"linkMbps" comment:"bandwidth of this host's link, megabits a second, 0 if not known; callers are spread over more hosts by it, and bodies to instances are sent at three quarters of it"`
 	LeaveSeconds     float64 `toml:"leaveSeconds" comment:"time that a stopping host goes on taking requests, until no caller holds its address: the lifetime of address answers and 2 s for the news"`
 	StopLimitSeconds float64 `toml:"stopLimitSeconds" comment:"time after which a stopping process may be killed, 0 for no limit; requests without an answer get their outcome in its last eighth"`
