control/operator: news of isolated hosts are not held up in a large fleet

The longer collection of changes of instances also held up news that hosts reach no instance: 0.5 s at 450 hosts in place of 0.15. TestNewsOfIsolationDoNotWaitForLongerInALargeFleet: 1.505 s before, bound 1.2.

--- a/control/operator/instances_test.go
+++ b/control/operator/instances_test.go
@@ -120,3 +120,24 @@
 		}
 	})
 }
+
+func TestNewsOfIsolationDoNotWaitForLongerInALargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &partitionedLog{quorumLog: &quorumLog{machine: state.New()}}
+		hosts := fleet.New()
+		for n := range 450 {
+			hosts.BeginPoll(&wire.HostReport{Name: fmt.Sprint("entry-", n), Role: "entry", State: "ready"}, time.Now())
+		}
+		rules := operator.New("control-1", log, log.machine, hosts)
+		submit(t, rules, 1)
+		go func() {
+			time.Sleep(time.Second)
+			hosts.BeginPoll(&wire.HostReport{Name: "entry-1", Role: "entry", State: "isolated"}, time.Now())
+		}()
+		start := time.Now()
+		got, err := rules.Watch(t.Context(), &wire.WatchRequest{KnownVersion: 1, WaitMs: 3000, Instances: true})
+		must.NoError(t, err)
+		must.Eq(t, 1, got.GetIsolations())
+		must.LessEq(t, 1200*time.Millisecond, time.Since(start))
+	})
+}
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -132,9 +132,12 @@
 	}
 }
 
-// delay returns how long a poll collects changes.
+// delay returns how long a poll collects changes. News of instances that were lost, or that
+// hosts reach none, do not wait for longer in a large fleet.
 func (s *Rules) delay(req *wire.WatchRequest) time.Duration {
-	if suspects, _ := s.fleet.Suspects(req.GetKnownSuspects(), time.Now()); len(suspects) > 0 {
+	suspects, _ := s.fleet.Suspects(req.GetKnownSuspects(), time.Now())
+	isolations, _ := s.fleet.Isolations()
+	if len(suspects) > 0 || isolations > req.GetKnownIsolations() {
 		return batchDelay
 	}
 	hosts := len(s.fleet.Polling(time.Now()))
