--- a/control/operator/instances_test.go
+++ b/control/operator/instances_test.go
@@ -78,16 +78,22 @@
 	})
 }
 
+// newLargeFleet returns a control host that 450 entry hosts poll.
+func newLargeFleet(t *testing.T) (*operator.Rules, *partitionedLog, *fleet.Fleet) {
+	log := &partitionedLog{quorumLog: &quorumLog{machine: state.New()}}
+	hosts := fleet.New()
+	for n := range 450 {
+		hosts.BeginPoll(&wire.HostReport{Name: fmt.Sprint("entry-", n), Role: "entry", State: "ready"}, time.Now())
+	}
+	rules := operator.New("control-1", log, log.machine, hosts)
+	submit(t, rules, 1)
+	return rules, log, hosts
+}
+
 // Polls of a large fleet returned at each change of 900 instances that come and go.
 func TestWatchOfALargeFleetCollectsChangesForLonger(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &partitionedLog{quorumLog: &quorumLog{machine: state.New()}}
-		hosts := fleet.New()
-		for n := range 450 {
-			hosts.BeginPoll(&wire.HostReport{Name: fmt.Sprint("entry-", n), Role: "entry", State: "ready"}, time.Now())
-		}
-		rules := operator.New("control-1", log, log.machine, hosts)
-		submit(t, rules, 1)
+		rules, log, _ := newLargeFleet(t)
 		const changes = 100
 		go func() {
 			for n := range changes {
@@ -123,13 +129,7 @@
 
 func TestNewsOfIsolationDoNotWaitForLongerInALargeFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &partitionedLog{quorumLog: &quorumLog{machine: state.New()}}
-		hosts := fleet.New()
-		for n := range 450 {
-			hosts.BeginPoll(&wire.HostReport{Name: fmt.Sprint("entry-", n), Role: "entry", State: "ready"}, time.Now())
-		}
-		rules := operator.New("control-1", log, log.machine, hosts)
-		submit(t, rules, 1)
+		rules, _, hosts := newLargeFleet(t)
 		go func() {
 			time.Sleep(time.Second)
 			hosts.BeginPoll(&wire.HostReport{Name: "entry-1", Role: "entry", State: "isolated"}, time.Now())
