entry/caller, entry/poison: logs and metrics say what a look at a lost instance found, and when losses are excused

Nothing told a loss that was missed by the look after the close from one that was excused later, or that an isolated host did not report. Each closed connection under a request is now logged with its fingerprint, the result of the look and its duration, and counted; so is each excuse.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -28,8 +28,19 @@
 	reachabilityTimeout = 250 * time.Millisecond
 )
 
+// What a look at an instance found whose connection closed under a request.
+const (
+	lookReachable = "reachable"
+	lookLost      = "lost"
+	lookIsolated  = "isolated"
+)
+
 var lossesInIsolation = metrics.GetOrCreateCounter("snipebeam_instances_lost_in_isolation_total")
 
+func closedUnderRequests(look string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`snipebeam_connections_closed_under_requests_total{look="` + look + `"}`)
+}
+
 // result describes the end of one attempt.
 type result struct {
 	problem  *outcome.Problem // nil: a response was sent to the caller
@@ -307,13 +318,18 @@
 		d.report.Failed = d.report.Unreachable
 	case upstream.Closed, upstream.Stale:
 		d.report.Failed = true
+		began := time.Now()
 		d.report.Unreachable = !pool.Reachable(ctx, address) && !d.h.stop.ended()
 		if failure.Cause() == upstream.Stale {
 			d.c.staleAt = d.target.ID()
 		}
+		look := lookReachable
 		if d.report.Unreachable {
-			d.reportLoss(ctx)
+			look = d.reportLoss(ctx)
 		}
+		closedUnderRequests(look).Inc()
+		d.h.cfg.Logger.Info("connection closed under a request", "id", d.c.id, "fingerprint", d.c.fingerprint.String(), "instance", d.target.Incarnated(),
+			"cause", string(failure.Cause()), "look", look, "lookMs", time.Since(began).Milliseconds())
 	case upstream.Malformed:
 		d.report.Failed = true
 	}
@@ -324,10 +340,11 @@
 
 // reportLoss reports that the instance is lost, unless this host reaches no other one
 // either: then its own links are lost, which says nothing of the requests on them.
-func (d *dispatch) reportLoss(ctx context.Context) {
+func (d *dispatch) reportLoss(ctx context.Context) (look string) {
 	if !d.h.cfg.Reach.Reaches(ctx, d.target.Address()) {
 		lossesInIsolation.Inc()
-		return
+		return lookIsolated
 	}
 	d.poisonAttempt.InstanceLost(ctx)
+	return lookLost
 }
--- a/entry/poison/attempt.go
+++ b/entry/poison/attempt.go
@@ -61,6 +61,7 @@
 		return
 	}
 	excusesTotal.Inc()
+	t.logger.Info("losses are excused by a response", "fingerprint", a.fp.String(), "instance", a.instance)
 	now := time.Now()
 	t.changed[a.fp] = now
 	t.judge(now) // it no longer explains the losses of other requests
