--- /dev/null
+++ b/entry/caller/poisonagain_test.go
@@ -0,0 +1,94 @@
+package caller_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/world/knownred"
+)
+
+// endingInstance is an instance that ends when it reads a request to /poison of the caller
+// "studio-1". The link of the request closes first, all others and the listener a while later.
+type endingInstance struct {
+	listener net.Listener
+	closeIn  time.Duration
+	mu       sync.Mutex
+	links    map[net.Conn]struct{}
+	ended    *atomic.Int32
+}
+
+// endingInstances returns the addresses of n instances, and the number of those that have ended.
+func endingInstances(t *testing.T, n int, closeIn time.Duration) ([]string, *atomic.Int32) {
+	t.Helper()
+	var ended atomic.Int32
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		i := &endingInstance{listener: listener, closeIn: closeIn, links: map[net.Conn]struct{}{}, ended: &ended}
+		t.Cleanup(i.close)
+		addresses = append(addresses, listener.Addr().String())
+		go serveScript(listener, i.serve)
+	}
+	return addresses, &ended
+}
+
+func (i *endingInstance) close() {
+	_ = i.listener.Close()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for conn := range i.links {
+		_ = conn.Close()
+	}
+}
+
+func (i *endingInstance) serve(conn net.Conn, r *bufio.Reader) {
+	i.mu.Lock()
+	i.links[conn] = struct{}{}
+	i.mu.Unlock()
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if strings.HasSuffix(req.URL.Path, "/poison") && req.Header.Get(caller.CallerHeader) == "studio-1" {
+			i.ended.Add(1)
+			time.AfterFunc(i.closeIn, i.close)
+			return
+		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	}
+}
+
+// An instance that closed the link of the request before its other links and its listener was
+// not taken for lost: 12 of 12 ended.
+func TestInstanceWhoseOtherLinksCloseLaterIsLost(t *testing.T) {
+	knownred.Skip(t)
+	for _, closeIn := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(closeIn.String(), func(t *testing.T) {
+			instances, ended := endingInstances(t, 12, closeIn)
+			entry := serveEntry(t, newEntry(t, viewsOf(instances...), newClaims()))
+			var warm sync.WaitGroup
+			for n := range 48 { // idle links to each
+				warm.Go(func() { _, _ = do(newRequest(t, http.MethodGet, entry, fmt.Sprint("/x/", n), "")) })
+			}
+			warm.Wait()
+			for range 12 {
+				call(t, http.MethodPost, entry, "/x/poison", "", caller.CallerHeader, "studio-1")
+				time.Sleep(2 * closeIn)
+			}
+			must.LessEq(t, 4, ended.Load())
+		})
+	}
+}
