entry/caller: failing tests of two callers with the same target

The fingerprint of a request leaves out its caller. A response to one caller excuses the losses under the request of another, or the harmless one is refused with it.

--- a/entry/caller/poisonagain_test.go
+++ b/entry/caller/poisonagain_test.go
@@ -92,3 +92,28 @@
 		})
 	}
 }
+
+// The response to another caller, whose request is harmless, excused the losses under the one
+// that ends instances.
+func TestResponseToAnotherCallerExcusesNoLoss(t *testing.T) {
+	knownred.Skip(t)
+	instances, ended := endingInstances(t, 14, 0)
+	entry := serveEntry(t, newEntry(t, viewsOf(instances...), newClaims()))
+	for range 10 {
+		call(t, http.MethodPost, entry, "/x/poison", "", caller.CallerHeader, "studio-1")
+		must.Eq(t, http.StatusOK, call(t, http.MethodPost, entry, "/x/poison", "", caller.CallerHeader, "clinic-2").status)
+	}
+	must.Eq(t, 2, ended.Load())
+}
+
+// Another caller's harmless request to the same target was refused with the one that ends instances.
+func TestRequestOfAnotherCallerIsNotRefusedWithAPoisonRequest(t *testing.T) {
+	knownred.Skip(t)
+	instances, ended := endingInstances(t, 14, 0)
+	entry := serveEntry(t, newEntry(t, viewsOf(instances...), newClaims()))
+	for range 4 {
+		call(t, http.MethodGet, entry, "/x/poison", "", caller.CallerHeader, "studio-1")
+		must.Eq(t, http.StatusOK, call(t, http.MethodGet, entry, "/x/poison", "", caller.CallerHeader, "clinic-2").status)
+	}
+	must.Eq(t, 2, ended.Load())
+}
