--- a/entry/caller/poisonagain_test.go
+++ b/entry/caller/poisonagain_test.go
@@ -117,3 +117,14 @@
 	}
 	must.Eq(t, 2, ended.Load())
 }
+
+// A new idempotency key made a request new, although its caller, target and body were the same.
+func TestNewKeyDoesNotMakeAPoisonRequestNew(t *testing.T) {
+	knownred.Skip(t)
+	instances, ended := endingInstances(t, 12, 0)
+	entry := serveEntry(t, newEntry(t, viewsOf(instances...), newClaims()))
+	for n := range 8 {
+		call(t, http.MethodPost, entry, "/pay/poison", "studs", caller.CallerHeader, "studio-1", "Idempotency-Key", fmt.Sprint("key-", n))
+	}
+	must.Eq(t, 2, ended.Load())
+}
