entry/registry: the announcement of the next incarnation tells that an instance has ended

An instance that starts again at the same address accepts connections at each look, so that its loss was never known, though the control hosts tell the new incarnation within seconds. The registry tells which incarnations a later one has replaced, by identifier or by address. A leave tells nothing, as the instance may serve for a while yet.

TestAnnouncementOfTheNextIncarnationTellsOfTheLoss cannot be built before, as the registry told nobody.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -59,7 +59,7 @@
 			func() (*key.Ring, error) { return key.Load(cfg.Keys.Peers) },
 			newPolicy,
 			func() *route.Views { return &route.Views{} },
-			registry.New, newMembers,
+			newRegistry, newMembers,
 			rules.NewTable, placement.NewRates, backlog.NewTracker, decision.NewLog,
 			newControlHosts, newPool, newSettler, newSuspects,
 			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newDetector, newRelay, newRouter, newKeyRings, newExporter,
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -10,6 +10,7 @@
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/registry"
+	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/world/key"
@@ -57,6 +58,10 @@
 	})
 }
 
+func newRegistry(views *route.Views, suspects *poison.Tracker) *registry.Registry {
+	return registry.New(views, registry.WithEnded(suspects.InstanceEnded))
+}
+
 func newMembers(reg *registry.Registry, suspects *poison.Tracker, logger hclog.Logger) *registry.Membership {
 	return registry.NewMembership(reg, suspects, registry.WithLogger(logger))
 }
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -38,14 +38,37 @@
 type Registry struct {
 	views *route.Views
 
-	mu      sync.Mutex
-	members map[instance.ID]route.Member
-	retired map[instance.ID]route.Member // removed with requests in flight
+	ended func(incarnation string)
+
+	mu        sync.Mutex
+	members   map[instance.ID]route.Member
+	retired   map[instance.ID]route.Member  // removed with requests in flight
+	byAddress map[string]*instance.Instance // the latest one, also after its removal
+}
+
+// minAddresses is the number of addresses from which those of removed instances are dropped, if
+// they are more than half.
+const minAddresses = 1024
+
+// NewOption configures a registry.
+type NewOption func(*Registry)
+
+// WithEnded sets a function that is called with each incarnation of an instance that must have
+// ended, as a later one uses its identifier or its address.
+func WithEnded(ended func(incarnation string)) NewOption {
+	return func(r *Registry) { r.ended = ended }
 }
 
 // New returns an empty registry that publishes to views.
-func New(views *route.Views) *Registry {
-	return &Registry{views: views, members: map[instance.ID]route.Member{}, retired: map[instance.ID]route.Member{}}
+func New(views *route.Views, opts ...NewOption) *Registry {
+	r := &Registry{
+		views: views, ended: func(string) {},
+		members: map[instance.ID]route.Member{}, retired: map[instance.ID]route.Member{}, byAddress: map[string]*instance.Instance{},
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
 }
 
 // Len returns the number of available instances.
@@ -60,16 +83,46 @@
 	if len(changes) == 0 {
 		return
 	}
+	for _, incarnation := range r.update(changes) {
+		r.ended(incarnation)
+	}
+}
+
+// update returns the incarnations that must have ended.
+func (r *Registry) update(changes []Change) (ended []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	affected := map[string]bool{}
 	for _, change := range changes {
+		if change.record != nil {
+			ended = append(ended, r.supersede(instance.FromWire(change.record))...)
+		}
 		r.apply(change, affected)
 	}
 	r.pruneRetired()
 	if len(affected) > 0 {
 		r.publish(affected)
 	}
+	return ended
+}
+
+// supersede records the address of an instance, and returns the incarnations before it that used
+// its identifier or its address.
+func (r *Registry) supersede(next *instance.Instance) (ended []string) {
+	if old, exists := r.members[next.ID()]; exists && old.Instance().Incarnation() < next.Incarnation() {
+		ended = append(ended, old.Instance().Incarnated())
+	}
+	if old := r.byAddress[next.Address()]; old != nil && old.ID() != next.ID() && old.Incarnation() <= next.Incarnation() {
+		ended = append(ended, old.Incarnated())
+	}
+	r.byAddress[next.Address()] = next
+	if len(r.byAddress) > max(minAddresses, 2*len(r.members)) {
+		maps.DeleteFunc(r.byAddress, func(_ string, i *instance.Instance) bool {
+			_, exists := r.members[i.ID()]
+			return !exists && i != next
+		})
+	}
+	return ended
 }
 
 func (r *Registry) apply(change Change, affected map[string]bool) {
