control/fleet: control hosts attribute a loss that its entry host cannot tell any more

An entry host that ends, or is cut off from the instance, before it knows of the loss took with it under which request the connection closed. Control hosts keep the attempts that entry hosts report, and join them with the incarnations that have ended in the replicated records. Only confirmed losses are passed on to other hosts, so that connections that are reset cost no news.

--- a/control/fleet/fleet.go
+++ b/control/fleet/fleet.go
@@ -40,12 +40,19 @@
 	isolations isolations
 }
 
+// Option configures a fleet.
+type Option func(*Fleet)
+
 // New returns an empty fleet.
-func New() *Fleet {
-	return &Fleet{
+func New(opts ...Option) *Fleet {
+	f := &Fleet{
 		reports: map[string]*wire.HostReport{}, lastSeen: map[string]time.Time{}, polls: map[string]int{},
 		suspects: newSuspects(), rateLimits: newRateLimits(), isolations: newIsolations(),
 	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 // StateLeft is the state in the last report of a host after an orderly shutdown.
--- a/control/fleet/suspects.go
+++ b/control/fleet/suspects.go
@@ -12,8 +12,10 @@
 // suspects holds what entry hosts report of requests that were in flight when instances
 // were lost.
 type suspects struct {
+	ended     func(incarnation string) bool // whether an incarnation of an instance has ended
 	mu        sync.Mutex
 	book      *evidence.Book
+	pending   *evidence.Pending // attempts without a response, whose hosts may not live on to tell the end
 	revisions map[uint64]uint64 // revision of each record's last change
 	revision  uint64
 	notify    chan struct{} // closed at the next loss
@@ -21,7 +23,10 @@
 
 func newSuspects() suspects {
 	// Hosts that polled an earlier process have lower revisions.
-	return suspects{book: evidence.NewBook(), revisions: map[uint64]uint64{}, revision: uint64(time.Now().UnixNano()), notify: make(chan struct{})}
+	return suspects{
+		ended: func(string) bool { return false }, book: evidence.NewBook(), pending: evidence.NewPending(),
+		revisions: map[uint64]uint64{}, revision: uint64(time.Now().UnixNano()), notify: make(chan struct{}),
+	}
 }
 
 // add merges the suspects that a host reported. Excuses wait for the next poll of each host.
@@ -30,29 +35,69 @@
 	defer s.mu.Unlock()
 	lost := false
 	for _, suspect := range reported {
-		change := s.book.Merge(suspect, now)
-		if change == evidence.Unchanged {
-			continue
+		lost = s.changed(suspect.GetFingerprint(), s.book.Merge(suspect, now)) || lost
+		for _, attempt := range evidence.Attempts(suspect, now) {
+			if s.pending.Add(attempt, now) {
+				lost = s.lose(attempt) || lost
+			}
 		}
-		s.revision++
-		s.revisions[suspect.GetFingerprint()] = s.revision
-		lost = lost || change == evidence.Added
 	}
+	lost = s.confirm(now) || lost
 	if len(s.revisions) > s.book.Len() {
 		maps.DeleteFunc(s.revisions, func(fp, _ uint64) bool { return s.book.Record(fp) == nil })
 	}
 	if lost {
-		close(s.notify)
-		s.notify = make(chan struct{})
+		s.wake()
 	}
 }
 
+func (s *suspects) wake() {
+	close(s.notify)
+	s.notify = make(chan struct{})
+}
+
+// changed gives a record that changed a new revision, and reports whether a loss is new.
+func (s *suspects) changed(fingerprint uint64, change evidence.Change) bool {
+	if change != evidence.Unchanged {
+		s.revision++
+		s.revisions[fingerprint] = s.revision
+	}
+	return change == evidence.Added
+}
+
+func (s *suspects) lose(a *evidence.Attempt) bool {
+	return s.changed(a.Fingerprint(), s.book.AddLoss(a.Fingerprint(), a.Instance(), a.At()))
+}
+
+// confirm adds the losses of pending attempts whose instances have ended, and reports whether
+// one is new.
+func (s *suspects) confirm(now time.Time) bool {
+	lost := false
+	for _, incarnation := range s.pending.Instances() {
+		if !s.ended(incarnation) {
+			continue
+		}
+		for _, attempt := range s.pending.End(incarnation, now) {
+			lost = s.lose(attempt) || lost
+		}
+	}
+	return lost
+}
+
+// WithEnded sets the function that reports whether an incarnation of an instance has ended.
+func WithEnded(ended func(incarnation string) bool) Option {
+	return func(f *Fleet) { f.suspects.ended = ended }
+}
+
 // Suspects returns the suspects that changed after the given revision, and the
 // latest revision. Revisions are local to this control host.
 func (f *Fleet) Suspects(after uint64, now time.Time) ([]*wire.Suspect, uint64) {
 	s := &f.suspects
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.confirm(now) {
+		s.wake()
+	}
 	if after == s.revision {
 		return nil, s.revision
 	}
--- a/control/fleet/suspects_test.go
+++ b/control/fleet/suspects_test.go
@@ -60,3 +60,29 @@
 	all, _ := f.Suspects(57, now)
 	must.Len(t, 1, all)
 }
+
+// A host that ended with the instance told nobody of the loss.
+func TestControlHostsConfirmWhatAHostNoLongerCan(t *testing.T) {
+	for _, endedFirst := range []bool{true, false} {
+		ended, now := endedFirst, time.Now()
+		f := fleet.New(fleet.WithEnded(func(incarnation string) bool { return ended && incarnation == "a/7" }))
+		changed := f.SuspectsChanged()
+		f.BeginPoll(&wire.HostReport{Name: "e", Suspects: []*wire.Suspect{{Fingerprint: 7, Unconfirmed: []*wire.Loss{{Instance: "a/7", AgeMs: 10, Attempt: 3}}}}}, now)
+		known, revision := f.Suspects(0, now)
+		must.Eq(t, endedFirst, len(known) == 1)
+		ended = true
+		for range 2 { // once, although the attempt is reported again
+			f.BeginPoll(&wire.HostReport{Name: "e", Suspects: []*wire.Suspect{{Fingerprint: 7, Unconfirmed: []*wire.Loss{{Instance: "a/7", AgeMs: 2010, Attempt: 3}}}}}, now.Add(2*time.Second))
+			later, _ := f.Suspects(revision, now.Add(2*time.Second))
+			must.Eq(t, !endedFirst, len(later) == 1)
+		}
+		known, _ = f.Suspects(0, now.Add(2*time.Second))
+		must.Len(t, 1, known)
+		must.Len(t, 1, known[0].GetLosses())
+		select {
+		case <-changed:
+		default:
+			t.Fatal("channel is not closed when a loss is confirmed")
+		}
+	}
+}
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -40,7 +40,7 @@
 		fx.Provide(
 			func() hclog.Logger { return logger },
 			state.New,
-			fleet.New,
+			newFleet,
 			newReplicaStore,
 			newNode,
 			newLog,
@@ -62,6 +62,10 @@
 	)
 }
 
+func newFleet(machine *state.Machine) *fleet.Fleet {
+	return fleet.New(fleet.WithEnded(machine.Ended))
+}
+
 func newRules(cfg *settings.Settings, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet, dir *directory.Directory) *operator.Rules {
 	return operator.New(cfg.Host.Name, log, machine, hosts).WithZone(cfg.Host.Zone).WithDirectory(dir)
 }
--- a/control/state/instances.go
+++ b/control/state/instances.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"google.golang.org/protobuf/proto"
 )
@@ -271,3 +272,17 @@
 	defer m.mu.RUnlock()
 	return m.instances.byID[id]
 }
+
+// Ended reports whether an incarnation of an instance has ended because a later one uses its
+// identifier or its address. One that left by its own announcement may still run.
+func (m *Machine) Ended(incarnation string) bool {
+	id, n := instance.SplitIncarnated(incarnation)
+	record := m.Instance(id)
+	switch {
+	case record == nil || n == 0:
+		return false
+	case record.GetIncarnation() == n:
+		return record.GetGone() && !record.GetLeft() && record.GetLeftAt() == 0
+	}
+	return record.GetIncarnation() > n
+}
--- a/control/state/instances_test.go
+++ b/control/state/instances_test.go
@@ -276,3 +276,26 @@
 		}
 	})
 }
+
+func TestIncarnationHasEndedOnceALaterOneUsesItsIdentifierOrAddress(t *testing.T) {
+	announce := func(m *state.Machine, i *wire.Instance) {
+		m.Apply(&wire.Command{Body: &wire.Command_Announce{Announce: &wire.Announcement{Instance: i}}})
+	}
+	for _, next := range []*wire.Instance{
+		{Id: "a", Service: "shop", Address: "10.0.0.1:80", Incarnation: 8},
+		{Id: "b", Service: "shop", Address: "10.0.0.1:80", Incarnation: 8},
+	} {
+		m := state.New()
+		must.False(t, m.Ended("a/7"))
+		announce(m, &wire.Instance{Id: "a", Service: "shop", Address: "10.0.0.1:80", Incarnation: 7})
+		must.False(t, m.Ended("a/7"))
+		announce(m, next)
+		must.True(t, m.Ended("a/7"))
+		must.False(t, m.Ended("a/8"))
+		must.False(t, m.Ended("b/8"))
+	}
+	m := state.New()
+	announce(m, &wire.Instance{Id: "a", Service: "shop", Address: "10.0.0.1:80", Incarnation: 7})
+	announce(m, &wire.Instance{Id: "a", Incarnation: 7, Gone: true, Left: true})
+	must.False(t, m.Ended("a/7"))
+}
