entry/caller: a failure that an instance responds with excuses no loss

An instance that fails a part of its requests answered 500 before it ran the request, and this response took back the losses under it: the next instances ended as if they were the first. Only a response below 500 says that an instance has run the request and lives.

The instances of these tests that close all at once do so before the request's connection closes: a test that sends again within a millisecond raced with the close, once with 3 instances ended where 2 are expected.

--- a/entry/caller/poisonagain_test.go
+++ b/entry/caller/poisonagain_test.go
@@ -84,7 +84,11 @@
 			}
 			_, _ = conn.Write([]byte(i.begun))
 			i.ended.Add(1)
-			time.AfterFunc(i.closeIn, i.close)
+			if i.closeIn == 0 {
+				i.close()
+			} else {
+				time.AfterFunc(i.closeIn, i.close)
+			}
 			return
 		}
 		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
@@ -169,3 +173,15 @@
 	}
 	must.LessEq(t, 3, ended.Load())
 }
+
+// An instance that failed before it ran the request excused the losses of others.
+func TestFailureOfAnInstanceExcusesNoLoss(t *testing.T) {
+	instances, ended := endingInstances(t, 8, 0)
+	failing, _ := endingInstances(t, 4, 0, func(i *endingInstance) { i.failures = 100 })
+	entry := serveEntry(t, newEntry(t, viewsOf(append(instances, failing...)...), newClaims()))
+	for range 16 {
+		call(t, http.MethodPost, entry, "/x/poison", "", caller.CallerHeader, "studio-1")
+		pause.For(t.Context(), 20*time.Millisecond)
+	}
+	must.Eq(t, 2, ended.Load())
+}
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -90,7 +90,9 @@
 		case outcome.Answer:
 		}
 	}
-	d.poisonAttempt.Answered()
+	if response.StatusCode < http.StatusInternalServerError { // a failed run may have been cut short
+		d.poisonAttempt.Answered()
+	}
 	return result{problem: d.forward(exchange), instance: id, final: true}
 }
 
