entry/caller: an instance that ends within its response is lost

The begin of a response excused the losses under the request, and the end of the instance before the response was complete was no loss, so that a request that ends instances while they respond was never refused. A response excuses once it is complete; one that breaks off is an attempt without a response.

--- a/entry/caller/poisonagain_test.go
+++ b/entry/caller/poisonagain_test.go
@@ -185,3 +185,17 @@
 	}
 	must.Eq(t, 2, ended.Load())
 }
+
+// The end of an instance that had begun its response was no loss, and the begin of the response
+// excused the losses before.
+func TestInstanceThatEndsWithinItsResponseIsLost(t *testing.T) {
+	instances, ended := endingInstances(t, 8, 5*time.Millisecond, func(i *endingInstance) {
+		i.begun = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nbegun"
+	})
+	entry := serveEntry(t, newEntry(t, viewsOf(instances...), newClaims()))
+	for range 8 {
+		_, _ = do(newRequest(t, http.MethodPost, entry, "/x/poison", "", caller.CallerHeader, "studio-1"))
+		pause.For(t.Context(), 60*time.Millisecond)
+	}
+	must.LessEq(t, 3, ended.Load())
+}
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -90,10 +90,11 @@
 		case outcome.Answer:
 		}
 	}
-	if response.StatusCode < http.StatusInternalServerError { // a failed run may have been cut short
+	problem := d.forward(exchange)
+	if problem == nil && response.StatusCode < http.StatusInternalServerError { // a failed run may have been cut short
 		d.poisonAttempt.Answered()
 	}
-	return result{problem: d.forward(exchange), instance: id, final: true}
+	return result{problem: problem, instance: id, final: true}
 }
 
 // forward sends the response to the caller. It returns a problem if the response
@@ -188,6 +189,7 @@
 	}
 	d.report.Failed = true
 	truncatedResponses.Inc()
+	d.interrupted()
 	return resultCut
 }
 
