world/link, entry, control: a peer that sends bytes without end does not fill the memory of its reader

Responses of control hosts and of other entry hosts, and requests to both, were read whole whatever their length: a faulty process at such an address, or at one that has been given to another service, could end each host that called it, and with it the requests of all callers there. Heads of responses were read up to net/http's 10 MB.

link.Bounded fails a response, link.BoundedHandler a request that is longer than any message: 12 MiB for polls (rules of the greatest size and the records of ten thousand instances), 4 MiB for other messages to entry hosts, 16 MiB to control hosts, 192 MiB between replicas, which send whole states. Heads have 64 KiB.

--- a/control/host/host.go
+++ b/control/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/snipebeam/snipebeam/control/settings"
 	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/world/key"
+	"github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -81,10 +82,12 @@
 	handleRules(mux, ring, operators, all, wire.NewRulesServer(rules))
 	handleClaims(mux, ring, operators, all.calls(wire.NewClaimsServer(claims)))
 	mux.Handle(wire.QuotaPathPrefix, ring.Authenticate(all.calls(wire.NewQuotaServer(grants))))
-	mux.Handle(wire.QuorumPathPrefix, ring.Authenticate(wire.NewQuorumServer(node.Service())))
+	replicas := http.NewServeMux()
+	replicas.Handle(wire.QuorumPathPrefix, link.BoundedHandler(ring.Authenticate(wire.NewQuorumServer(node.Service())), maxReplicaBytes))
 	handleGroup(mux, operators, all.calls(wire.NewGroupServer(node.Group())))
 	handleHealth(mux, node, exporter)
-	server := all.server(mux)
+	replicas.Handle("/", link.BoundedHandler(mux, maxMessageBytes))
+	server := all.server(replicas)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			listener, err := net.Listen("tcp", cfg.Listen.Peers)
--- a/control/host/servers.go
+++ b/control/host/servers.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/control/operator"
+	"github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/twitchtv/twirp"
 )
@@ -25,6 +26,10 @@
 	// responses. Connections that are open after it are closed.
 	closeTimeout = 500 * time.Millisecond
 	idlePoll     = 5 * time.Millisecond
+	// maxMessageBytes bounds a message to this host, of which rules are the largest.
+	maxMessageBytes = 16 << 20
+	// maxReplicaBytes bounds a message of another replica, which may carry the whole state.
+	maxReplicaBytes = 192 << 20
 )
 
 var errStopping = errors.New("this control host is stopping")
@@ -53,7 +58,7 @@
 // server returns a server for requests that end with the others.
 func (s *servers) server(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: s.bounded(handler), ReadHeaderTimeout: readHeaderTimeout,
+		Handler: s.bounded(handler), MaxHeaderBytes: link.MaxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
 		BaseContext: func(net.Listener) context.Context { return s.requests },
 	}
 }
--- a/control/peer/client.go
+++ b/control/peer/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	peerlink "github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -30,7 +31,7 @@
 	}
 	c, ok := p.clients[address]
 	if !ok {
-		c = p.wrap(newTransport(forwardTimeout))
+		c = p.wrap(peerlink.Bounded(newTransport(forwardTimeout), maxResponseBytes))
 		p.clients[address] = c
 	}
 	return c
--- a/control/peer/link.go
+++ b/control/peer/link.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	peerlink "github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"google.golang.org/protobuf/proto"
@@ -17,6 +18,7 @@
 	linkQueueLength      = 4096
 	maxStepMessages      = 256
 	maxStepBytes         = 512 << 10
+	maxResponseBytes     = 16 << 20 // of which rules are the largest
 	snapshotSendTimeout  = 30 * time.Second
 	idleConnTimeout      = 30 * time.Second
 	snapshotReadAttempts = 3
@@ -42,7 +44,7 @@
 		node: n, address: address, cancel: cancel, transport: transport,
 		queue:     make(chan *wire.QuorumMessage, linkQueueLength),
 		snapshots: make(chan *wire.QuorumMessage, 1),
-		client:    wire.NewQuorumProtobufClient("http://"+address, n.cfg.Client(transport)),
+		client:    wire.NewQuorumProtobufClient("http://"+address, n.cfg.Client(peerlink.Bounded(transport, maxResponseBytes))),
 	}
 	go l.run(ctx)
 	go l.runSnapshots(ctx)
@@ -53,6 +55,7 @@
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 64, IdleConnTimeout: idleConnTimeout,
+		MaxResponseHeaderBytes: peerlink.MaxHeaderBytes,
 	}
 }
 
--- a/entry/control/lenient.go
+++ b/entry/control/lenient.go
@@ -10,10 +10,15 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/world/lenient"
+	"github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"google.golang.org/protobuf/proto"
 )
 
+// maxResponseBytes is more than rules of the greatest size and the records of ten thousand
+// instances.
+const maxResponseBytes = 12 << 20
+
 var skippedEntries = metrics.GetOrCreateCounter("snipebeam_watch_skipped_entries_total")
 
 // lenientTransport removes the entries of lists from responses to polls that cannot be decoded,
@@ -24,9 +29,9 @@
 }
 
 // Lenient returns a transport for the watch that reports and removes malformed entries of the
-// lists in responses.
+// lists in responses, and fails a response that is longer than any poll's.
 func Lenient(base http.RoundTripper, logger hclog.Logger) http.RoundTripper {
-	return &lenientTransport{base: base, logger: logger}
+	return &lenientTransport{base: link.Bounded(base, maxResponseBytes), logger: logger}
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/entry/control/transport.go
+++ b/entry/control/transport.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/snipebeam/snipebeam/world/link"
 )
 
 // HTTP bytes on the connections of the watch, without TCP and IP headers.
@@ -33,6 +34,7 @@
 	}}
 	return &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: time.Minute, DisableCompression: true,
+		MaxResponseHeaderBytes: link.MaxHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -46,6 +46,9 @@
 // rpcTimeout bounds one call to a control host or another entry host.
 const rpcTimeout = 10 * time.Second
 
+// maxMessageBytes bounds one message of a control host or another entry host, except polls.
+const maxMessageBytes = 4 << 20
+
 // New returns the application of one entry host.
 func New(cfg *settings.Settings, logger hclog.Logger, opts ...Option) *fx.App {
 	var o options
@@ -135,7 +138,7 @@
 }
 
 func newClient(ring *key.Ring) *http.Client {
-	return ring.Client(&http.Client{Timeout: rpcTimeout, Transport: link.Transport()})
+	return ring.Client(&http.Client{Timeout: rpcTimeout, Transport: link.Bounded(link.Transport(), maxMessageBytes)})
 }
 
 func newClaims(watch *control.Watch, client *http.Client) *control.Client {
@@ -226,7 +229,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.EntryPathPrefix, keys.operators.Authenticate(wire.NewEntryServer(service)))
 	mux.Handle(wire.PeerPathPrefix, ring.Authenticate(wire.NewPeerServer(node.Service())))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
+	server := &http.Server{Handler: link.BoundedHandler(mux, maxMessageBytes), MaxHeaderBytes: link.MaxHeaderBytes, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Peers, "peers", logger) },
 		OnStop:  shutdown(server),
--- a/world/link/link.go
+++ b/world/link/link.go
@@ -66,6 +66,7 @@
 func Transport() *http.Transport {
 	return &http.Transport{
 		DialContext: Dialer(MessageTimeouts).DialContext, IdleConnTimeout: idleLimit, MaxIdleConnsPerHost: maxIdlePerHost,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}
 }
 
