entry/upstream: the head of a response has at most 256 lines

A head was limited to 32 KiB, which lines of a few bytes multiply by some twenty in memory, for each link on which an instance sends one.

TestHeadOfManyShortLinesIsCutOffEarly failed before (the head was accepted). TestManyEndlessResponsesLeaveMemoryAndOtherRequestsAlone: 108 requests at once to 60 instances that send a line, lines, interim responses, bodies, chunk extensions, trailers or bare bytes without end, fast and slow, to callers that read and that do not, beside others that are served; at most half of the memory of the smallest host.

--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -219,7 +219,9 @@
 		e.link.headerBytesLeft += maxMismatchedBytes
 	}
 	e.mismatched++
+	e.link.headerLinesLeft = e.link.headerBytesLeft // its body may have any number of lines
 	_, err := io.Copy(io.Discard, response.Body)
+	e.link.headerLinesLeft, e.link.inHeaderLine = maxHeaderLines, false
 	return errors.Wrap(err, "discard response to another request")
 }
 
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"sync/atomic"
@@ -17,6 +18,9 @@
 	// heldUpAfter is the time without an acknowledgement after which bytes may be held up.
 	heldUpAfter   = 100 * time.Millisecond
 	progressBytes = 1 << 10 // that count as progress within one read of a body
+	// maxHeaderLines bounds what a header takes in memory, which is a multiple of its bytes if its
+	// lines are short.
+	maxHeaderLines = 256
 )
 
 var errHeaderTooLarge = errors.New("too many bytes before the end of the response header")
@@ -34,6 +38,8 @@
 	bytesRead       int           // of a body since the read deadline was last set
 	maxHeaderBytes  int           // of a response header, including interim responses
 	headerBytesLeft int           // bytes that may still precede the body of the current response
+	headerLinesLeft int
+	inHeaderLine    bool // the last piece of a header ended within a line
 	inHeader        bool
 	responseStarted bool // a byte of the current response was received
 	reused          bool
@@ -99,19 +105,39 @@
 }
 
 func (l *Link) readHeader(p []byte) (int, error) {
-	if l.headerBytesLeft <= 0 {
+	if l.headerBytesLeft <= 0 || l.headerLinesLeft <= 0 {
 		return 0, errHeaderTooLarge
 	}
 	n, err := l.conn.Read(p)
 	l.headerBytesLeft -= n
+	l.countHeaderLines(p[:n])
 	l.responseStarted = l.responseStarted || n > 0
 	return n, err
 }
 
+// countHeaderLines counts the lines in a piece of a header up to its end, where a body or, after an
+// interim response, another header may begin.
+func (l *Link) countHeaderLines(piece []byte) {
+	for {
+		end := bytes.IndexByte(piece, '\n')
+		if end < 0 {
+			l.inHeaderLine = l.inHeaderLine || len(bytes.Trim(piece, "\r")) > 0
+			return
+		}
+		empty := !l.inHeaderLine && len(bytes.Trim(piece[:end], "\r")) == 0
+		l.inHeaderLine = false
+		if empty {
+			return
+		}
+		l.headerLinesLeft--
+		piece = piece[end+1:]
+	}
+}
+
 // beginHeader prepares the link for the header of the next response. No read
 // deadline applies to it except that of the request's context.
 func (l *Link) beginHeader() error {
-	l.inHeader, l.headerBytesLeft, l.responseStarted = true, l.maxHeaderBytes, l.reader.Buffered() > 0
+	l.inHeader, l.headerBytesLeft, l.headerLinesLeft, l.inHeaderLine, l.responseStarted = true, l.maxHeaderBytes, maxHeaderLines, false, l.reader.Buffered() > 0
 	return l.conn.SetReadDeadline(time.Time{})
 }
 
