entry/poison, world/evidence: a harmless request beside poison requests is not refused with them

A request that was in flight at two instances together with poison requests, which other hosts had sent there, was refused as they were: the losses of both looked the same. Now two losses refuse a request only if no other suspect was in flight at one of the instances; else one more is needed. A poison request that always has company ends one instance more.

--- a/entry/poison/evidence_test.go
+++ b/entry/poison/evidence_test.go
@@ -259,3 +259,39 @@
 		}
 	})
 }
+
+// A harmless request that was at two instances together with poison requests, sent by other hosts,
+// was refused with them.
+func TestRequestBesidePoisonRequestsIsNotRefused(t *testing.T) {
+	const harmless = 9
+	for name, poisoned := range map[string][2]poison.Fingerprint{"one": {1, 1}, "two": {1, 2}} {
+		synctest.Test(t, func(t *testing.T) {
+			tracker := poison.NewTracker()
+			for n, fp := range poisoned {
+				lose(tracker, fp, fmt.Sprint("together-", n), harmless)
+				time.Sleep(5 * time.Second)
+			}
+			must.False(t, refused(tracker, harmless), must.Sprint(name))
+			for n, fp := range poisoned {
+				lose(tracker, fp, fmt.Sprint("alone-", n))
+				time.Sleep(5 * time.Second)
+			}
+			must.False(t, refused(tracker, harmless), must.Sprint(name))
+			must.True(t, refused(tracker, poisoned[0]), must.Sprint(name))
+			must.True(t, refused(tracker, poisoned[1]), must.Sprint(name))
+		})
+	}
+}
+
+// Two requests that are only ever sent together are refused although neither was alone.
+func TestPoisonRequestsThatAreNeverAloneAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := poison.NewTracker()
+		for n := range 3 {
+			lose(tracker, 1, fmt.Sprint("i-", n), 2)
+			time.Sleep(5 * time.Second)
+		}
+		must.True(t, refused(tracker, 1))
+		must.True(t, refused(tracker, 2))
+	})
+}
--- a/entry/poison/tracker.go
+++ b/entry/poison/tracker.go
@@ -4,7 +4,8 @@
 // flight there become suspects. A response of an instance to a suspect excuses the
 // losses known until then. A suspect that was in flight at the losses of two instances
 // is refused for a set time. Suspects run one at a time, so that a harmless request
-// is not in flight on its second instance together with the poison request.
+// is not in flight on its second instance together with the poison request. If each loss of a
+// request has another suspect, one more is needed.
 // Correlated losses, such as those of a whole rack, count as one. Losses are correlated if
 // several of them in a short time have another explanation than the request: it was not in
 // flight there, or another request was that has had no response since.
@@ -266,7 +267,12 @@
 		if len(open) < t.lossLimit {
 			continue
 		}
-		if events(open, timeline.Unexplained(t.book.Record(id))) >= t.lossLimit {
+		r := t.book.Record(id)
+		needed := t.lossLimit
+		if !timeline.Alone(r) {
+			needed++ // another request may have ended each of them
+		}
+		if events(open, timeline.Unexplained(r)) >= needed {
 			refused[Fingerprint(id)] = open[len(open)-1].At().Add(t.refusalPeriod)
 		}
 	}
--- a/world/evidence/timeline.go
+++ b/world/evidence/timeline.go
@@ -56,3 +56,12 @@
 	}
 	return all
 }
+
+// Alone reports whether an instance was lost under a request while no other one was in flight
+// there that is not excused.
+func (t *Timeline) Alone(r *Record) bool {
+	return slices.ContainsFunc(t.lost, func(lost lostInstance) bool {
+		l, present := r.losses[lost.instance]
+		return present && !l.excused && lost.open == 1
+	})
+}
