entry/caller: a caller without a name is not told from others by its address

Callers of one zone come from some fifty addresses there, a new one with each connection, so that the request was a new one each time. A body too large to be buffered had the address in its fingerprint before.

A caller is part of the fingerprint if it states its name. A host that relays a request passes on that it has none.

--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -49,6 +49,7 @@
 	ranAttempts     int    // attempts at instances that may have run it
 	priorAttempts   int    // the same, of the host that relays it
 	named           string // service or host name in the request
+	callerName      string // that the caller stated, empty if it is known by its address only
 	fingerprint     poison.Fingerprint
 	dispatched      bool        // a byte may have reached an instance that may have started
 	sent            bool        // a byte may have reached an instance
@@ -62,7 +63,7 @@
 
 func newCall(w http.ResponseWriter, r *http.Request, limits Limits, dialect *Dialect) *call {
 	return &call{
-		id: idOf(r, dialect), dialect: dialect, service: serviceOf(r, dialect), caller: callerOf(r, dialect), w: w, controller: http.NewResponseController(w), r: r,
+		id: idOf(r, dialect), dialect: dialect, service: serviceOf(r, dialect), caller: callerOf(r, dialect), callerName: header(r.Header, dialect.Caller), w: w, controller: http.NewResponseController(w), r: r,
 		incomingAttempt: incomingAttemptOf(r, dialect), progressTimeout: limits.ProgressTimeout, responseBytes: limits.ResponseBytes,
 	}
 }
--- a/entry/caller/poisonagain_test.go
+++ b/entry/caller/poisonagain_test.go
@@ -27,6 +27,7 @@
 	closeIn  time.Duration
 	failures int    // responses with 500 before the end
 	begun    string // part of a response before the end
+	unnamed  bool   // ends under requests of any caller
 	mu       sync.Mutex
 	links    map[net.Conn]struct{}
 	ended    *atomic.Int32
@@ -90,7 +91,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
-		if strings.HasSuffix(req.URL.Path, "/poison") && req.Header.Get(caller.CallerHeader) == "studio-1" {
+		if strings.HasSuffix(req.URL.Path, "/poison") && (i.unnamed || req.Header.Get(caller.CallerHeader) == "studio-1") {
 			if i.fails() {
 				_, _ = conn.Write([]byte("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"))
 				continue
@@ -215,3 +216,32 @@
 	}
 	must.Eq(t, 2, ended.Load())
 }
+
+// doFrom sends a request from a loopback address.
+func doFrom(address string, req *http.Request) (reply, error) {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(address)}}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	return doWith(&http.Client{Transport: transport}, req)
+}
+
+// A caller that is not named and comes from another address each time, or through another host,
+// was a new one each time, so that its request was never refused.
+func TestPoisonRequestOfACallerWithManyAddressesIsRefused(t *testing.T) {
+	for name, body := range map[string]string{"buffered": "studs", "too large to be buffered": strings.Repeat("x", 100<<10)} {
+		for _, method := range []string{http.MethodPost, http.MethodPut} {
+			instances, ended := endingInstances(t, 12, 0, func(i *endingInstance) { i.unnamed = true })
+			host := newEntry(t, viewsOf(instances...), newClaims())
+			entry := serveEntry(t, host)
+			var cut atomic.Bool
+			isolated, relay := newPartitioned(t, &cut, instances, entry)
+			relay.isolated.Store(true)
+			relaying := serveEntry(t, isolated)
+			for n := range 8 {
+				to := []string{entry, relaying}[n%2]
+				_, _ = doFrom(fmt.Sprint("127.0.0.", 2+n), newRequest(t, method, to, "/x/poison", body))
+				awaitLosses(t, host, ended)
+			}
+			must.Eq(t, 2, ended.Load(), must.Sprint(name, method))
+		}
+	}
+}
--- a/entry/caller/relay.go
+++ b/entry/caller/relay.go
@@ -213,6 +213,9 @@
 	out.Header.Del(c.dialect.Instance)
 	setHeader(out.Header, c.dialect.Attempt, strconv.Itoa(c.incomingAttempt))
 	out.Header.Set(RelayedForHeader, c.caller)
+	if c.callerName == "" {
+		out.Header.Del(c.dialect.Caller)
+	}
 	if c.counted {
 		out.Header.Set(RelayedCountedHeader, "1")
 	}
