--- a/entry/poison/attempt.go
+++ b/entry/poison/attempt.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/snipebeam/snipebeam/world/evidence"
-	"github.com/snipebeam/snipebeam/world/wire"
 )
 
 // Attempt is one request dispatched to one incarnation of an instance. It is not safe for
@@ -66,7 +65,8 @@
 }
 
 // Interrupted records that the connection closed or fell silent under the request. Whether the
-// instance has ended is not known yet. It reports whether that has to be found out.
+// instance has ended is not known yet; the reports of this host tell others of the attempt. It
+// reports whether the end has to be found out.
 func (a *Attempt) Interrupted() bool { return a.interrupt(true) }
 
 func (a *Attempt) interrupt(observed bool) bool {
@@ -86,9 +86,6 @@
 	}
 	t.hasPending.Store(t.pending.Len() > 0)
 	t.mu.Unlock()
-	if observed && !answered {
-		t.tell([]*wire.Suspect{attempt.Message(now)})
-	}
 	return observed && !answered
 }
 
--- a/entry/poison/ending.go
+++ b/entry/poison/ending.go
@@ -65,18 +65,33 @@
 	return t.messages(fps, now)
 }
 
-// tell broadcasts suspects while no caller waits. One broadcast is under way at a time; what
-// comes meanwhile is told by the next one, or with the reports of this host.
+// tell broadcasts suspects while no caller waits, one broadcast after the other.
 func (t *Tracker) tell(messages []*wire.Suspect) {
-	if len(messages) == 0 || !t.telling.CompareAndSwap(false, true) {
+	if len(messages) == 0 {
 		return
 	}
-	go func() {
-		defer t.telling.Store(false)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.untold = append(t.untold, messages...)
+	if !t.telling {
+		t.telling = true
+		go t.tellAll()
+	}
+}
+
+func (t *Tracker) tellAll() {
+	for {
+		t.mu.Lock()
+		messages := t.untold
+		t.untold, t.telling = nil, len(messages) > 0
+		t.mu.Unlock()
+		if len(messages) == 0 {
+			return
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
-		defer cancel()
 		t.broadcast(ctx, messages)
-	}()
+		cancel()
+	}
 }
 
 // excuse excuses the known losses under a request and drops its attempts without a response.
--- a/entry/poison/tracker.go
+++ b/entry/poison/tracker.go
@@ -92,7 +92,6 @@
 	exclusive     chan struct{} // slot of the one suspect that may run
 
 	answers    *answers
-	telling    atomic.Bool // a broadcast that no caller waits for is under way
 	hasPending atomic.Bool
 
 	mu          sync.Mutex
@@ -100,6 +99,8 @@
 	book        *evidence.Book
 	refused     map[Fingerprint]time.Time // until then
 	changed     map[Fingerprint]time.Time // last change that this host observed
+	untold      []*wire.Suspect           // to be broadcast while no caller waits
+	telling     bool
 	hasSuspects atomic.Bool
 }
 
@@ -268,11 +269,10 @@
 			continue
 		}
 		r := t.book.Record(id)
-		needed := t.lossLimit
-		if !timeline.Alone(r) {
-			needed++ // another request may have ended each of them
+		if len(open) == t.lossLimit && !timeline.Alone(r) {
+			continue // another request may have ended each of them
 		}
-		if events(open, timeline.Unexplained(r)) >= needed {
+		if events(open, timeline.Unexplained(r)) >= t.lossLimit {
 			refused[Fingerprint(id)] = open[len(open)-1].At().Add(t.refusalPeriod)
 		}
 	}
