--- a/entry/poison/tracker.go
+++ b/entry/poison/tracker.go
@@ -10,6 +10,10 @@
 // several of them in a short time have another explanation than the request: it was not in
 // flight there, or another request was that has had no response since.
 //
+// Whether an instance has ended is often known only after the attempt that ended it: its
+// connections close one by one, its host may be cut off, and it may be back before anyone looks. So
+// an attempt without a response is kept until somebody knows of the end (evidence.Pending).
+//
 // What is refused follows from the losses alone, which hosts share (package evidence). Hosts
 // that know the same losses refuse the same requests, in whatever order they were told.
 //
@@ -19,7 +23,8 @@
 //	if until, refused := tracker.Refused(fp, now); refused { ... }
 //	attempt := tracker.Begin(ctx, fp, incarnation)
 //	defer attempt.End()
-//	attempt.Answered() // or attempt.InstanceLost(ctx)
+//	attempt.Answered() // or Dismiss, Interrupted, InstanceLost
+//	tracker.InstanceEnded(incarnation) // whenever that becomes known
 package poison
 
 import (
--- a/world/evidence/book.go
+++ b/world/evidence/book.go
@@ -7,8 +7,14 @@
 // never taken back. Messages state the age of a loss, not the time of day, and their delay only
 // makes a loss look younger until an earlier statement of it comes.
 //
+// A loss has two parts, which become known at any time, in any order and to different processes:
+// an attempt that ended without a response, and that its instance has ended. A Pending joins them.
+//
 // Usage:
 //
+//	pending := evidence.NewPending()
+//	if pending.Add(attempt, now) { ... } // the instance is known to have ended
+//	for _, attempt := range pending.End("i-1/7", now) { ... }
 //	book := evidence.NewBook()
 //	book.AddLoss(fingerprint, "i-1/7", now)
 //	book.Excuse(fingerprint) // an instance has responded to the request
