--- a/bench/poison/course_test.go
+++ b/bench/poison/course_test.go
@@ -24,8 +24,8 @@
 
 // sender sends the same request again and again, to any host.
 type sender struct {
-	caller, path, method string
-	newKey               bool // each time
+	caller, path, method string // no caller: known by its address only
+	newKey               bool   // each time
 	pause                time.Duration
 }
 
@@ -65,12 +65,18 @@
 		c.poisons = append(c.poisons, s)
 	}
 	// The same targets for other callers, and other targets for the same ones.
+	if rapid.Bool().Draw(t, "unnamed") {
+		c.poisons = append(c.poisons, sender{path: "/x/unnamed", method: rapid.SampledFrom(methods).Draw(t, "method"), pause: 20*time.Millisecond + drawMillis(t, "pause", 200)})
+	}
 	for n, s := range c.poisons {
 		other := s
 		other.caller, other.pause = "clinic-"+string(rune('1'+n)), 30*time.Millisecond+drawMillis(t, "pause", 100)
 		same := s
 		same.path, same.pause = s.path+"/other", 30*time.Millisecond+drawMillis(t, "pause", 100)
-		c.harmless = append(c.harmless, other, same)
+		c.harmless = append(c.harmless, same)
+		if s.caller != "" { // else nothing tells another caller from this one
+			c.harmless = append(c.harmless, other)
+		}
 	}
 	c.kills, c.cuts, c.strandings = drawEvents(t, "kills", c.hosts), drawEvents(t, "cuts", c.hosts), drawEvents(t, "strandings", c.hosts)
 	return c
--- a/bench/poison/poison_test.go
+++ b/bench/poison/poison_test.go
@@ -104,12 +104,12 @@
 // check checks the arrivals of a poison request later than learning after the third loss, from
 // hosts that were in touch for as long.
 func (s *site) check(p sender, began time.Time) {
-	ended := s.ended[p.caller]
+	ended := s.ended[p]
 	if len(ended) < maxLosses {
 		return
 	}
 	late := 0
-	for _, a := range s.arrivals[p.caller] {
+	for _, a := range s.arrivals[p] {
 		if a.at.After(ended[maxLosses-1].Add(learning)) && s.inTouch(a.host, a.at.Sub(began)) {
 			late++
 		}
--- a/bench/poison/site_test.go
+++ b/bench/poison/site_test.go
@@ -52,8 +52,8 @@
 	hosts     []*host
 	instances []*server
 	mu        sync.Mutex
-	arrivals  map[string][]arrival // of poison requests, by caller
-	ended     map[string][]time.Time
+	arrivals  map[sender][]arrival   // of poison requests
+	ended     map[sender][]time.Time // of instances, by the request that they ran
 }
 
 type arrival struct {
@@ -63,7 +63,7 @@
 
 func newSite(ctx context.Context, t *testing.T, c *course) *site {
 	machine := state.New()
-	s := &site{t: t, ctx: ctx, course: c, machine: machine, fleet: fleet.New(fleet.WithEnded(machine.Ended)), arrivals: map[string][]arrival{}, ended: map[string][]time.Time{}}
+	s := &site{t: t, ctx: ctx, course: c, machine: machine, fleet: fleet.New(fleet.WithEnded(machine.Ended)), arrivals: map[sender][]arrival{}, ended: map[sender][]time.Time{}}
 	for n := range c.instances {
 		i := &server{site: s, id: fmt.Sprint("i-", n), incarnation: 1, links: map[net.Conn]struct{}{}}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -129,10 +129,9 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
-		sender := req.Header.Get(caller.CallerHeader)
-		if i.site.isPoison(sender, req.URL.Path) {
-			i.site.arrived(sender, req.Header.Get("X-Host"))
-			i.end(sender, incarnation)
+		if p := i.site.poison(req.Header.Get(caller.CallerHeader), req.URL.Path); p != nil {
+			i.site.arrived(*p, req.Header.Get("X-Host"))
+			i.end(*p, incarnation)
 			return
 		}
 		pause.For(i.site.ctx, 5*time.Millisecond)
@@ -142,23 +141,24 @@
 	}
 }
 
-func (s *site) isPoison(caller, path string) bool {
-	for _, p := range s.course.poisons {
-		if p.caller == caller && p.path == path {
-			return true
+// poison returns the sender of a poison request, nil for a harmless one.
+func (s *site) poison(caller, path string) *sender {
+	for n, p := range s.course.poisons {
+		if p.path == path && (p.caller == "" || p.caller == caller) {
+			return &s.course.poisons[n]
 		}
 	}
-	return false
+	return nil
 }
 
-func (s *site) arrived(caller, host string) {
+func (s *site) arrived(from sender, host string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals[caller] = append(s.arrivals[caller], arrival{at: time.Now(), host: host})
+	s.arrivals[from] = append(s.arrivals[from], arrival{at: time.Now(), host: host})
 }
 
 // end ends the process bit by bit and starts it again.
-func (i *server) end(caller string, incarnation uint64) {
+func (i *server) end(from sender, incarnation uint64) {
 	c := i.site.course
 	i.mu.Lock()
 	if i.incarnation != incarnation || i.listener == nil {
@@ -169,7 +169,7 @@
 	i.listener, i.links = nil, map[net.Conn]struct{}{}
 	i.mu.Unlock()
 	i.site.mu.Lock()
-	i.site.ended[caller] = append(i.site.ended[caller], time.Now())
+	i.site.ended[from] = append(i.site.ended[from], time.Now())
 	i.site.mu.Unlock()
 	time.AfterFunc(c.closeListener, func() { _ = listener.Close() })
 	time.AfterFunc(c.closeOthers, func() {
@@ -369,7 +369,9 @@
 		key = fmt.Sprint("key-", n)
 	}
 	req.Header.Set(caller.ServiceHeader, "shop")
-	req.Header.Set(caller.CallerHeader, from.caller)
+	if from.caller != "" {
+		req.Header.Set(caller.CallerHeader, from.caller)
+	}
 	req.Header.Set("Idempotency-Key", key)
 	response, err := http.DefaultClient.Do(req)
 	if err != nil {
