--- a/entry/caller/record_test.go
+++ b/entry/caller/record_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,14 +40,13 @@
 func TestArrivalsAfterAClosedConnectionAndBeforeAHedgeAreCharged(t *testing.T) {
 	for allowed, arrivals := range []int{1, 2, 3, 3} {
 		synctest.Test(t, func(t *testing.T) {
-			n, received, views := newNetwork(), 0, viewsOf("i:1")
+			n, views := newNetwork(), viewsOf("i:1")
+			var received, connections atomic.Int32
 			both := []route.Member{
 				route.NewMember(instance.New("i:1", "shop", "i:1"), &route.Load{}), route.NewMember(instance.New("i:2", "shop", "i:2"), &route.Load{}),
 			}
-			connections := 0
 			n.serveRaw(t, "i:1", func(conn net.Conn, r *bufio.Reader) {
-				connections++
-				late := connections > 1
+				late := connections.Add(1) > 1
 				for answered := 0; ; answered++ {
 					req, err := http.ReadRequest(r)
 					if err != nil {
@@ -56,7 +56,7 @@
 						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 						continue
 					}
-					received++
+					received.Add(1)
 					if !late {
 						return
 					}
@@ -69,7 +69,7 @@
 				if _, err := http.ReadRequest(r); err != nil {
 					return
 				}
-				received++
+				received.Add(1)
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 			})
 			budget := &countedBudget{left: allowed}
@@ -83,7 +83,7 @@
 			must.Eq(t, http.StatusOK, n.call(t, newRequest(t, http.MethodGet, "e:1", "/late/first", "")).status)
 			n.call(t, newRequest(t, http.MethodGet, "e:1", "/late/x", ""))
 			time.Sleep(2 * time.Second) // until i:1 has ended
-			must.Eq(t, arrivals, received, must.Sprintf("%d repeats allowed", allowed))
+			must.Eq(t, arrivals, int(received.Load()), must.Sprintf("%d repeats allowed", allowed))
 			must.Eq(t, arrivals-1, budget.charged)
 		})
 	}
