control/fleet: what a poll costs does not grow with the connections that were reset

Control hosts look through pending attempts only after the instance records have changed; an attempt that arrives is looked up once.

--- a/bench/poison/site_test.go
+++ b/bench/poison/site_test.go
@@ -63,7 +63,7 @@
 
 func newSite(ctx context.Context, t *testing.T, c *course) *site {
 	machine := state.New()
-	s := &site{t: t, ctx: ctx, course: c, machine: machine, fleet: fleet.New(fleet.WithEnded(machine.Ended)), arrivals: map[sender][]arrival{}, ended: map[sender][]time.Time{}}
+	s := &site{t: t, ctx: ctx, course: c, machine: machine, fleet: fleet.New(fleet.WithRecords(machine)), arrivals: map[sender][]arrival{}, ended: map[sender][]time.Time{}}
 	for n := range c.instances {
 		i := &server{site: s, id: fmt.Sprint("i-", n), incarnation: 1, links: map[net.Conn]struct{}{}}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/control/fleet/suspects.go
+++ b/control/fleet/suspects.go
@@ -12,8 +12,9 @@
 // suspects holds what entry hosts report of requests that were in flight when instances
 // were lost.
 type suspects struct {
-	ended     func(incarnation string) bool // whether an incarnation of an instance has ended
+	records   Records
 	mu        sync.Mutex
+	checked   uint64 // revision of the records up to which pending attempts have been confirmed
 	book      *evidence.Book
 	pending   *evidence.Pending // attempts without a response, whose hosts may not live on to tell the end
 	revisions map[uint64]uint64 // revision of each record's last change
@@ -24,7 +25,7 @@
 func newSuspects() suspects {
 	// Hosts that polled an earlier process have lower revisions.
 	return suspects{
-		ended: func(string) bool { return false }, book: evidence.NewBook(), pending: evidence.NewPending(),
+		records: noRecords{}, book: evidence.NewBook(), pending: evidence.NewPending(),
 		revisions: map[uint64]uint64{}, revision: uint64(time.Now().UnixNano()), notify: make(chan struct{}),
 	}
 }
@@ -39,10 +40,11 @@
 		for _, attempt := range evidence.Attempts(suspect, now) {
 			if s.pending.Add(attempt, now) {
 				lost = s.lose(attempt) || lost
+			} else if s.records.Ended(attempt.Instance()) {
+				lost = s.end(attempt.Instance(), now) || lost
 			}
 		}
 	}
-	lost = s.confirm(now) || lost
 	if len(s.revisions) > s.book.Len() {
 		maps.DeleteFunc(s.revisions, func(fp, _ uint64) bool { return s.book.Record(fp) == nil })
 	}
@@ -69,24 +71,44 @@
 	return s.changed(a.Fingerprint(), s.book.AddLoss(a.Fingerprint(), a.Instance(), a.At()))
 }
 
-// confirm adds the losses of pending attempts whose instances have ended, and reports whether
-// one is new.
+// confirm adds the losses of pending attempts whose instances have ended since the records
+// changed last, and reports whether one is new.
 func (s *suspects) confirm(now time.Time) bool {
-	lost := false
+	revision, lost := s.records.InstancesRevision(), false
+	if revision == s.checked {
+		return false
+	}
+	s.checked = revision
 	for _, incarnation := range s.pending.Instances() {
-		if !s.ended(incarnation) {
-			continue
-		}
-		for _, attempt := range s.pending.End(incarnation, now) {
-			lost = s.lose(attempt) || lost
+		if s.records.Ended(incarnation) {
+			lost = s.end(incarnation, now) || lost
 		}
 	}
 	return lost
 }
 
-// WithEnded sets the function that reports whether an incarnation of an instance has ended.
-func WithEnded(ended func(incarnation string) bool) Option {
-	return func(f *Fleet) { f.suspects.ended = ended }
+func (s *suspects) end(incarnation string, now time.Time) bool {
+	lost := false
+	for _, attempt := range s.pending.End(incarnation, now) {
+		lost = s.lose(attempt) || lost
+	}
+	return lost
+}
+
+// Records are the instance records, which tell when an incarnation has ended.
+type Records interface {
+	Ended(incarnation string) bool
+	InstancesRevision() uint64 // of the newest record
+}
+
+type noRecords struct{}
+
+func (noRecords) Ended(string) bool         { return false }
+func (noRecords) InstancesRevision() uint64 { return 0 }
+
+// WithRecords sets the instance records, by which losses are confirmed.
+func WithRecords(records Records) Option {
+	return func(f *Fleet) { f.suspects.records = records }
 }
 
 // Suspects returns the suspects that changed after the given revision, and the
--- a/control/fleet/suspects_test.go
+++ b/control/fleet/suspects_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,16 +62,26 @@
 	must.Len(t, 1, all)
 }
 
+// oneRecord is the record of the instance "a/7".
+type oneRecord struct {
+	ended    bool
+	revision uint64
+}
+
+func (r *oneRecord) end()                          { r.ended, r.revision = true, r.revision+1 }
+func (r *oneRecord) Ended(incarnation string) bool { return r.ended && incarnation == "a/7" }
+func (r *oneRecord) InstancesRevision() uint64     { return r.revision }
+
 // A host that ended with the instance told nobody of the loss.
 func TestControlHostsConfirmWhatAHostNoLongerCan(t *testing.T) {
 	for _, endedFirst := range []bool{true, false} {
-		ended, now := endedFirst, time.Now()
-		f := fleet.New(fleet.WithEnded(func(incarnation string) bool { return ended && incarnation == "a/7" }))
+		records, now := &oneRecord{ended: endedFirst}, time.Now()
+		f := fleet.New(fleet.WithRecords(records))
 		changed := f.SuspectsChanged()
 		f.BeginPoll(&wire.HostReport{Name: "e", Suspects: []*wire.Suspect{{Fingerprint: 7, Unconfirmed: []*wire.Loss{{Instance: "a/7", AgeMs: 10, Attempt: 3}}}}}, now)
 		known, revision := f.Suspects(0, now)
 		must.Eq(t, endedFirst, len(known) == 1)
-		ended = true
+		records.end()
 		for range 2 { // once, although the attempt is reported again
 			f.BeginPoll(&wire.HostReport{Name: "e", Suspects: []*wire.Suspect{{Fingerprint: 7, Unconfirmed: []*wire.Loss{{Instance: "a/7", AgeMs: 2010, Attempt: 3}}}}}, now.Add(2*time.Second))
 			later, _ := f.Suspects(revision, now.Add(2*time.Second))
@@ -86,3 +97,17 @@
 		}
 	}
 }
+
+// BenchmarkSuspectsWithPendingAttempts is the cost of a poll while thousands of connections have
+// been reset.
+func BenchmarkSuspectsWithPendingAttempts(b *testing.B) {
+	records := &oneRecord{}
+	f, now := fleet.New(fleet.WithRecords(records)), time.Now()
+	for n := range 1800 {
+		loss := &wire.Loss{Instance: fmt.Sprintf("i-%d/7", n%130), Attempt: uint64(n + 1)}
+		f.BeginPoll(&wire.HostReport{Name: "e", Suspects: []*wire.Suspect{{Fingerprint: uint64(n), Unconfirmed: []*wire.Loss{loss}}}}, now)
+	}
+	for b.Loop() {
+		f.Suspects(0, now)
+	}
+}
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -64,7 +64,7 @@
 }
 
 func newFleet(machine *state.Machine) *fleet.Fleet {
-	return fleet.New(fleet.WithEnded(machine.Ended))
+	return fleet.New(fleet.WithRecords(machine))
 }
 
 func newRules(cfg *settings.Settings, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet, dir *directory.Directory) *operator.Rules {
--- a/entry/caller/once.go
+++ b/entry/caller/once.go
@@ -153,8 +153,9 @@
 
 // poisonFingerprint returns the fingerprint that identifies a poison request at any
 // host and under any version of the rules: its caller, if that is named, the host name or service
-// that it names, its target and its body. An address is no name: callers come from several. An idempotency key is no part of it, as it may be new each time.
-// A body that is not buffered in full is identified by its length and buffered prefix.
+// that it names, its target and its body. An address is no name, as callers come from several,
+// and an idempotency key is no part of it, as it may be new each time. A body that is not
+// buffered in full is identified by its length and buffered prefix.
 func (c *call) poisonFingerprint() poison.Fingerprint {
 	return poison.NewFingerprint(c.body.length, c.body.prefix, c.callerName, c.named, c.r.Method, c.r.URL.RequestURI())
 }
