--- a/entry/poison/answers.go
+++ b/entry/poison/answers.go
@@ -16,7 +16,7 @@
 }
 
 const (
-	answerTimeBits = 28 // three days of milliseconds
+	answerTimeBits = 36 // two years of milliseconds
 	answerTimeMask = 1<<answerTimeBits - 1
 )
 
--- a/entry/poison/evidence_test.go
+++ b/entry/poison/evidence_test.go
@@ -295,3 +295,21 @@
 		must.True(t, refused(tracker, 2))
 	})
 }
+
+// A response of days ago looked like one of hours ago, and excused a request that instances have
+// ended under since.
+func TestResponseOfDaysAgoExcusesNoLoss(t *testing.T) {
+	for _, days := range []int{1, 2, 3, 30, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			tracker := poison.NewTracker()
+			const fp = 0xfedcba9876543210
+			ran := tracker.Begin(t.Context(), fp, "sound")
+			ran.Answered()
+			ran.End()
+			time.Sleep(time.Duration(days) * 24 * time.Hour)
+			lose(tracker, fp, "a")
+			lose(tracker, fp, "b")
+			must.True(t, refused(tracker, fp), must.Sprint(days, "days"))
+		})
+	}
+}
