--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -38,7 +38,8 @@
 	Folder   string
 	root     string
 	prefix   string
-	hostname int
+	first    []*Host // the control hosts at the start, three of which are the seeds
+	added    []*Host
 	Controls []*Host
 	Entries  []*Host
 }
@@ -91,6 +92,7 @@
 		h.Data = filepath.Join(folder, h.Name+".data")
 		s.Controls = append(s.Controls, h)
 	}
+	s.first = append(s.first, s.Controls...)
 	for n := range entries {
 		s.Entries = append(s.Entries, s.host("entry-"+strconv.Itoa(n+1), 31+n, n, true))
 	}
@@ -142,7 +144,7 @@
 		return "", err
 	}
 	var seeds []string
-	for _, c := range h.system.Controls[:min(len(h.system.Controls), 3)] {
+	for _, c := range h.system.first {
 		seeds = append(seeds, strconv.Quote(c.ControlAddress()))
 	}
 	filled := string(text)
@@ -241,7 +243,7 @@
 
 // Close ends all processes that the system started.
 func (s *System) Close() {
-	for _, h := range append(append([]*Host{}, s.Controls...), s.Entries...) {
+	for _, h := range s.hosts() {
 		if h.cmd == nil {
 			continue
 		}
@@ -253,3 +255,27 @@
 		_ = os.RemoveAll(s.Folder)
 	}
 }
+
+// AddControl adds a control host, which is not started. It is no seed of the others.
+func (s *System) AddControl() *Host {
+	n := len(s.Controls)
+	h := s.host("control-"+strconv.Itoa(n+1), 11+n, n, false)
+	h.Data = filepath.Join(s.Folder, h.Name+".data")
+	s.added = append(s.added, h)
+	return h
+}
+
+// hosts returns all hosts, also those that were replaced.
+func (s *System) hosts() []*Host {
+	seen := map[*Host]bool{}
+	var all []*Host
+	for _, group := range [][]*Host{s.first, s.added, s.Entries} {
+		for _, h := range group {
+			if !seen[h] {
+				seen[h] = true
+				all = append(all, h)
+			}
+		}
+	}
+	return all
+}
