--- a/review/harness/instance.go
+++ b/review/harness/instance.go
@@ -24,16 +24,17 @@
 	Work                 time.Duration
 	// Spoil returns the bytes that the instance sends instead of its n-th answer, counted from 1,
 	// to a request, before it closes the connection; nil: the answer is sound.
-	Spoil    func(n int64, id string) []byte
-	served   atomic.Int64
-	system   *System
-	zone     string
-	born     int64
-	runs     *Runs
-	sequence int
-	server   *http.Server
-	conns    sync.Map
-	down     atomic.Bool
+	Spoil        func(n int64, id string) []byte
+	served       atomic.Int64
+	system       *System
+	zone         string
+	born         int64
+	runs         *Runs
+	sequence     int
+	server       *http.Server
+	conns        sync.Map
+	down         atomic.Bool
+	acknowledged atomic.Int64
 }
 
 // Runs holds what all instances have run.
@@ -58,13 +59,14 @@
 // StartInstance starts an instance at the n-th address for stand-ins.
 func (s *System) StartInstance(n int, service, zone string, work time.Duration, runs *Runs, spoil func(n int64, id string) []byte) (*Instance, error) {
 	i := &Instance{
-		ID: fmt.Sprintf("i-%s-%d", service, n), Service: service, Address: s.Address(n) + ":8080", Work: work,
+		ID: fmt.Sprintf("i-%s-%d", service, n), Service: service, Work: work,
 		system: s, zone: zone, born: time.Now().UnixMilli(), runs: runs, Spoil: spoil,
 	}
-	listener, err := net.Listen("tcp", i.Address)
+	listener, err := net.Listen("tcp", s.Address(n)+":0")
 	if err != nil {
 		return nil, err
 	}
+	i.Address = listener.Addr().String()
 	i.server = &http.Server{Handler: http.HandlerFunc(i.serve), ConnState: func(c net.Conn, state http.ConnState) {
 		if state == http.StateClosed {
 			i.conns.Delete(c)
@@ -151,6 +153,10 @@
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
+		i.acknowledged.Add(1)
 		time.Sleep(1500 * time.Millisecond)
 	}
 }
+
+// Acknowledged returns the number of heartbeats that were acknowledged.
+func (i *Instance) Acknowledged() int64 { return i.acknowledged.Load() }
--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -19,11 +19,6 @@
 var Zones = []string{"zone-a", "zone-b", "zone-c"}
 
 const (
-	peersPort     = 7620
-	controlPort   = 8649
-	directoryPort = 8644
-	readyPort     = 8640
-	callersPort   = 8641
 	// bounds of the site bijoux-tr
 	graceS       = 6
 	retryBudget  = 0.2
@@ -38,6 +33,7 @@
 	Folder   string
 	root     string
 	prefix   string
+	ports    ports
 	first    []*Host // the control hosts at the start, three of which are the seeds
 	added    []*Host
 	Controls []*Host
@@ -81,11 +77,9 @@
 	systemsMu.Lock()
 	systems = append(systems, s)
 	systemsMu.Unlock()
-	for range 50 {
-		s.prefix = fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), rand.IntN(250))
-		if s.free() {
-			break
-		}
+	s.prefix = fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), rand.IntN(250))
+	if err := s.choosePorts(); err != nil {
+		return nil, err
 	}
 	for n := range controls {
 		h := s.host("control-"+strconv.Itoa(n+1), 11+n, n, false)
@@ -99,16 +93,20 @@
 	return s, nil
 }
 
-// free reports whether nothing listens at the first addresses of the prefix.
-func (s *System) free() bool {
-	for _, port := range []int{peersPort, controlPort, directoryPort, callersPort, readyPort} {
-		listener, err := net.Listen("tcp", fmt.Sprintf("%s.11:%d", s.prefix, port))
+// ports are the same on all hosts.
+type ports struct{ peers, control, directory, ready, callers int }
+
+// choosePorts chooses ports that are free at an address of the prefix.
+func (s *System) choosePorts() error {
+	for _, port := range []*int{&s.ports.peers, &s.ports.control, &s.ports.directory, &s.ports.ready, &s.ports.callers} {
+		listener, err := net.Listen("tcp", s.prefix+".11:0")
 		if err != nil {
-			return false
+			return err
 		}
-		_ = listener.Close()
+		*port = listener.Addr().(*net.TCPAddr).Port
+		defer func() { _ = listener.Close() }()
 	}
-	return true
+	return nil
 }
 
 func (s *System) host(name string, last, n int, entry bool) *Host {
@@ -119,16 +117,16 @@
 func (s *System) Address(n int) string { return fmt.Sprintf("%s.%d", s.prefix, 101+n) }
 
 // ControlAddress is where instances and operators reach the host.
-func (h *Host) ControlAddress() string { return fmt.Sprintf("%s:%d", h.IP, controlPort) }
+func (h *Host) ControlAddress() string { return fmt.Sprintf("%s:%d", h.IP, h.system.ports.control) }
 
 // DirectoryAddress is where clients ask the host for addresses.
-func (h *Host) DirectoryAddress() string { return fmt.Sprintf("%s:%d", h.IP, directoryPort) }
+func (h *Host) DirectoryAddress() string { return fmt.Sprintf("%s:%d", h.IP, h.system.ports.directory) }
 
 // CallersAddress is where clients send requests.
-func (h *Host) CallersAddress() string { return fmt.Sprintf("%s:%d", h.IP, callersPort) }
+func (h *Host) CallersAddress() string { return fmt.Sprintf("%s:%d", h.IP, h.system.ports.callers) }
 
 // ReadyAddress is where the platform asks whether the host is ready.
-func (h *Host) ReadyAddress() string { return fmt.Sprintf("%s:%d", h.IP, readyPort) }
+func (h *Host) ReadyAddress() string { return fmt.Sprintf("%s:%d", h.IP, h.system.ports.ready) }
 
 // Zone returns the zone of the host.
 func (h *Host) Zone() string { return h.zone }
@@ -154,7 +152,7 @@
 	}
 	filled = strings.NewReplacer(
 		"{{nodeName}}", h.Name, "{{zone}}", h.zone, "{{ip}}", h.IP, "{{listen.front}}", h.CallersAddress(),
-		"{{internalPorts.0}}", strconv.Itoa(peersPort), "{{bounds.graceS}}", strconv.Itoa(graceS),
+		"{{internalPorts.0}}", strconv.Itoa(h.system.ports.peers), "{{bounds.graceS}}", strconv.Itoa(graceS),
 		"{{limits.cpuShare}}", "0.224", "{{limits.linkMbps}}", "700.0", "{{dataDir}}", h.Data,
 		"{{bootstrap}}", strconv.FormatBool(bootstrap), "{{faultTolerance.machines}}", "1",
 	).Replace(filled)
