--- a/review/cmd/case/relay.go
+++ b/review/cmd/case/relay.go
@@ -89,21 +89,33 @@
 	}
 	group.Wait()
 	time.Sleep(time.Second)
-	return judgeMoved(record, runs, older, acknowledged, client)
+	return judgeMoved(record, runs, older, newer, acknowledged, client)
 }
 
-// judgeMoved looks for requests that were sent later than configApplyMs after the acknowledgement and
-// run by the older service.
-func judgeMoved(record *harness.Record, runs *harness.Runs, older string, acknowledged time.Time, client *harness.Client) (int, error) {
+// judgeMoved looks for requests that were run by the older service though they were sent later than
+// configApplyMs after the acknowledgement, or than rollbackSlackMs after the effect of the version was seen.
+// All requests are sent to one machine.
+func judgeMoved(record *harness.Record, runs *harness.Runs, older, newer string, acknowledged time.Time, client *harness.Client) (int, error) {
 	code := held
+	var seen time.Time // when an instance saw the effect of the version first
 	for _, run := range runs.All() {
 		sent := client.SentAt(run.ID)
-		if run.Service != older || sent.IsZero() || sent.Before(acknowledged.Add(applyMs)) {
+		if run.Service == newer && seen.IsZero() {
+			seen = run.At
+		}
+		if run.Service != older || sent.IsZero() {
 			continue
 		}
-		record.Line("BROKEN: request %s was sent %d ms after the acknowledgement of version 00000002 and run by %s of %s",
-			run.ID, sent.Sub(acknowledged).Milliseconds(), run.Instance, run.Service)
-		code = broken
+		if sent.After(acknowledged.Add(applyMs)) {
+			record.Line("BROKEN (CONFIG, late): request %s was sent %d ms after the acknowledgement of version 00000002 and run by %s of %s",
+				run.ID, sent.Sub(acknowledged).Milliseconds(), run.Instance, run.Service)
+			code = broken
+		}
+		if !seen.IsZero() && sent.After(seen.Add(rollbackMs)) {
+			record.Line("BROKEN (CONFIG, regress): request %s was sent %d ms after an instance saw the effect of version 00000002 by the same machine",
+				run.ID, sent.Sub(seen).Milliseconds())
+			code = broken
+		}
 	}
 	return code, nil
 }
--- a/review/cmd/case/start.go
+++ b/review/cmd/case/start.go
@@ -10,6 +10,8 @@
 const (
 	hostName = "counter.example"
 	applyMs  = 2000 * time.Millisecond // configApplyMs
+
+	rollbackMs = 250 * time.Millisecond // rollbackSlackMs
 )
 
 // startSystem starts a deployment with a configuration and waits until its entry hosts are ready.
