--- a/review/cmd/case/snapshot.go
+++ b/review/cmd/case/snapshot.go
@@ -14,13 +14,14 @@
 func init() { cases["snapshot-kill"] = snapshotKill }
 
 const (
-	bigRoutes     = 1050 // three times the 350 routes by which a configuration grows
-	stormGap      = 110 * time.Millisecond
-	minLag        = 3 << 20 // bytes of configurations that the killed host misses, at least
-	roundLimit    = 80 * time.Second
+	bigRoutes     = 700 // twice the 350 routes by which a configuration grows
+	stormGap      = 330 * time.Millisecond
+	downPuts      = 9       // changes that the killed host is to miss, so that it is down for under 3.5 s
+	keptLog       = 2 << 20 // bytes of the log that the others keep beside a snapshot
+	firstSnapshot = 4 << 20 // bytes of the log between two snapshots, at least
+	roundLimit    = 75 * time.Second
 	restartDelay  = 300 * time.Millisecond
 	contact       = 3 * time.Second // contactMs
-	operatorLimit = 4 * time.Second // ackMs
 )
 
 // bigDocument returns a configuration with many routes.
@@ -65,22 +66,31 @@
 		return failed, err
 	}
 	defer s.Close()
-	put := func() (int, error) {
+	put := func() error {
 		version++
-		body := bigDocument(version)
-		_, err := s.Put(version, body, 5*time.Second)
-		return len(body), err
+		_, err := s.Put(version, bigDocument(version), 5*time.Second)
+		return err
 	}
-	victim := s.Controls[2]
+	victim, since := s.Controls[2], int64(0)
 	for round := 1; time.Since(began) < roundLimit; round++ {
 		record.Line("round %d", round)
-		if err := lag(s, victim, put); err != nil {
+		behind, err := lag(s, victim, since, put)
+		if err != nil {
 			return failed, err
 		}
+		since, _ = logBytes(s.Controls[0].Data)
+		if !behind {
+			record.Line("%s needs no snapshot", victim.Name)
+			if err := victim.Start(false); err != nil {
+				return failed, err
+			}
+			time.Sleep(time.Second)
+			continue
+		}
 		if err := install(victim, trouble, record); err != nil {
 			return failed, err
 		}
-		if _, err := put(); err != nil {
+		if err := put(); err != nil {
 			return failed, err
 		}
 		wanted := fmt.Sprintf("%08x", version)
@@ -106,26 +116,59 @@
 	return held, nil
 }
 
-// lag kills a control host and changes the configuration until its log is too far behind.
-func lag(s *harness.System, victim *harness.Host, put func() (int, error)) error {
+// logBytes returns the size of the log in a data folder, and of its newest snapshot.
+func logBytes(folder string) (logged, snapshot int64) {
+	entries, _ := os.ReadDir(folder)
+	for _, e := range entries {
+		info, err := e.Info()
+		switch {
+		case err != nil:
+		case strings.HasPrefix(e.Name(), "log-"):
+			logged += info.Size()
+		case strings.HasPrefix(e.Name(), "snapshot-"):
+			snapshot = info.Size()
+		}
+	}
+	return logged, snapshot
+}
+
+// lag changes the configuration until the other control hosts are about to take a snapshot, kills a
+// control host, and goes on until they have taken it. It reports whether the host has missed enough.
+func lag(s *harness.System, victim *harness.Host, since int64, put func() error) (bool, error) {
+	other := s.Controls[0]
+	paced := func() (size int64, err error) {
+		before, _ := logBytes(other.Data)
+		next := time.Now().Add(stormGap)
+		err = put()
+		time.Sleep(time.Until(next))
+		after, _ := logBytes(other.Data)
+		return after - before, err
+	}
+	for {
+		size, err := paced()
+		if err != nil {
+			return false, err
+		}
+		logged, snapshot := logBytes(other.Data)
+		if logged-since+downPuts*size >= max(firstSnapshot, snapshot) {
+			break
+		}
+	}
+	before, missed := snapshots(other.Data), int64(0)
 	victim.Signal(syscall.SIGKILL)
 	_, _ = victim.Wait(5 * time.Second)
-	other, missed := s.Controls[0], 0
-	for killed := time.Now(); time.Since(killed) < 20*time.Second; {
-		before := snapshots(other.Data)
-		next := time.Now().Add(stormGap)
-		size, err := put()
+	killed := time.Now()
+	for !hasNew(other.Data, before) {
+		size, err := paced()
 		if err != nil {
-			return err
+			return false, err
 		}
-		missed += size
-		time.Sleep(time.Until(next))
-		if missed > minLag && hasNew(other.Data, before) {
-			s.Record.Line("%s was down for %d ms and missed %d bytes of configurations", victim.Name, time.Since(killed).Milliseconds(), missed)
-			return nil
+		if missed += size; time.Since(killed) > 10*time.Second {
+			return false, errors.New("the other control hosts took no snapshot")
 		}
 	}
-	return errors.New("the other control hosts took no snapshot")
+	s.Record.Line("%s was down for %d ms and missed %d bytes of the log", victim.Name, time.Since(killed).Milliseconds(), missed)
+	return missed > keptLog, nil
 }
 
 // install starts the control host. With trouble it kills it as its snapshot appears, and starts it again.
