world, entry/caller, platform: organisations that callers name by keys

Cause: a configuration with tenants was refused as a whole, so that a deployment with organisations was not served at all.

A relayed request takes its key along.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -144,7 +144,7 @@
 	if c.staleAt != "" {
 		tried = append(slices.Clone(tried), c.staleAt)
 	}
-	q := route.NewQuery(c.service, c.rule.Contract(), c.caller, zone, tried...)
+	q := route.NewQuery(c.service, c.rule.Contract(), c.caller, zone, tried...).WithOrganisation(c.organisation)
 	if c.counted {
 		q = q.Repeated()
 	}
--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -14,6 +14,7 @@
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/poison"
 	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/outcome"
@@ -35,8 +36,10 @@
 	caller          string
 	version         uint64
 	rule            *rule.Rule
-	rulesOutdated   bool             // on arrival, a newer version may have been in force elsewhere for maxRulesAge
-	backlogEntry    *backlog.Request // tracks the request in the backlog
+	organisation    *contract.Organisation // that holds the caller's key, nil for none
+	keyed           bool                   // the rules in force hold organisations
+	rulesOutdated   bool                   // on arrival, a newer version may have been in force elsewhere for maxRulesAge
+	backlogEntry    *backlog.Request       // tracks the request in the backlog
 	w               http.ResponseWriter
 	controller      *http.ResponseController
 	r               *http.Request
--- a/entry/caller/dialect.go
+++ b/entry/caller/dialect.go
@@ -22,6 +22,9 @@
 	RequestID string // request: its ID, which responses repeat
 	Instance  string // request to an instance: the ID of that instance
 
+	Key          string // request: the key of the caller's organisation, not sent to instances
+	Organisation string // request to an instance: the name of the caller's organisation
+
 	// Refused reports whether a response guarantees that the instance did not
 	// start the request.
 	Refused func(status int, h http.Header) bool
@@ -66,6 +69,7 @@
 // native is snipebeam's own dialect.
 var native = Dialect{
 	Service: ServiceHeader, Caller: CallerHeader, Deadline: DeadlineHeader, Attempt: AttemptHeader, RateLimit: RateLimitHeader, Leaving: LeavingHeader, Outcomes: true,
+	Key: KeyHeader, Organisation: OrganisationHeader,
 	Refused: func(_ int, h http.Header) bool { return h.Get(RefusedHeader) != "" },
 	Load: func(h http.Header) (LoadReport, bool) {
 		n, err := strconv.Atoi(h.Get(LoadHeader))
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -238,6 +238,10 @@
 	if problem != nil {
 		return problem
 	}
+	if c.organisation, problem = identify(c.r, c.dialect, inForce.Set(), found); problem != nil {
+		return problem
+	}
+	c.keyed = len(inForce.Set().Organisations()) > 0
 	c.rule, c.service = found, h.shares.pick(found)
 	return nil
 }
--- a/entry/caller/header.go
+++ b/entry/caller/header.go
@@ -18,6 +18,13 @@
 	AttemptHeader  = "Snipebeam-Attempt"
 )
 
+// Headers of organisations. Callers send KeyHeader, which is not forwarded; instances get
+// OrganisationHeader, which callers cannot set.
+const (
+	KeyHeader          = "Snipebeam-Key"
+	OrganisationHeader = "Snipebeam-Organisation"
+)
+
 // LoadHeader is a response header with the number of requests that the instance
 // has in service and waiting.
 const LoadHeader = "Snipebeam-Load"
@@ -90,6 +97,7 @@
 	setHeader(out.Header, dialect.Attempt, strconv.Itoa(c.incomingAttempt-1+attempt))
 	setHeader(out.Header, dialect.Caller, c.caller)
 	setHeader(out.Header, dialect.Instance, string(target))
+	c.setOrganisation(out)
 	out.Body = c.body.open()
 	return out
 }
--- a/entry/caller/rebind.go
+++ b/entry/caller/rebind.go
@@ -45,10 +45,14 @@
 		return false, nil
 	}
 	found, problem := h.find(c, inForce.Set())
+	organisation := c.organisation
+	if problem == nil {
+		organisation, problem = identify(c.r, c.dialect, inForce.Set(), found)
+	}
 	switch {
 	case problem != nil && c.rulesOutdated:
 		return false, problem
-	case problem != nil: // the route was in force when the request arrived
+	case problem != nil: // the route and the key were in force when the request arrived
 		return false, nil
 	case slices.Contains(found.Services(), c.service):
 		return false, nil
@@ -56,6 +60,7 @@
 		return false, outcome.New(outcome.NotRun, outcome.NotReady, "the rules changed while this host held the request")
 	}
 	c.rule, c.version, c.service = found, inForce.Number(), h.shares.pick(found)
+	c.organisation, c.keyed = organisation, len(inForce.Set().Organisations()) > 0
 	now := time.Now()
 	c.backlogEntry.End(false, now)
 	c.backlogEntry = h.cfg.Backlog.Track(c.service, now)
--- a/entry/caller/relay.go
+++ b/entry/caller/relay.go
@@ -215,6 +215,7 @@
 	out := c.outgoing(1, "")
 	out.Header.Del(c.dialect.Instance)
 	setHeader(out.Header, c.dialect.Attempt, strconv.Itoa(c.incomingAttempt))
+	c.keepKey(out.Header)
 	out.Header.Set(RelayedForHeader, c.caller)
 	if c.callerName == "" {
 		out.Header.Del(c.dialect.Caller)
--- a/entry/control/quota_test.go
+++ b/entry/control/quota_test.go
@@ -15,6 +15,7 @@
 
 // grantor is a control host that grants, names the leader, or fails.
 type grantor struct {
+	wire.Quota
 	leader atomic.Bool
 	failed atomic.Bool
 	names  atomic.Pointer[string] // the leader that it names
--- a/entry/route/query.go
+++ b/entry/route/query.go
@@ -14,11 +14,12 @@
 	caller       string
 	zone         string
 	exclude      []instance.ID
-	preferred    []int // positions of the members that are considered first, nil for none
-	slowService  bool  // no instance reports its usual speed
-	softDeadline int64 // Unix nanoseconds, 0 for none
-	deadline     int64 // Unix nanoseconds, 0 for none
-	repeated     bool  // the request has earned its share of a retry
+	preferred    []int                  // positions of the members that are considered first, nil for none
+	slowService  bool                   // no instance reports its usual speed
+	softDeadline int64                  // Unix nanoseconds, 0 for none
+	deadline     int64                  // Unix nanoseconds, 0 for none
+	repeated     bool                   // the request has earned its share of a retry
+	organisation *contract.Organisation // of the caller, nil for none
 }
 
 // NewQuery returns a query. A query that excludes instances is one of a repeated request.
@@ -33,6 +34,15 @@
 	return q
 }
 
+// WithOrganisation returns the query of a request of the organisation, nil for none.
+func (q Query) WithOrganisation(o *contract.Organisation) Query {
+	q.organisation = o
+	return q
+}
+
+// Organisation returns the organisation of the caller, nil for none.
+func (q Query) Organisation() *contract.Organisation { return q.organisation }
+
 // WithDeadline returns the query with the time by which the response must have begun.
 func (q Query) WithDeadline(deadline time.Time) Query {
 	q.deadline = deadline.UnixNano()
--- a/world/contract/contract.go
+++ b/world/contract/contract.go
@@ -64,6 +64,7 @@
 	attempts       int
 	aim            time.Duration
 	timeout        time.Duration
+	public         bool
 }
 
 // Option changes one term of a contract.
@@ -182,3 +183,9 @@
 // Timeout returns the limit on the time from a request's arrival to its response; 0
 // means no limit.
 func (c *Contract) Timeout() time.Duration { return c.timeout }
+
+// WithPublic lets callers without an organisation's key use the rule.
+func WithPublic() Option { return func(c *Contract) { c.public = true } }
+
+// Public reports whether callers need no organisation's key.
+func (c *Contract) Public() bool { return c.public }
--- a/world/outcome/outcome.go
+++ b/world/outcome/outcome.go
@@ -59,6 +59,8 @@
 	CallerGone       Reason = "caller-gone"
 	BodyCut          Reason = "body-cut"
 	AnswerLost       Reason = "answer-lost"
+	KeyUnknown       Reason = "key-unknown"
+	OrganisationRate Reason = "organisation-rate"
 	Internal         Reason = "internal"
 )
 
@@ -90,6 +92,8 @@
 	CallerGone:       {499, 0}, // status that nginx uses for a request closed by the client
 	BodyCut:          {http.StatusBadRequest, 0},
 	AnswerLost:       {http.StatusConflict, 0},
+	KeyUnknown:       {http.StatusUnauthorized, 0},
+	OrganisationRate: {http.StatusTooManyRequests, time.Second},
 	Internal:         {http.StatusInternalServerError, 0},
 }
 
--- a/world/rule/format.go
+++ b/world/rule/format.go
@@ -45,9 +45,12 @@
 // formatLine returns a line in canonical form.
 func formatLine(node *lineNode) string {
 	var b strings.Builder
-	if node.Service != nil {
+	switch {
+	case node.Service != nil:
 		b.WriteString("service " + node.Service.Name)
-	} else {
+	case node.Organisation != nil:
+		b.WriteString("organisation " + node.Organisation.Name)
+	default:
 		formatRoute(&b, node.Route)
 	}
 	for n, term := range node.Terms {
--- a/world/rule/grammar.go
+++ b/world/rule/grammar.go
@@ -22,13 +22,19 @@
 	participle.UseLookahead(2),
 )
 
-// lineNode is the syntax tree of one line: a service or route line, then its
-// comment.
+// lineNode is the syntax tree of one line: a service, organisation or route line, then
+// its comment.
 type lineNode struct {
-	Service *serviceNode `parser:"( 'service' @@"`
-	Route   *routeNode   `parser:"| 'route' @@ )"`
-	Terms   []*termNode  `parser:"( ':' @@ ( ',' @@ )* )?"`
-	Comment string       `parser:"@Comment?"`
+	Service      *serviceNode      `parser:"( 'service' @@"`
+	Organisation *organisationNode `parser:"| 'organisation' @@"`
+	Route        *routeNode        `parser:"| 'route' @@ )"`
+	Terms        []*termNode       `parser:"( ':' @@ ( ',' @@ )* )?"`
+	Comment      string            `parser:"@Comment?"`
+}
+
+type organisationNode struct {
+	Pos  lexer.Position
+	Name string `parser:"( @String | @Word )"`
 }
 
 type serviceNode struct {
--- a/world/rule/parse.go
+++ b/world/rule/parse.go
@@ -55,7 +55,7 @@
 }
 
 func newParser(file string) *parser {
-	return &parser{file: file, templates: map[string]*Rule{}, set: &Set{routes: map[string][]*Rule{}, services: map[string]*ServiceLine{}, byHost: map[string][]*Rule{}, hostServices: map[string]bool{}, parsedLines: map[string]lineContent{}}}
+	return &parser{file: file, templates: map[string]*Rule{}, set: &Set{routes: map[string][]*Rule{}, services: map[string]*ServiceLine{}, byHost: map[string][]*Rule{}, hostServices: map[string]bool{}, organisations: map[string]*OrganisationLine{}, byKey: map[string]*OrganisationLine{}, parsedLines: map[string]lineContent{}}}
 }
 
 func (p *parser) checkSize(text string) bool {
@@ -103,6 +103,11 @@
 		line.place = finding.At(p.file, n, line.place.Column())
 		p.addService(line.terms.Name(), &line)
 		p.set.parsedLines[content.line] = lineContent{line: content.line, service: &line}
+	case content.organisation != nil:
+		line := *content.organisation
+		line.place = finding.At(p.file, n, line.place.Column())
+		p.addOrganisation(&line)
+		p.set.parsedLines[content.line] = lineContent{line: content.line, organisation: &line}
 	default:
 		r := *content.rule
 		r.place = finding.At(p.file, n, r.place.Column())
@@ -121,6 +126,9 @@
 	if node.Service != nil {
 		return lineContent{service: p.service(n, node, reason)}
 	}
+	if node.Organisation != nil {
+		return lineContent{organisation: p.organisation(n, node, reason)}
+	}
 	return lineContent{rule: p.route(n, node, reason)}
 }
 
@@ -150,7 +158,7 @@
 // isForbidden reports whether c is a control character other than white space.
 func isForbidden(c rune) bool { return c < ' ' && c != '\t' && c != '\r' || c == 0x7f }
 
-const lineHint = `a line is "service NAME: terms # who: why" or "route NAME [METHODS] [PATH] [when HEADER=VALUE]: terms # who: why"`
+const lineHint = `a line is "service NAME: terms # who: why", "organisation NAME: terms # who: why" or "route NAME [METHODS] [PATH] [when HEADER=VALUE]: terms # who: why"`
 
 func (p *parser) syntaxError(n int, text string, err error) {
 	var place participle.Error
@@ -159,7 +167,8 @@
 		return
 	}
 	first, _, _ := strings.Cut(strings.TrimSpace(text), " ")
-	if hint := nearestHint(first, []string{"service", "route"}); hint != "" && first != "service" && first != "route" {
+	kinds := []string{"service", "organisation", "route"}
+	if hint := nearestHint(first, kinds); hint != "" && !slices.Contains(kinds, first) {
 		p.fail(n, place.Position().Column, "a line cannot begin with "+first, hint)
 		return
 	}
--- a/world/rule/rule.go
+++ b/world/rule/rule.go
@@ -10,6 +10,11 @@
 // A service line applies to a whole service. The first route line that matches
 // a request determines its contract.
 //
+//	organisation atelier: keys "0d4b1f..." "93ac07...", priority 1, rate 126/s, burst 126 # M. Roy: studios
+//
+// An organisation line names callers by the digests of their keys. If there is any,
+// requests need a key, except on routes with the term "public".
+//
 // A route line with "at" matches requests by HTTP host and path prefix, whatever
 // service the caller names. Of a host's lines, the one with the longest matching
 // prefix determines the contract and the service, or the services among which
@@ -179,14 +184,20 @@
 	byHost       map[string][]*Rule // by HTTP host, longest prefix first
 	hostServices map[string]bool    // services named by route lines with "at"
 	order        []string
-	parsedLines  map[string]lineContent // lines without findings, by their text
+
+	organisations map[string]*OrganisationLine // by name
+	byKey         map[string]*OrganisationLine // by digest of the key
+
+	parsedLines map[string]lineContent // lines without findings, by their text
 }
 
-// lineContent is the parsed content of a line: a service line or a rule.
+// lineContent is the parsed content of a line: a service line, an organisation line or a
+// rule.
 type lineContent struct {
-	line    string // shared by the versions that have the line, no part of a file's text
-	service *ServiceLine
-	rule    *Rule
+	line         string // shared by the versions that have the line, no part of a file's text
+	service      *ServiceLine
+	organisation *OrganisationLine
+	rule         *Rule
 }
 
 // Services returns the names of all services in the order of the file.
--- a/world/rule/term.go
+++ b/world/rule/term.go
@@ -44,6 +44,7 @@
 	"maxBody":     func(v *values) contract.Option { return contract.WithMaxBody(v.bytes()) },
 	"callerLimit": func(v *values) contract.Option { return contract.WithCallerInFlight(v.count(maxCount)) },
 	"callerRate":  func(v *values) contract.Option { return contract.WithCallerRate(v.rate()) },
+	"public":      func(*values) contract.Option { return contract.WithPublic() },
 }
 
 type serviceTerm func(v *values) contract.ServiceOption
@@ -77,7 +78,7 @@
 
 // Terms returns the names of all terms, sorted.
 func Terms() []string {
-	all := append(names(routeTermByName), names(serviceTermByName)...)
+	all := slices.Concat(names(routeTermByName), names(serviceTermByName), names(organisationTermByName))
 	slices.Sort(all)
 	return slices.Compact(all)
 }
