control/directory: a few small requests do not size the pool for those that are expected

Cause: before callers arrive hosts see a few requests without bodies. Their size was taken for that of all requests that the instances are expected to serve, so that the first callers were given 12 of 203 hosts, one of which took 36 requests in a second on a link of 1.4 Mbit/s.

Change: requests that are expected beyond those reported count with at least 3 kB.

--- a/control/directory/demand.go
+++ b/control/directory/demand.go
@@ -18,6 +18,11 @@
 	defaultBodyBytes = 64 << 10
 )
 
+// minExpectedBytes is the least body size that is assumed of requests that are expected but
+// were not reported. The few requests before callers arrive may be no measure of theirs, and
+// a pool that is sized by them is too small until callers ask again.
+const minExpectedBytes = 3 << 10
+
 // demand is the load of the services on entry hosts, and the capacity of one
 // host: the lowest that any host reports, limited by WithHostRate. A capacity of 0
 // is unknown.
@@ -76,8 +81,10 @@
 			continue
 		}
 		scale := expected / reported.GetArrivalsPerS()
-		sum.bytes += reported.GetBytesPerS() * scale
-		sum.bulk += reported.GetBulkBytesPerS() * scale
+		bytes, bulk := reported.GetBytesPerS()*scale, reported.GetBulkBytesPerS()*scale
+		unseen := (expected - reported.GetArrivalsPerS()) * minExpectedBytes
+		sum.bytes += max(bytes, reported.GetBytesPerS()+unseen-bulk)
+		sum.bulk += bulk
 	}
 	return sum
 }
--- a/control/directory/directory_test.go
+++ b/control/directory/directory_test.go
@@ -110,6 +110,25 @@
 	}
 }
 
+// A few small requests before callers arrive made the pool as small as they need, so that
+// the first callers shared a dozen hosts with slow links.
+func TestFewSmallRequestsDoNotSizeThePoolForThoseExpected(t *testing.T) {
+	const hosts, slots = 90, 400
+	m, f := state.New(), fleet.New()
+	m.Apply(&wire.Command{Body: &wire.Command_Submit{Submit: &wire.SubmitRequest{SubmissionId: "1", Number: 7, Text: text}}})
+	m.Apply(&wire.Command{Body: &wire.Command_Announce{Announce: &wire.Announcement{Instance: &wire.Instance{
+		Id: "i1", Service: "alone", Address: "10.0.0.1:80", Slots: slots, Incarnation: 1, Sequence: 1,
+	}}}})
+	for n := range hosts {
+		f.BeginPoll(&wire.HostReport{
+			Name: fmt.Sprintf("e%d", n), Role: "entry", State: "ready", Zone: fmt.Sprint("z", n%3), RateCapacity: 130, ByteCapacity: 17_500, CallersAddress: fmt.Sprintf("e%d:1", n),
+			Backlog: []*wire.ServiceBacklog{{Service: "alone", ArrivalsPerS: 50. / hosts, BytesPerS: 500. / hosts}},
+		}, time.Now())
+	}
+	selected, _ := directory.New(m, f).Resolve("c.example", "z0", "10.9.0.1")
+	must.Len(t, 9, selected) // a third of 27 hosts, for 150 unseen requests a second of 3 kB
+}
+
 func TestAHostThatDoesNotPollIsNotReturned(t *testing.T) {
 	f := fleet.New()
 	_, end := f.BeginPoll(&wire.HostReport{Name: "e", Role: "entry", State: "ready"}, time.Now())
