control/operator: long polls share a confirmation that started after they began

Cause: every long poll that ended without news asked the quorum for a confirmation of its own: about 190 rounds a second with 203 entry hosts, each of which is two messages with each of four other control hosts, mostly in other zones.

Change: a poll takes a confirmation of the last 100 ms that started after the poll began. The age that it reports is unchanged in meaning.

--- a/control/operator/confirm.go
+++ b/control/operator/confirm.go
@@ -18,8 +18,13 @@
 	mu      sync.Mutex
 	running bool
 	next    *confirmation
+	last    time.Time // start of the last confirmation that succeeded
 }
 
+// reuseFor is how long a confirmation also covers long polls that began before it. Each
+// one costs a round of messages between all control hosts.
+const reuseFor = 100 * time.Millisecond
+
 // confirmation is one confirmation that several calls wait for.
 type confirmation struct {
 	startedAt time.Time
@@ -41,6 +46,18 @@
 	}
 }
 
+// confirmSince is confirm for a call that began earlier: a recent confirmation that started
+// after it is as good as a new one.
+func (c *confirmer) confirmSince(ctx context.Context, began time.Time) (age time.Duration, err error) {
+	c.mu.Lock()
+	last := c.last
+	c.mu.Unlock()
+	if age = time.Since(last); last.After(began) && age < reuseFor {
+		return age, nil
+	}
+	return c.confirm(ctx)
+}
+
 func (c *confirmer) join() *confirmation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -65,8 +82,17 @@
 		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 		current.err = c.log.Confirm(ctx)
 		cancel()
-		close(current.done)
+		c.finish(current)
+	}
+}
+
+func (c *confirmer) finish(current *confirmation) {
+	if current.err == nil {
+		c.mu.Lock()
+		c.last = current.startedAt
+		c.mu.Unlock()
 	}
+	close(current.done)
 }
 
 func (c *confirmer) take() *confirmation {
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -35,7 +35,8 @@
 // committed, so it is or was in force. A response is stale unless a quorum
 // confirmed that there is no newer version.
 func (s *Rules) Watch(ctx context.Context, req *wire.WatchRequest) (*wire.WatchResponse, error) {
-	previous, end := s.fleet.BeginPoll(req.GetReport(), time.Now())
+	began := time.Now()
+	previous, end := s.fleet.BeginPoll(req.GetReport(), began)
 	defer end()
 	newer := s.await(ctx, req)
 	if ctx.Err() != nil {
@@ -46,7 +47,7 @@
 		response.Previous = previous
 	}
 	if s.shouldConfirm(req, newer) {
-		s.confirmWatch(ctx, response)
+		s.confirmWatch(ctx, response, began)
 	}
 	version, text := s.machine.InForce()
 	response.Version = version
@@ -207,8 +208,8 @@
 
 // confirmWatch must run before the version is read, so that the version is at
 // least as new as any that was accepted before the confirmation started.
-func (s *Rules) confirmWatch(ctx context.Context, response *wire.WatchResponse) {
-	age, err := s.confirmer.confirm(ctx)
+func (s *Rules) confirmWatch(ctx context.Context, response *wire.WatchResponse, began time.Time) {
+	age, err := s.confirmer.confirmSince(ctx, began)
 	response.Stale = err != nil
 	response.ConfirmAgeNs = int64(age)
 }
