control/directory: the first callers of a zone are divided among its hosts

Cause: requests to services without a reported rate were counted as large bodies only, which are for other hosts. A host name without large bodies was thus sized by the rate alone: one host for each zone. The callers of the first second kept their connections to it: 95 of 840 requests of two seconds at one of 203 hosts.

Change: such requests count as small ones too.

Ruled out: instances that are slow at first, and missing load reports: the requests waited at these hosts' links.

--- a/control/directory/demand.go
+++ b/control/directory/demand.go
@@ -68,8 +68,9 @@
 // and of large bodies.
 type load struct{ rate, bytes, bulk float64 }
 
-// sum returns the total load of the given services. All requests to a service
-// without a reported rate are assumed to have large bodies.
+// sum returns the total load of the given services. All requests to a service without a
+// reported rate are assumed to have large bodies, and as many small ones: whose bodies are
+// large is known only from the first requests.
 func (d demand) sum(services []string) load {
 	var sum load
 	for _, service := range services {
@@ -78,6 +79,7 @@
 		sum.rate += expected
 		if reported.GetArrivalsPerS() <= 0 {
 			sum.bulk += expected * defaultBodyBytes
+			sum.bytes += expected * minExpectedBytes
 			continue
 		}
 		scale := expected / reported.GetArrivalsPerS()
--- a/control/directory/directory_test.go
+++ b/control/directory/directory_test.go
@@ -110,9 +110,16 @@
 	}
 }
 
-// A few small requests before callers arrive made the pool as small as they need, so that
-// the first callers shared a dozen hosts with slow links.
-func TestFewSmallRequestsDoNotSizeThePoolForThoseExpected(t *testing.T) {
+// Without any request before them, the first callers of a zone were all given one host, and
+// kept their connections to it.
+func TestFirstCallersAreDividedAmongHosts(t *testing.T) {
+	selected, _ := newExpecting(nil).Resolve("c.example", "z0", "10.9.0.1")
+	must.Len(t, 12, selected) // a third of 36 hosts, for 200 requests a second of 3 kB
+}
+
+// newExpecting returns a directory of 90 hosts on slow links, and of instances that take
+// 200 requests a second.
+func newExpecting(backlog []*wire.ServiceBacklog) *directory.Directory {
 	const hosts, slots = 90, 400
 	m, f := state.New(), fleet.New()
 	m.Apply(&wire.Command{Body: &wire.Command_Submit{Submit: &wire.SubmitRequest{SubmissionId: "1", Number: 7, Text: text}}})
@@ -122,10 +129,17 @@
 	for n := range hosts {
 		f.BeginPoll(&wire.HostReport{
 			Name: fmt.Sprintf("e%d", n), Role: "entry", State: "ready", Zone: fmt.Sprint("z", n%3), RateCapacity: 130, ByteCapacity: 17_500, CallersAddress: fmt.Sprintf("e%d:1", n),
-			Backlog: []*wire.ServiceBacklog{{Service: "alone", ArrivalsPerS: 50. / hosts, BytesPerS: 500. / hosts}},
+			Backlog: backlog,
 		}, time.Now())
 	}
-	selected, _ := directory.New(m, f).Resolve("c.example", "z0", "10.9.0.1")
+	return directory.New(m, f)
+}
+
+// A few small requests before callers arrive made the pool as small as they need, so that
+// the first callers shared a dozen hosts with slow links.
+func TestFewSmallRequestsDoNotSizeThePoolForThoseExpected(t *testing.T) {
+	backlog := []*wire.ServiceBacklog{{Service: "alone", ArrivalsPerS: 50. / 90, BytesPerS: 500. / 90}}
+	selected, _ := newExpecting(backlog).Resolve("c.example", "z0", "10.9.0.1")
 	must.Len(t, 9, selected) // a third of 27 hosts, for 150 unseen requests a second of 3 kB
 }
 
