control/operator: a confirmation covers the long polls of a quarter of a second

Change: 250 ms, half of the shortest poll. What an entry host takes as the time of the confirmation, the start of its poll, stays true.

--- a/control/operator/confirm.go
+++ b/control/operator/confirm.go
@@ -23,7 +23,7 @@
 
 // reuseFor is how long a confirmation also covers long polls that began before it. Each
 // one costs a round of messages between all control hosts.
-const reuseFor = 100 * time.Millisecond
+const reuseFor = 250 * time.Millisecond
 
 // confirmation is one confirmation that several calls wait for.
 type confirmation struct {
