entry/control: the watch in smaller files

The options, the known control hosts, the report and what a response brings are in files of their own. No behaviour changes.

--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -65,53 +65,6 @@
 	lateSince    time.Time     // of the first confirmation that came too late, zero for none
 }
 
-// WatchOption changes one property of a watch.
-type WatchOption func(*Watch)
-
-// WithRates calls rates with the services' rates from each response.
-func WithRates(rates func(rates []*wire.ServiceRate)) WatchOption {
-	return func(w *Watch) { w.rates = rates }
-}
-
-// WithRestore calls restore once, with the last report of this host before its
-// restart.
-func WithRestore(restore func(previous *wire.HostReport)) WatchOption {
-	return func(w *Watch) { w.restore = restore }
-}
-
-// WithRateLimits calls apply with the rate limits of instances that other entry hosts
-// heard.
-func WithRateLimits(apply func(limits []*wire.RateLimit)) WatchOption {
-	return func(w *Watch) { w.rateLimits = apply }
-}
-
-// WithRelays calls store with the addresses of other entry hosts to which requests can be
-// relayed.
-func WithRelays(store func(addresses []string)) WatchOption {
-	return func(w *Watch) { w.relays = store }
-}
-
-// WithIsolations calls isolated when other entry hosts report that they reach no instance.
-func WithIsolations(isolated func()) WatchOption {
-	return func(w *Watch) { w.isolated = isolated }
-}
-
-// Membership receives updates of instances and suspects from the control hosts.
-type Membership interface {
-	// Revision returns the revision up to which instance records have been applied.
-	Revision() uint64
-	// Apply applies instance records, oldest first, up to a revision.
-	Apply(instances []*wire.Instance, revision uint64)
-	// AddSuspects adds fingerprints of requests suspected of crashing instances.
-	AddSuspects(suspects []*wire.Suspect)
-	// SetActiveHosts sets the number of entry hosts that serve the same name.
-	SetActiveHosts(hosts int)
-}
-
-// WithMembership feeds a membership with the instances and suspects that the
-// primary control host sends.
-func WithMembership(m Membership) WatchOption { return func(w *Watch) { w.members = m } }
-
 // polledHost is one control host, polled by its own goroutine.
 type polledHost struct {
 	address            string
@@ -185,36 +138,6 @@
 	return &polledHost{address: address, again: make(chan struct{}, 1), rules: wire.NewRulesProtobufClient("http://"+address, w.client)}
 }
 
-// Hosts returns the addresses of the control hosts: the seeds and the members of the
-// group.
-func (w *Watch) Hosts() []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	all := append(w.seeds(), w.group...)
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
-// updateGroup stores the group's members as reported by a control host with a
-// quorum.
-func (w *Watch) updateGroup(addresses []string) {
-	if len(addresses) == 0 {
-		return
-	}
-	slices.Sort(addresses)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if slices.Equal(addresses, w.group) {
-		return
-	}
-	w.group = addresses
-	w.logger.Info("control group", "hosts", addresses)
-	select {
-	case w.groupChanged <- struct{}{}:
-	default:
-	}
-}
-
 // pollLoop polls one control host until the context ends. A host that becomes the
 // primary, or missed a report, is polled again at once. The poll that is pending then goes
 // on, since it may bring a version on a connection that works while no other can be
@@ -269,35 +192,6 @@
 	err    error
 }
 
-// Report sends this host's state to every control host immediately, without
-// waiting for the next poll.
-func (w *Watch) Report(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	var group sync.WaitGroup
-	for _, address := range w.Hosts() {
-		group.Go(func() {
-			response, err := w.newHost(address).rules.Watch(ctx, &wire.WatchRequest{Report: w.report(), KnownVersion: w.table.Current().Number()})
-			if err != nil {
-				w.repoll(address)
-				return
-			}
-			w.applyRelays(response)
-		})
-	}
-	group.Wait()
-}
-
-// repoll polls a control host that missed a report again, because the next poll
-// brings it. The primary is polled often anyway.
-func (w *Watch) repoll(address string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if host := w.polled[address]; host != nil && host != w.primary {
-		host.pollAgain()
-	}
-}
-
 func (w *Watch) poll(ctx context.Context, host *polledHost, poll pendingPoll) pollResult {
 	known, polledAt := w.table.Current(), time.Now()
 	wait, timeout := w.pollWait(), longPollTimeout
@@ -338,71 +232,6 @@
 	host.needsFullText = true
 }
 
-// versionChange is what a response brought beyond the known version.
-type versionChange int
-
-const (
-	noVersion       versionChange = iota
-	newVersion                    // that no other control host had sent
-	repeatedVersion               // that another control host had sent meanwhile
-)
-
-// versionChangeOf classifies a response. Until a version is confirmed every response counts
-// as noVersion, so that the next poll is sent at once.
-func (w *Watch) versionChangeOf(response *wire.WatchResponse, known *rules.InForce) versionChange {
-	number := response.GetVersion().GetNumber()
-	switch {
-	case !w.table.Confirmed() || number <= known.Number():
-		return noVersion
-	case number <= w.table.Current().Number():
-		return repeatedVersion
-	}
-	return newVersion
-}
-
-// delay returns the time to the next poll after a successful one. The control
-// hosts that repeat a version are polled later and not in step.
-func (c versionChange) delay() time.Duration {
-	switch c {
-	case newVersion:
-		return versionDelay
-	case repeatedVersion:
-		return versionDelay + rand.N(versionDelay)
-	}
-	return 0
-}
-
-// applyResponse applies everything in a response except the rules.
-func (w *Watch) applyResponse(response *wire.WatchResponse, primary bool) {
-	w.join(response.GetSeeds())
-	if primary {
-		w.members.Apply(response.GetInstances(), response.GetInstancesRevision())
-		w.members.AddSuspects(response.GetSuspects())
-		w.members.SetActiveHosts(int(response.GetActiveHosts()))
-	}
-	if !response.GetStale() {
-		w.updateGroup(response.GetControlHosts())
-	}
-	// A control host that is partitioned, or has just started, has received few
-	// reports; its rates are incomplete.
-	if rates := response.GetRates(); w.rates != nil && !response.GetStale() && len(rates) > 0 {
-		w.rates(rates)
-	}
-	w.applyRelays(response)
-	if limits := response.GetRateLimits(); w.rateLimits != nil && len(limits) > 0 {
-		w.rateLimits(limits)
-	}
-	if previous := response.GetPrevious(); previous != nil && w.restore != nil {
-		w.restoreOnce.Do(func() { w.restore(previous) })
-	}
-}
-
-func (w *Watch) applyRelays(response *wire.WatchResponse) {
-	if relays := response.GetRelays(); w.relays != nil && len(relays) > 0 {
-		w.relays(relays)
-	}
-}
-
 // pollWait returns the wait time of a long poll. It is short while a version
 // from a stale response is not confirmed by a quorum, since this host accepts
 // no callers before that.
