world/wire, control/state, control/peer: evacuated zones are part of the replicated state

An order can be delayed: its caller gives up after a second and sends it, or later the opposite one, to another control host. An order therefore states how many orders of the zone its proposer knows, and has no effect if another one came since. Calls between control hosts get a limit on unacknowledged data (2 s), so that the kernel does not deliver a forwarded command when a partition heals, long after its sender gave it up.

--- a/control/peer/client.go
+++ b/control/peer/client.go
@@ -31,12 +31,23 @@
 	}
 	c, ok := p.clients[address]
 	if !ok {
-		c = p.wrap(peerlink.Bounded(newTransport(forwardTimeout), maxResponseBytes))
+		c = p.wrap(peerlink.Bounded(newCallTransport(), maxResponseBytes))
 		p.clients[address] = c
 	}
 	return c
 }
 
+// newCallTransport returns a transport on which the kernel gives up what the peer does not
+// acknowledge. A call that ended would otherwise still be delivered when a partition heals, and
+// a forwarded command then be proposed long after its sender gave it up.
+func newCallTransport() *http.Transport {
+	transport := newTransport(forwardTimeout)
+	dialer := peerlink.Dialer(peerlink.MessageTimeouts)
+	dialer.Timeout = forwardTimeout
+	transport.DialContext = dialer.DialContext
+	return transport
+}
+
 func (p *clientPool) quorum(address string) wire.Quorum {
 	return wire.NewQuorumProtobufClient("http://"+address, p.http(address))
 }
--- a/control/peer/peer_test.go
+++ b/control/peer/peer_test.go
@@ -257,6 +257,7 @@
 	leader := g.leader()
 	behind := g.others(leader)[0]
 	behind.stop()
+	g.evacuate(leader, "a", false)
 	body := bytes.Repeat([]byte("x"), 60<<10)
 	for n := range 150 {
 		key := &wire.ClaimKey{IdempotencyKey: string(rune('a' + n))}
@@ -282,6 +283,8 @@
 		must.NoError(t, err)
 		return bytes.Equal(want, got)
 	})
+	zones, _ := behind.machine.EvacuatedZones()
+	must.Eq(t, []string{"a"}, zones)
 }
 
 func TestTransferMovesLeadershipToNamedHost(t *testing.T) {
--- a/control/state/changed.go
+++ b/control/state/changed.go
@@ -9,10 +9,12 @@
 type changes struct {
 	version   chan struct{}
 	instances chan struct{}
+
+	evacuations chan struct{}
 }
 
 func newChanges() changes {
-	return changes{version: make(chan struct{}), instances: make(chan struct{})}
+	return changes{version: make(chan struct{}), instances: make(chan struct{}), evacuations: make(chan struct{})}
 }
 
 // VersionChanged returns the signal of another version in force.
@@ -30,11 +32,11 @@
 }
 
 // watchRevision is the revision of the state that watchers wait on.
-type watchRevision struct{ version, instances uint64 }
+type watchRevision struct{ version, instances, evacuations uint64 }
 
 func (m *Machine) watchRevision() watchRevision {
 	version, _ := m.rules.newest()
-	return watchRevision{version: version.GetNumber(), instances: m.instances.revision}
+	return watchRevision{version: version.GetNumber(), instances: m.instances.revision, evacuations: m.evacuations.revision}
 }
 
 // notifyWatchers wakes the watchers of what has changed since a revision.
@@ -48,4 +50,8 @@
 		close(m.changes.instances)
 		m.changes.instances = make(chan struct{})
 	}
+	if now.evacuations != before.evacuations {
+		close(m.changes.evacuations)
+		m.changes.evacuations = make(chan struct{})
+	}
 }
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -1,6 +1,6 @@
 // Package state implements the replicated state machine of the control hosts. It
-// holds the accepted rules files, the claims on at-most-once requests, and the
-// records of instances that announced themselves to control hosts.
+// holds the accepted rules files, the claims on at-most-once requests, the records of
+// instances that announced themselves to control hosts, and the evacuated zones.
 //
 // The machine is deterministic: it uses no clock and no random source, so that all
 // replicas that apply the same commands have the same state. Expiry follows the
@@ -27,7 +27,8 @@
 	rules  rulesState
 	claims claimsState
 
-	instances instancesState
+	instances   instancesState
+	evacuations evacuationsState
 
 	changes changes
 }
@@ -38,6 +39,7 @@
 	m.rules.reset()
 	m.claims.reset()
 	m.instances.reset()
+	m.evacuations.reset()
 	return m
 }
 
@@ -66,6 +68,8 @@
 		return &wire.Result{Body: &wire.Result_Resolve{Resolve: m.claims.resolve(body.Resolve, m.clock)}}
 	case *wire.Command_Announce:
 		return &wire.Result{Body: &wire.Result_Announce{Announce: m.instances.announce(body.Announce, m.clock)}}
+	case *wire.Command_Evacuation:
+		return &wire.Result{Body: &wire.Result_Evacuation{Evacuation: m.evacuations.order(body.Evacuation, cmd.GetAt())}}
 	case *wire.Command_Batch:
 		return m.applyBatch(body.Batch)
 	}
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -25,6 +25,7 @@
 	f := &Frozen{head: &wire.StateSnapshot{Clock: m.clock}}
 	m.rules.save(f.head)
 	m.instances.save(f.head)
+	m.evacuations.save(f.head)
 	f.claims = make([]claim, 0, len(m.claims.byKey))
 	for _, c := range m.claims.byKey {
 		f.claims = append(f.claims, *c)
@@ -105,6 +106,8 @@
 	next.claims.reset()
 	next.instances.reset()
 	next.instances.load(s)
+	next.evacuations.reset()
+	next.evacuations.load(s)
 	if err := next.rules.load(s); err != nil {
 		return err
 	}
@@ -115,7 +118,7 @@
 	defer m.mu.Unlock()
 	defer m.notifyWatchers(m.watchRevision())
 	m.clock = s.GetClock()
-	m.rules, m.claims, m.instances = next.rules, next.claims, next.instances
+	m.rules, m.claims, m.instances, m.evacuations = next.rules, next.claims, next.instances, next.evacuations
 	return nil
 }
 
