entry: instances of evacuated zones get no requests

The watch takes the evacuated zones from the primary control host, before the instances of the same response, and only newer revisions of them. The first instances must be confirmed by a quorum, so that a host that restarts does not start from a control host that lags behind. The registry marks the members of evacuated zones, and the router treats them as draining: requests, retries and hedges are not assigned to them, and an attempt that holds one and was not sent is withdrawn. They count neither for the bound of ejections nor for the preferred subset.

--- a/entry/control/option.go
+++ b/entry/control/option.go
@@ -39,6 +39,10 @@
 	Revision() uint64
 	// Apply applies instance records, oldest first, up to a revision.
 	Apply(instances []*wire.Instance, revision uint64)
+	// EvacuationsRevision returns the revision of the evacuated zones that were applied.
+	EvacuationsRevision() uint64
+	// ApplyEvacuations sets the evacuated zones, unless the revision is not newer.
+	ApplyEvacuations(zones []string, revision uint64)
 	// AddSuspects adds fingerprints of requests suspected of crashing instances.
 	AddSuspects(suspects []*wire.Suspect)
 	// SetActiveHosts sets the number of entry hosts that serve the same name.
--- a/entry/control/primary_test.go
+++ b/entry/control/primary_test.go
@@ -130,6 +130,10 @@
 
 func (*fakeMembership) SetActiveHosts(int) {}
 
+func (*fakeMembership) EvacuationsRevision() uint64 { return 0 }
+
+func (*fakeMembership) ApplyEvacuations([]string, uint64) {}
+
 // watchPrimary runs a watch of three hosts, of which c1 is in the watch's zone.
 func watchPrimary(t *testing.T, m *fakeMembership) (g fakePrimaries, stop func()) {
 	g, _, stop = watchPrimaryOver(t, m, func(next http.RoundTripper) http.RoundTripper { return next })
--- a/entry/control/response.go
+++ b/entry/control/response.go
@@ -12,7 +12,7 @@
 func (w *Watch) applyResponse(response *wire.WatchResponse, primary bool) {
 	w.join(response.GetSeeds())
 	if primary {
-		w.members.Apply(response.GetInstances(), response.GetInstancesRevision())
+		w.applyInstances(response)
 		w.members.AddSuspects(response.GetSuspects())
 		w.members.SetActiveHosts(int(response.GetActiveHosts()))
 	}
@@ -33,6 +33,18 @@
 	}
 }
 
+// applyInstances applies the evacuated zones before the instances, so that no request is sent to
+// an instance whose zone is known to be evacuated. The first instances must be confirmed by a
+// quorum: a control host that lags behind may not know of an evacuation that this host obeyed
+// before its restart.
+func (w *Watch) applyInstances(response *wire.WatchResponse) {
+	if response.GetStale() && w.members.Revision() == 0 {
+		return
+	}
+	w.members.ApplyEvacuations(response.GetEvacuatedZones(), response.GetEvacuationsRevision())
+	w.members.Apply(response.GetInstances(), response.GetInstancesRevision())
+}
+
 func (w *Watch) applyRelays(response *wire.WatchResponse) {
 	if relays := response.GetRelays(); w.relays != nil && len(relays) > 0 {
 		w.relays(relays)
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -206,7 +206,7 @@
 	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: wait.Milliseconds(), Whole: poll.whole, NoSeeds: w.members != nil}
 	if poll.primary {
 		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Revision(), poll.knownSuspects
-		request.KnownIsolations = poll.knownIsolations
+		request.KnownIsolations, request.KnownEvacuations = poll.knownIsolations, w.members.EvacuationsRevision()
 	}
 	// One control host is enough. Without a primary, others repeat the news.
 	if w.rateLimits != nil && (poll.primary || w.members == nil) {
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -71,6 +71,8 @@
 	switch {
 	case m.Instance().Draining():
 		return "draining"
+	case m.Evacuated():
+		return "evacuated"
 	case m.Instance().Cold():
 		return "cold"
 	default:
--- a/entry/registry/membership.go
+++ b/entry/registry/membership.go
@@ -13,7 +13,10 @@
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
-var skippedRecords = metrics.GetOrCreateCounter("snipebeam_skipped_records_total")
+var (
+	skippedRecords = metrics.GetOrCreateCounter("snipebeam_skipped_records_total")
+	evacuatedZones = metrics.GetOrCreateGauge("snipebeam_evacuated_zones", nil)
+)
 
 // Membership updates a registry with the instance records of the control hosts, in
 // the order of their revisions.
@@ -22,8 +25,9 @@
 	suspects *poison.Tracker
 	logger   hclog.Logger
 
-	mu       sync.Mutex
-	revision uint64
+	mu          sync.Mutex
+	revision    uint64
+	evacuations uint64 // revision of the evacuated zones
 
 	active atomic.Int32
 }
@@ -86,6 +90,27 @@
 	m.registry.Update(changes)
 }
 
+// EvacuationsRevision returns the revision of the evacuated zones that were applied last.
+func (m *Membership) EvacuationsRevision() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.evacuations
+}
+
+// ApplyEvacuations sets the evacuated zones. A revision that is not newer, such as that of a
+// control host that lags behind another, changes nothing.
+func (m *Membership) ApplyEvacuations(zones []string, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision <= m.evacuations {
+		return
+	}
+	m.evacuations = revision
+	m.registry.Evacuate(zones)
+	evacuatedZones.Set(float64(len(zones)))
+	m.logger.Info("evacuated zones", "zones", zones, "revision", revision)
+}
+
 // AddSuspects merges fingerprints of requests that were in flight at failed
 // instances.
 func (m *Membership) AddSuspects(suspects []*wire.Suspect) {
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -41,6 +41,7 @@
 	ended func(incarnation string)
 
 	mu        sync.Mutex
+	evacuated map[string]bool // by zone, replaced as a whole
 	members   map[instance.ID]route.Member
 	retired   map[instance.ID]route.Member  // removed with requests in flight
 	byAddress map[string]*instance.Instance // the latest one, also after its removal
@@ -106,6 +107,27 @@
 	return ended
 }
 
+// Evacuate sets the zones whose instances get no requests, and publishes the views of the
+// services that have instances in zones whose state changes.
+func (r *Registry) Evacuate(zones []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evacuated = make(map[string]bool, len(zones))
+	for _, zone := range zones {
+		r.evacuated[zone] = true
+	}
+	affected := map[string]bool{}
+	for id, member := range r.members {
+		if evacuated := r.evacuated[member.Instance().Zone()]; evacuated != member.Evacuated() {
+			r.members[id] = member.WithEvacuated(evacuated)
+			affected[member.Instance().Service()] = true
+		}
+	}
+	if len(affected) > 0 {
+		r.publish(affected)
+	}
+}
+
 // supersede records the address of an instance, and returns the incarnations before it that used
 // its identifier or its address.
 func (r *Registry) supersede(next *instance.Instance) (ended []string) {
@@ -150,7 +172,7 @@
 		load = old.Load()
 	}
 	affected[next.Service()] = true
-	r.members[change.id] = route.NewMember(next, load)
+	r.members[change.id] = route.NewMember(next, load).WithEvacuated(r.evacuated[next.Zone()])
 }
 
 // pruneRetired drops the load data of removed instances that have no requests in
--- a/entry/route/health.go
+++ b/entry/route/health.go
@@ -88,7 +88,7 @@
 // stateOf returns the state of a member with respect to a query.
 func stateOf(m *Member, q *Query, now int64) State {
 	switch {
-	case m.instance.Draining(), m.load.leaving.Load():
+	case m.draining(), m.load.leaving.Load():
 		return Draining
 	case len(q.exclude) > 0 && q.Excludes(m.instance.ID()):
 		return Excluded
--- a/entry/route/record.go
+++ b/entry/route/record.go
@@ -86,7 +86,7 @@
 	defer d.mu.Unlock()
 	ejected := 0
 	for n := range view.members {
-		if l := view.members[n].load; l != load && l.health.state(now) == Ejected {
+		if l := view.members[n].load; l != load && !view.members[n].evacuated && l.health.state(now) == Ejected {
 			ejected++
 		}
 	}
@@ -96,16 +96,17 @@
 	load.health.eject(now)
 }
 
-// maxEjected returns how many instances of a view may be ejected at the same time.
+// maxEjected returns how many instances of a view may be ejected at the same time. Those in
+// evacuated zones do not count: they are no alternative to ejected ones.
 func (d *Dispatcher) maxEjected(view *View) int {
-	return int(math.Floor(float64(len(view.members)) * d.router.limits.MaxEjected))
+	return int(math.Floor(float64(view.staying) * d.router.limits.MaxEjected))
 }
 
 func (d *Dispatcher) releaseEjected(view *View, now int64) {
 	left := d.maxEjected(view)
 	for n := range view.members {
 		h := &view.members[n].load.health
-		if h.state(now) != Ejected {
+		if view.members[n].evacuated || h.state(now) != Ejected {
 			continue
 		}
 		if left == 0 {
--- a/entry/route/subset.go
+++ b/entry/route/subset.go
@@ -57,9 +57,12 @@
 		otherZone bool
 		weight    uint64
 	}
-	all := make([]ranked, len(view.members))
+	all := make([]ranked, 0, view.staying)
 	for at, m := range view.members {
-		all[at] = ranked{at: at, otherZone: m.instance.Zone() != zone, weight: xxhash.Sum64String(host + "\x00" + string(m.instance.ID()))}
+		if m.evacuated {
+			continue
+		}
+		all = append(all, ranked{at: at, otherZone: m.instance.Zone() != zone, weight: xxhash.Sum64String(host + "\x00" + string(m.instance.ID()))})
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
 		if a.otherZone != b.otherZone {
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -41,8 +41,8 @@
 // Instance returns the chosen instance.
 func (t *Ticket) Instance() *instance.Instance { return t.member.instance }
 
-// Usable reports whether the instance may still get the attempt: it has neither left nor said
-// that it leaves since it was chosen.
+// Usable reports whether the instance may still get the attempt: since it was chosen, it has
+// neither left nor said that it leaves, and its zone was not evacuated.
 func (t *Ticket) Usable() bool {
 	if t.member.load.leaving.Load() {
 		return false
@@ -54,9 +54,9 @@
 	if view == nil {
 		return false
 	}
-	for _, m := range view.members {
-		if m.load == t.member.load {
-			return !m.instance.Draining()
+	for n := range view.members {
+		if m := &view.members[n]; m.load == t.member.load {
+			return !m.draining()
 		}
 	}
 	return false
--- a/entry/route/view.go
+++ b/entry/route/view.go
@@ -9,13 +9,27 @@
 
 // Member is one instance of a view.
 type Member struct {
-	instance *instance.Instance
-	load     *Load
+	instance  *instance.Instance
+	load      *Load
+	evacuated bool // its zone is evacuated: it counts as draining
 }
 
 // NewMember returns a member of a view.
 func NewMember(i *instance.Instance, load *Load) Member { return Member{instance: i, load: load} }
 
+// WithEvacuated returns the member with whether its zone is evacuated.
+func (m Member) WithEvacuated(evacuated bool) Member {
+	m.evacuated = evacuated
+	return m
+}
+
+// Evacuated reports whether the member's zone is evacuated, so that it gets no requests.
+func (m Member) Evacuated() bool { return m.evacuated }
+
+// draining reports whether the member gets no further requests, by its own announcement or
+// because its zone is evacuated.
+func (m *Member) draining() bool { return m.evacuated || m.instance.Draining() }
+
 // Instance returns the instance as announced.
 func (m Member) Instance() *instance.Instance { return m.instance }
 
@@ -26,12 +40,19 @@
 type View struct {
 	service string
 	members []Member
+	staying int // members outside evacuated zones
 	stats   *ServiceStats
 }
 
 // NewView returns a view of a service.
 func NewView(service string, members []Member) *View {
-	return &View{service: service, members: members, stats: &ServiceStats{}}
+	v := &View{service: service, members: members, stats: &ServiceStats{}}
+	for n := range members {
+		if !members[n].evacuated {
+			v.staying++
+		}
+	}
+	return v
 }
 
 // Service returns the service's name.
