control, platform, snipebeam: orders to evacuate a zone

Control hosts serve Evacuations to operators and Evacuation.Start and Evacuation.Finish on the platform's listener, and send the zones with the instances of a watch. A change ends polls for instances. An order is proposed after the state was confirmed, because the zone and the number of its orders are looked up there, and only while its caller waits: at most a second on the platform's listener, after which callers move on. host.zones lists the zones; without it, a control host does not call a zone unknown in its first five seconds, in which entry hosts report to it.

--- a/control/host/handlers.go
+++ b/control/host/handlers.go
@@ -26,6 +26,11 @@
 	mux.Handle(wire.RulesPathPrefix+"Watch", peers.Authenticate(all.calls(all.polls(server))))
 }
 
+// handleEvacuations registers the Evacuations service, which accepts the operators' keys only.
+func handleEvacuations(mux *http.ServeMux, operators operatorRing, server http.Handler) {
+	mux.Handle(wire.EvacuationsPathPrefix, operators.Authenticate(server))
+}
+
 // handleClaims registers the Claims service: Show and Resolve accept the
 // operators' keys, all other methods accept the keys between hosts.
 func handleClaims(mux *http.ServeMux, peers *key.Ring, operators operatorRing, server http.Handler) {
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -47,6 +47,7 @@
 			newLog,
 			newSeeds,
 			newRules,
+			newEvacuations,
 			newInstances,
 			newDirectory,
 			entry.NewClaims,
@@ -71,15 +72,24 @@
 	return operator.New(cfg.Host.Name, log, machine, hosts).WithZone(cfg.Host.Zone).WithDirectory(dir)
 }
 
+func newEvacuations(cfg *settings.Settings, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet, logger hclog.Logger) *operator.Evacuations {
+	opts := []operator.EvacuationsOption{operator.WithOwnZone(cfg.Host.Zone)}
+	if len(cfg.Host.Zones) > 0 {
+		opts = append(opts, operator.WithZones(cfg.Host.Zones))
+	}
+	return operator.NewEvacuations(cfg.Host.Name, log, machine, hosts, logger, opts...)
+}
+
 func newQuota(cfg *settings.Settings, log agreement.Log, hosts *fleet.Fleet, dir *directory.Directory) *quota.Service {
 	return quota.New(cfg.Host.Name, log, hosts, quota.WithTerms(dir.Terms))
 }
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
 
-func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, all *servers, node *peer.Node, rules *operator.Rules, claims *entry.Claims, grants *quota.Service, exporter *prometheus.Exporter) *http.Server {
+func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, all *servers, node *peer.Node, rules *operator.Rules, claims *entry.Claims, evacuations *operator.Evacuations, grants *quota.Service, exporter *prometheus.Exporter) *http.Server {
 	mux := http.NewServeMux()
 	handleRules(mux, ring, operators, all, wire.NewRulesServer(rules))
+	handleEvacuations(mux, operators, all.calls(wire.NewEvacuationsServer(evacuations)))
 	handleClaims(mux, ring, operators, all.calls(wire.NewClaimsServer(claims)))
 	mux.Handle(wire.QuotaPathPrefix, ring.Authenticate(all.calls(wire.NewQuotaServer(grants))))
 	replicas := http.NewServeMux()
--- a/control/host/listener.go
+++ b/control/host/listener.go
@@ -23,10 +23,11 @@
 type Services struct {
 	fx.In
 
-	Rules     *operator.Rules
-	Instances *upstream.Instances
-	Directory *directory.Directory
-	Logger    hclog.Logger
+	Rules       *operator.Rules
+	Evacuations *operator.Evacuations
+	Instances   *upstream.Instances
+	Directory   *directory.Directory
+	Logger      hclog.Logger
 }
 
 // Listener is an additional listener of a control host.
--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -1,10 +1,12 @@
-// Package operator serves the Twirp service Rules to operators and to entry
-// hosts that watch for new versions.
+// Package operator serves the Twirp services Rules and Evacuations to operators, and
+// Rules.Watch to entry hosts that watch for changes.
 //
 // Usage:
 //
 //	rules := operator.New("control-1", log, machine, fleet)
 //	mux.Handle(wire.RulesPathPrefix, wire.NewRulesServer(rules))
+//	evacuations := operator.NewEvacuations("control-1", log, machine, fleet, logger)
+//	mux.Handle(wire.EvacuationsPathPrefix, wire.NewEvacuationsServer(evacuations))
 package operator
 
 import (
@@ -138,13 +140,15 @@
 	return s.log.Confirm(ctx)
 }
 
+func (s *Rules) asOf(stale bool) int64 { return asOf(s.log, stale) }
+
 // asOf returns the current time for a confirmed response. For a stale one it
 // returns when this host last had a quorum, or zero if it never had one.
-func (s *Rules) asOf(stale bool) int64 {
+func asOf(log agreement.Log, stale bool) int64 {
 	if !stale {
 		return time.Now().UnixNano()
 	}
-	if lastQuorum := s.log.Status().AsOf(); !lastQuorum.IsZero() {
+	if lastQuorum := log.Status().AsOf(); !lastQuorum.IsZero() {
 		return lastQuorum.UnixNano()
 	}
 	return 0
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/snipebeam/snipebeam/control/state"
-	"github.com/snipebeam/snipebeam/world/delta"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/placement"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -67,11 +65,12 @@
 }
 
 // shouldConfirm reports whether the response needs confirmation by the quorum.
-// The first response to a watcher always does. A later one does not if it carries
+// The first response to a watcher always does, and so does the first one with instances, as
+// an entry host that starts must not miss an evacuated zone. A later one does not if it carries
 // a newer version, or if this host has no quorum and the watcher polls for
 // instances, because such a watcher fails over to another control host.
 func (s *Rules) shouldConfirm(req *wire.WatchRequest, newer bool) bool {
-	if req.GetKnownVersion() == 0 {
+	if req.GetKnownVersion() == 0 || req.GetInstances() && req.GetKnownInstances() == 0 && s.log.Status().Quorum() {
 		return true
 	}
 	return !newer && (!req.GetInstances() || s.log.Status().Quorum())
@@ -94,12 +93,15 @@
 		response.ActiveHosts = uint32(s.directory.ActiveHosts())
 	}
 	response.Instances, response.InstancesRevision = s.machine.Instances(req.GetKnownInstances())
+	// Read after the instances, so that the zones are at least as new.
+	response.EvacuatedZones, response.EvacuationsRevision = s.machine.EvacuatedZones()
 	response.Isolations, _ = s.fleet.Isolations()
 	response.Suspects, response.SuspectsRevision = s.fleet.Suspects(req.GetKnownSuspects(), time.Now())
 }
 
 // await waits for a newer version and reports whether there is one. The wait
-// ends early on changes of instances, suspects, rate limits or isolations too.
+// ends early on changes of instances, evacuated zones, suspects, rate limits or isolations
+// too.
 func (s *Rules) await(ctx context.Context, req *wire.WatchRequest) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -119,6 +121,7 @@
 		select {
 		case <-changed.version:
 		case <-changed.instances:
+		case <-changed.evacuations:
 		case <-changed.suspects:
 		case <-changed.rateLimits:
 		case <-changed.isolations:
@@ -132,12 +135,12 @@
 	}
 }
 
-// delay returns how long a poll collects changes. News of instances that were lost, or that
-// hosts reach none, do not wait for longer in a large fleet.
+// delay returns how long a poll collects changes. News of instances that were lost, that
+// hosts reach none, or of evacuated zones do not wait for longer in a large fleet.
 func (s *Rules) delay(req *wire.WatchRequest) time.Duration {
 	suspects, _ := s.fleet.Suspects(req.GetKnownSuspects(), time.Now())
 	isolations, _ := s.fleet.Isolations()
-	if len(suspects) > 0 || isolations > req.GetKnownIsolations() {
+	if len(suspects) > 0 || isolations > req.GetKnownIsolations() || s.hasNewerEvacuations(req) {
 		return batchDelay
 	}
 	hosts := len(s.fleet.Polling(time.Now()))
@@ -146,7 +149,7 @@
 
 // signals are closed at the next change of what a poll asks for; they are nil for the rest.
 type signals struct {
-	version, instances               state.Signal
+	version, instances, evacuations  state.Signal
 	suspects, rateLimits, isolations <-chan struct{}
 }
 
@@ -159,6 +162,7 @@
 	if req.GetInstances() {
 		changed.instances, changed.suspects = s.machine.InstancesChanged(), s.fleet.SuspectsChanged()
 		_, changed.isolations = s.fleet.Isolations()
+		changed.evacuations = s.machine.EvacuationsChanged()
 	}
 	return changed
 }
@@ -187,8 +191,8 @@
 	return version.GetNumber() > req.GetKnownVersion()
 }
 
-// hasChanges reports whether there are newer instance records, suspects or rate limits
-// than the request has.
+// hasChanges reports whether there are newer instance records, evacuated zones, suspects or
+// rate limits than the request has.
 func (s *Rules) hasChanges(req *wire.WatchRequest) bool {
 	if req.GetRateLimits() {
 		if changed, _ := s.fleet.RateLimits(req.GetKnownRateLimits(), time.Now()); len(changed) > 0 {
@@ -202,7 +206,11 @@
 		return true
 	}
 	suspects, _ := s.fleet.Suspects(req.GetKnownSuspects(), time.Now())
-	return s.machine.InstancesRevision() > req.GetKnownInstances() || len(suspects) > 0
+	return s.machine.InstancesRevision() > req.GetKnownInstances() || s.hasNewerEvacuations(req) || len(suspects) > 0
+}
+
+func (s *Rules) hasNewerEvacuations(req *wire.WatchRequest) bool {
+	return s.machine.EvacuationsRevision() > req.GetKnownEvacuations()
 }
 
 // confirmWatch must run before the version is read, so that the version is at
@@ -212,57 +220,3 @@
 	response.Stale = err != nil
 	response.ConfirmAgeNs = int64(age)
 }
-
-// addText adds a delta from the version that the host has, or the full text if
-// that is smaller or requested.
-func (s *Rules) addText(req *wire.WatchRequest, response *wire.WatchResponse, text string) {
-	if !req.GetWhole() && req.GetKnownVersion() > 0 {
-		_, base := s.machine.Version(req.GetKnownVersion())
-		if data := s.deltas.get(req.GetKnownVersion(), response.GetVersion().GetNumber(), base, text); len(data) > 0 && len(data) < len(text) {
-			response.Delta = data
-			return
-		}
-	}
-	if data := s.compressed(response.GetVersion().GetNumber(), text); len(data) > 0 {
-		response.Delta, response.Whole = data, true
-		return
-	}
-	response.Text = text
-}
-
-// minCompressBytes is the size from which a full text is sent compressed.
-const minCompressBytes = 1 << 10
-
-// compressed returns the full text as a delta from the empty text, or nil for a
-// short text.
-func (s *Rules) compressed(number uint64, text string) []byte {
-	if len(text) < minCompressBytes {
-		return nil
-	}
-	return s.fullTexts.get(0, number, "", text)
-}
-
-// deltaCache keeps only the latest delta, because most hosts have the previous
-// version.
-type deltaCache struct {
-	mu       sync.Mutex
-	from, to uint64
-	data     []byte
-}
-
-func (w *deltaCache) get(from, to uint64, older, newer string) []byte {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.from == from && w.to == to {
-		return w.data
-	}
-	if older == "" && from > 0 {
-		return nil // the older version is no longer stored
-	}
-	data, err := delta.Diff(older, newer)
-	if err != nil {
-		return nil
-	}
-	w.from, w.to, w.data = from, to, data
-	return data
-}
--- a/control/prometheus/prometheus.go
+++ b/control/prometheus/prometheus.go
@@ -44,6 +44,8 @@
 	metrics.WriteCounterUint64(w, "snipebeam_commit_index", status.CommitIndex())
 	version, _ := e.machine.InForce()
 	metrics.WriteGaugeUint64(w, "snipebeam_rules_version", version.GetNumber())
+	zones, _ := e.machine.EvacuatedZones()
+	metrics.WriteGaugeUint64(w, "snipebeam_evacuated_zones", uint64(len(zones)))
 	held, unknown := e.machine.CountClaims()
 	metrics.WriteGaugeUint64(w, `snipebeam_claims{state="held"}`, uint64(held))
 	metrics.WriteGaugeUint64(w, `snipebeam_claims{state="unknown"}`, uint64(unknown))
--- a/snipebeam/command/root.go
+++ b/snipebeam/command/root.go
@@ -49,6 +49,7 @@
 	Report     reportCommand                `cmd:"" help:"Draw what entry hosts logged as an HTML page."`
 	Claim      claimCommand                 `cmd:"" help:"Show or resolve the claim of a request that runs at most once."`
 	Group      groupCommand                 `cmd:"" help:"Change the control group."`
+	Evacuate   evacuateCommand              `cmd:"" help:"Send no requests to the instances of a zone, or end that."`
 	LogLevel   logLevelCommand              `cmd:"" help:"Change the log level of running entry hosts."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print the line that makes your shell complete commands."`
 }
--- a/snipebeam/control/calls.go
+++ b/snipebeam/control/calls.go
@@ -65,3 +65,19 @@
 		return h.group.Transfer(ctx, &wire.TransferRequest{To: to})
 	})
 }
+
+// OrderEvacuation starts or ends the evacuation of a zone. It may be sent to several hosts:
+// a repeated order changes nothing.
+func (c *Client) OrderEvacuation(ctx context.Context, order *wire.EvacuationOrder) (*wire.EvacuationResult, error) {
+	return tryHosts(ctx, c, acceptAny, func(ctx context.Context, h host) (*wire.EvacuationResult, error) {
+		return h.evacuations.Order(ctx, order)
+	})
+}
+
+// Evacuations lists the evacuated zones.
+func (c *Client) Evacuations(ctx context.Context) (*wire.EvacuationsResponse, error) {
+	fresh := func(r *wire.EvacuationsResponse) bool { return !r.GetStale() }
+	return tryHosts(ctx, c, fresh, func(ctx context.Context, h host) (*wire.EvacuationsResponse, error) {
+		return h.evacuations.List(ctx, &wire.EvacuationsRequest{})
+	})
+}
--- a/snipebeam/control/client.go
+++ b/snipebeam/control/client.go
@@ -30,6 +30,8 @@
 	rules   wire.Rules
 	claims  wire.Claims
 	group   wire.Group
+
+	evacuations wire.Evacuations
 }
 
 // Client calls the control hosts in order until one gives an acceptable
@@ -58,6 +60,8 @@
 			rules:   wire.NewRulesProtobufClient(url, client),
 			claims:  wire.NewClaimsProtobufClient(url, client),
 			group:   wire.NewGroupProtobufClient(url, client),
+
+			evacuations: wire.NewEvacuationsProtobufClient(url, client),
 		})
 	}
 	return c
