--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -54,7 +54,7 @@
 		}
 		if at == NoMember {
 			admitted.release()
-			return nil, nil, d.noInstance()
+			return nil, nil, d.noInstance(view)
 		}
 	}
 	d.mu.Lock()
@@ -91,7 +91,10 @@
 	return d.router.share(d.service)
 }
 
-func (d *Dispatcher) noInstance() error {
+func (d *Dispatcher) noInstance(view *View) error {
+	if view != nil && len(view.members) > 0 && view.staying == 0 {
+		return outcome.New(outcome.NotRun, outcome.NoInstance, "all instances of "+d.service+" are in evacuated zones")
+	}
 	return outcome.New(outcome.NotRun, outcome.NoInstance, "no instance of "+d.service+" takes requests")
 }
 
@@ -133,7 +136,7 @@
 		view := d.router.views.Load(d.service)
 		w := d.queue.next()
 		if view == nil {
-			d.rejectWaiter(w, d.noInstance())
+			d.rejectWaiter(w, d.noInstance(nil))
 			continue
 		}
 		if w.query.deadline != 0 && float64(now)+d.fullResponseTime(view) > float64(w.query.deadline) {
@@ -145,7 +148,7 @@
 			return
 		}
 		if ticket == nil {
-			d.rejectWaiter(w, d.noInstance())
+			d.rejectWaiter(w, d.noInstance(view))
 			continue
 		}
 		d.queue.dequeue(w)
--- a/entry/route/evacuation_test.go
+++ b/entry/route/evacuation_test.go
@@ -144,6 +144,7 @@
 		must.True(t, errors.As(err, &problem), must.Sprint(name))
 		must.Eq(t, outcome.NoInstance, problem.Reason())
 		must.Eq(t, outcome.NotRun, problem.Kind())
+		must.StrContains(t, problem.Detail(), "evacuated")
 		f.evacuate("a")
 		ticket, err := f.offer(query())
 		must.NoError(t, err)
--- a/entry/route/softdeadline.go
+++ b/entry/route/softdeadline.go
@@ -128,7 +128,7 @@
 	view := d.router.views.Load(d.service)
 	if view == nil {
 		for _, w := range slices.Clone(d.softQueue.all) {
-			d.rejectWaiter(w, d.noInstance())
+			d.rejectWaiter(w, d.noInstance(nil))
 		}
 		return
 	}
@@ -143,7 +143,7 @@
 			return
 		}
 		if ticket == nil {
-			d.rejectWaiter(w, d.noInstance())
+			d.rejectWaiter(w, d.noInstance(view))
 			continue
 		}
 		d.softQueue.remove(w)
--- a/snipebeam/entry/instances.go
+++ b/snipebeam/entry/instances.go
@@ -25,7 +25,7 @@
 }
 
 // stateSeverity ranks the states of an instance.
-var stateSeverity = map[string]int{"ready": 0, "cold": 1, "draining": 2, "ejected": 3, "silent": 4}
+var stateSeverity = map[string]int{"ready": 0, "cold": 1, "evacuated": 2, "draining": 3, "ejected": 4, "silent": 5}
 
 // MergeInstances merges the views that several hosts have of each instance.
 func MergeInstances(responses []Response[*wire.InstancesResponse], atLeast bool) []Instance {
