control/operator: the first instances of an entry host are sent at once

An entry host takes its first instances only from a confirmed response. After a loss of power, its first polls end without one; the next was held back for the 150 to 500 ms in which changes are collected. A poll that brings the first instances is now confirmed and answered at once, if this host has a quorum.

--- a/control/operator/evacuations_test.go
+++ b/control/operator/evacuations_test.go
@@ -216,13 +216,14 @@
 		announce(log.machine, "80", 1, false)
 		log.machine.Apply(&wire.Command{Body: &wire.Command_Evacuation{Evacuation: start("a")}})
 		submit(t, rules, 2)
-		confirms := log.confirms.Load()
+		confirms, began := log.confirms.Load(), time.Now()
 		got, err := rules.Watch(t.Context(), &wire.WatchRequest{KnownVersion: 1, WaitMs: 3000, Instances: true})
 		must.NoError(t, err)
 		must.Eq(t, confirms+1, log.confirms.Load())
 		must.False(t, got.GetStale())
 		must.Len(t, 1, got.GetInstances())
 		must.Eq(t, []string{"a"}, got.GetEvacuatedZones())
+		must.Eq(t, confirmTime, time.Since(began), must.Sprint("it does not wait for further changes"))
 	})
 }
 
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -70,12 +70,18 @@
 // a newer version, or if this host has no quorum and the watcher polls for
 // instances, because such a watcher fails over to another control host.
 func (s *Rules) shouldConfirm(req *wire.WatchRequest, newer bool) bool {
-	if req.GetKnownVersion() == 0 || req.GetInstances() && req.GetKnownInstances() == 0 && s.log.Status().Quorum() {
+	if req.GetKnownVersion() == 0 || s.bringsFirstInstances(req) {
 		return true
 	}
 	return !newer && (!req.GetInstances() || s.log.Status().Quorum())
 }
 
+// bringsFirstInstances reports whether a watcher polls for instances, has none yet, and gets
+// some that can be confirmed.
+func (s *Rules) bringsFirstInstances(req *wire.WatchRequest) bool {
+	return req.GetInstances() && req.GetKnownInstances() == 0 && s.machine.InstancesRevision() > 0 && s.log.Status().Quorum()
+}
+
 // addMembership adds instance records for hosts that get them from control
 // hosts, and gossip seeds for hosts that get them by gossip.
 func (s *Rules) addMembership(req *wire.WatchRequest, response *wire.WatchResponse) {
@@ -103,6 +109,9 @@
 // ends early on changes of instances, evacuated zones, suspects, rate limits or isolations
 // too.
 func (s *Rules) await(ctx context.Context, req *wire.WatchRequest) bool {
+	if s.bringsFirstInstances(req) { // an entry host without instances serves nobody
+		return s.hasNewerVersion(req)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatchWait)
