--- a/control/peer/evacuation_test.go
+++ b/control/peer/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -74,7 +75,9 @@
 	for _, h := range g.others(last) {
 		h.stop()
 	}
-	_, err := last.node.Propose(context.Background(), &wire.Command{Body: &wire.Command_Evacuation{Evacuation: &wire.EvacuationOrder{Zone: "a", End: true, KnownOrders: 1}}})
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond) // it would wait for a majority
+	defer cancel()
+	_, err := last.node.Propose(ctx, &wire.Command{Body: &wire.Command_Evacuation{Evacuation: &wire.EvacuationOrder{Zone: "a", End: true, KnownOrders: 1}}})
 	must.Error(t, err)
 	zones, _ := last.machine.EvacuatedZones()
 	must.Eq(t, []string{"a"}, zones)
@@ -90,7 +93,9 @@
 	for _, h := range g.others(old) {
 		h.stop()
 	}
-	_, err := old.node.Propose(context.Background(), left) // it may be in the old leader's log
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err := old.node.Propose(ctx, left) // it may be in the old leader's log
 	must.Error(t, err)
 	for _, h := range g.others(old) {
 		g.start(h)
