control/operator: an order that the leader does not know is not acknowledged

A leader of a build without evacuations applies nothing and returns an empty result. A newer follower took that for an acknowledgement, and the platform's caller got 200. The order now gets 503, until a leader that knows evacuations has it.

--- a/control/operator/evacuations.go
+++ b/control/operator/evacuations.go
@@ -73,6 +73,10 @@
 		return nil, ProposeError(err)
 	}
 	done := result.GetEvacuation()
+	if done == nil {
+		s.logger.Warn("evacuation not acknowledged: the leader runs a build without evacuations", "zone", order.GetZone(), "end", order.GetEnd())
+		return nil, ProposeError(agreement.ErrUncertain) // newer replicas have applied it
+	}
 	s.logger.Info("evacuation ordered", "zone", order.GetZone(), "end", order.GetEnd(), "author", order.GetAuthor(),
 		"reason", order.GetReason(), "changed", done.GetChanged(), "overtaken", done.GetOvertaken(), "revision", done.GetRevision())
 	if done.GetOvertaken() {
--- a/control/operator/evacuations_test.go
+++ b/control/operator/evacuations_test.go
@@ -22,6 +22,7 @@
 	*partitionedLog
 	confirming, proposing func()
 	proposed              int
+	unknown               bool // the leader does not know the command
 }
 
 func (l *orderLog) Confirm(ctx context.Context) error {
@@ -36,6 +37,9 @@
 	if l.proposing != nil {
 		l.proposing()
 	}
+	if l.unknown {
+		return &wire.Result{}, nil
+	}
 	return l.partitionedLog.Propose(ctx, cmd)
 }
 
@@ -139,6 +143,20 @@
 	})
 }
 
+// Guards against an order that is acknowledged although the leader, of a build without
+// evacuations, applied nothing.
+func TestOrderThatTheLeaderDoesNotKnowIsNotAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, log, _ := newEvacuations(operator.WithZones([]string{"a"}))
+		log.unknown = true
+		_, err := s.Order(t.Context(), start("a"))
+		var refusal twirp.Error
+		must.True(t, errors.As(err, &refusal))
+		must.Eq(t, twirp.Unavailable, refusal.Code())
+		must.Eq(t, operator.TakenUnknown, refusal.Meta(operator.MetaTaken), must.Sprint("newer replicas have applied it"))
+	})
+}
+
 func TestOvertakenOrderIsNotAcknowledged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, log, _ := newEvacuations(operator.WithZones([]string{"a"}))
