control/state: a zone stays known after an order for it

A zone without a host, instance or entry in the settings was known only while it was evacuated. If the response to the order that ended the evacuation was lost, the repeated order got 404. A zone for which an order was taken stays known; the number of its orders is in the replicated state.

--- a/control/operator/evacuations_test.go
+++ b/control/operator/evacuations_test.go
@@ -91,6 +91,19 @@
 	})
 }
 
+// Guards against a 404 for a repeated order whose first response was lost.
+func TestOrderThatEndsTheLastTraceOfAZoneCanBeRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, log, _ := newEvacuations()
+		log.machine.Apply(&wire.Command{Body: &wire.Command_Evacuation{Evacuation: start("gone")}})
+		time.Sleep(10 * time.Second)
+		for range 2 {
+			_, err := s.Order(t.Context(), finish("gone"))
+			must.NoError(t, err)
+		}
+	})
+}
+
 // Guards against a 404 for a valid order, from a control host that has just started.
 func TestHostThatHasJustStartedCallsNoZoneUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/control/state/evacuations.go
+++ b/control/state/evacuations.go
@@ -99,11 +99,12 @@
 	return m.changes.evacuations
 }
 
-// HasZone reports whether an instance in the zone is recorded, or the zone is evacuated.
+// HasZone reports whether an instance in the zone is recorded, or an order for the zone was
+// taken before, so that a repeated one is acknowledged whatever became of the zone since.
 func (m *Machine) HasZone(zone string) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	if _, evacuated := m.evacuations.byZone[zone]; evacuated {
+	if m.evacuations.orders[zone] > 0 {
 		return true
 	}
 	for _, i := range m.instances.byID {
