control/operator: a pause of a control host does not carry out an old order

A process that continues after a pause may go on with an order before the timer of its deadline runs, and after it has applied the orders that others took meanwhile: the old order then counts them as known and undoes them. The number of known orders is now read before the check whether the caller still waits, and the check compares the deadline with the clock.

--- a/control/operator/evacuations.go
+++ b/control/operator/evacuations.go
@@ -60,12 +60,13 @@
 	if problem := s.checkZone(req.GetZone()); problem != nil {
 		return nil, problem
 	}
-	if ctx.Err() != nil { // the caller has gone away and may have sent another order elsewhere
-		return nil, notTaken(context.Cause(ctx).Error())
+	// Read before the check, so that no order counts as known that came after the caller left.
+	known := s.machine.EvacuationOrders(req.GetZone())
+	if err := expired(ctx); err != nil { // the caller may have sent another order elsewhere
+		return nil, notTaken(err.Error())
 	}
 	order := &wire.EvacuationOrder{
-		Zone: req.GetZone(), End: req.GetEnd(), Author: req.GetAuthor(), Reason: req.GetReason(),
-		KnownOrders: s.machine.EvacuationOrders(req.GetZone()),
+		Zone: req.GetZone(), End: req.GetEnd(), Author: req.GetAuthor(), Reason: req.GetReason(), KnownOrders: known,
 	}
 	result, err := s.log.Propose(ctx, &wire.Command{At: time.Now().UnixNano(), Body: &wire.Command_Evacuation{Evacuation: order}})
 	if err != nil {
@@ -85,6 +86,18 @@
 	return done, nil
 }
 
+// expired returns why a context has ended, also if its deadline has passed and its timer has not
+// run yet, as after a pause of the process.
+func expired(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
 // notTaken returns the error of an order that is not carried out, now or later.
 func notTaken(detail string) error {
 	return twirp.NewError(twirp.Unavailable, detail).WithMeta(MetaTaken, TakenNo)
--- a/control/operator/evacuations_test.go
+++ b/control/operator/evacuations_test.go
@@ -156,6 +156,53 @@
 	})
 }
 
+// expiredContext is a context whose deadline has passed and whose timer has not run yet, as
+// after a pause of the process.
+type expiredContext struct{ context.Context }
+
+func (expiredContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Second), true }
+
+// Guards against an order that a control host carries out when it continues after a pause, in
+// which its caller moved on and sent others elsewhere.
+func TestOrderPastItsDeadlineIsNotProposed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, log, _ := newEvacuations(operator.WithZones([]string{"a"}))
+		_, err := s.Order(expiredContext{t.Context()}, start("a"))
+		must.Eq(t, twirp.Unavailable, codeOf(err))
+		must.Zero(t, log.proposed)
+	})
+}
+
+// pausedContext is a context in which a function runs while it is checked for its end.
+type pausedContext struct {
+	context.Context
+	paused func()
+}
+
+func (c pausedContext) Err() error {
+	err := c.Context.Err()
+	c.paused()
+	return err
+}
+
+// Guards against an order that takes those applied after the check of its caller for known, and
+// so undoes a later one.
+func TestOrderKnowsNoneThatCameAfterItsCallerWasChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, log, _ := newEvacuations(operator.WithZones([]string{"a"}))
+		ctx := pausedContext{Context: t.Context(), paused: func() {
+			for _, o := range []*wire.EvacuationOrder{start("a"), finish("a")} {
+				o.KnownOrders = log.machine.EvacuationOrders("a")
+				log.machine.Apply(&wire.Command{Body: &wire.Command_Evacuation{Evacuation: o}})
+			}
+		}}
+		_, err := s.Order(ctx, start("a"))
+		must.Eq(t, twirp.Unavailable, codeOf(err))
+		zones, _ := log.machine.EvacuatedZones()
+		must.SliceEmpty(t, zones)
+	})
+}
+
 // Guards against an order that is acknowledged although the leader, of a build without
 // evacuations, applied nothing.
 func TestOrderThatTheLeaderDoesNotKnowIsNotAcknowledged(t *testing.T) {
