control/operator: unconfirmed responses have no first instances

An entry host takes its first instances only from a confirmed response. While there was no quorum, such as after a loss of power, each of its polls, several a second, brought all records again: 27 kB for 381 instances. They are now left out until a response is confirmed.

--- a/control/operator/evacuations_test.go
+++ b/control/operator/evacuations_test.go
@@ -305,4 +305,36 @@
 	})
 }
 
+// Guards against the list of all instances in each response to each entry host while there is no
+// quorum, such as after a loss of power: an entry host takes its first instances confirmed only.
+func TestUnconfirmedResponseHasNoFirstInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rules, log := newPartitionedRules(t)
+		announce(log.machine, "80", 1, false)
+		log.machine.Apply(&wire.Command{Body: &wire.Command_Evacuation{Evacuation: start("a")}})
+		log.quorumLost.Store(true)
+		for _, known := range []uint64{0, 1} { // versions
+			got, err := rules.Watch(t.Context(), &wire.WatchRequest{KnownVersion: known, WaitMs: 200, Instances: true})
+			must.NoError(t, err)
+			must.True(t, got.GetStale())
+			must.SliceEmpty(t, got.GetInstances())
+			must.Zero(t, got.GetInstancesRevision())
+			must.Zero(t, got.GetEvacuationsRevision())
+		}
+		log.quorumLost.Store(false)
+		got, err := rules.Watch(t.Context(), &wire.WatchRequest{KnownVersion: 1, WaitMs: 200, Instances: true})
+		must.NoError(t, err)
+		must.False(t, got.GetStale())
+		must.Len(t, 1, got.GetInstances())
+		must.Eq(t, []string{"a"}, got.GetEvacuatedZones())
+
+		log.quorumLost.Store(true) // changes are sent without confirmation, as before
+		announce(log.machine, "81", 1, false)
+		got, err = rules.Watch(t.Context(), &wire.WatchRequest{KnownVersion: 1, WaitMs: 200, Instances: true, KnownInstances: 1})
+		must.NoError(t, err)
+		must.Len(t, 1, got.GetInstances())
+		must.Eq(t, 1, int(got.GetEvacuationsRevision()))
+	})
+}
+
 var _ agreement.Log = (*orderLog)(nil)
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -98,9 +98,13 @@
 	if s.directory != nil {
 		response.ActiveHosts = uint32(s.directory.ActiveHosts())
 	}
-	response.Instances, response.InstancesRevision = s.machine.Instances(req.GetKnownInstances())
-	// Read after the instances, so that the zones are at least as new.
-	response.EvacuatedZones, response.EvacuationsRevision = s.machine.EvacuatedZones()
+	// An entry host takes no first instances that are unconfirmed, and would get all of them again
+	// with each poll.
+	if req.GetKnownInstances() > 0 || !response.GetStale() {
+		response.Instances, response.InstancesRevision = s.machine.Instances(req.GetKnownInstances())
+		// Read after the instances, so that the zones are at least as new.
+		response.EvacuatedZones, response.EvacuationsRevision = s.machine.EvacuatedZones()
+	}
 	response.Isolations, _ = s.fleet.Isolations()
 	response.Suspects, response.SuspectsRevision = s.fleet.Suspects(req.GetKnownSuspects(), time.Now())
 }
