control/state: a test of orders that are repeated at several control hosts

It simulates a caller that sends each order to several hosts at once and again until it is acknowledged, with lost responses and orders that are applied late. It fails if a late order counts although others came since.

--- a/control/state/evacuations_test.go
+++ b/control/state/evacuations_test.go
@@ -169,3 +169,54 @@
 		}
 	})
 }
+
+// TestRepeatedOrdersEndAcknowledgedAndUndoNoLaterOne simulates a caller that sends each order to
+// several control hosts at once and again, until one acknowledges it, and then orders the
+// opposite. Orders that it gave up are applied at any later time. It guards against a repeated
+// order that is never acknowledged, and against one that undoes what was acknowledged after it.
+func TestRepeatedOrdersEndAcknowledgedAndUndoNoLaterOne(t *testing.T) {
+	const calmRound = 5 // from which on nothing is delayed or lost
+	rapid.Check(t, func(t *rapid.T) {
+		m := state.New()
+		type sent struct {
+			goal int
+			cmd  *wire.Command
+		}
+		var pending []sent
+		evacuated := func() bool {
+			zones, _ := m.EvacuatedZones()
+			return len(zones) > 0
+		}
+		for goal := range rapid.IntRange(1, 6).Draw(t, "orders") {
+			end := goal%2 == 1
+			for round, acknowledged := 0, false; !acknowledged; round++ {
+				must.Less(t, calmRound+2, round, must.Sprint("not acknowledged"))
+				for range rapid.IntRange(1, 3).Draw(t, "hosts") {
+					pending = append(pending, sent{goal: goal, cmd: evacuation("a", end, m.EvacuationOrders("a"))})
+				}
+				applied := rapid.IntRange(0, 3).Draw(t, "applied")
+				if round >= calmRound {
+					applied = len(pending)
+				}
+				for range min(applied, len(pending)) {
+					at := rapid.IntRange(0, len(pending)-1).Draw(t, "at")
+					next, before := pending[at], evacuated()
+					pending = slices.Delete(pending, at, at+1)
+					overtaken := m.Apply(next.cmd).GetEvacuation().GetOvertaken()
+					if next.goal != goal {
+						must.Eq(t, before, evacuated(), must.Sprint("an order that was given up had an effect"))
+					} else if !overtaken {
+						must.Eq(t, !end, evacuated())
+						acknowledged = acknowledged || round >= calmRound || rapid.Bool().Draw(t, "responds")
+					}
+				}
+			}
+			must.Eq(t, !end, evacuated())
+		}
+		last := evacuated()
+		for _, late := range pending {
+			m.Apply(late.cmd)
+			must.Eq(t, last, evacuated(), must.Sprint("undone by a late order"))
+		}
+	})
+}
