world, platform: the limit of cold instances in rules, their time in announcements

Change: services have the term coldRate. A record carries the stated time as a time left. A renewal that only counts it down changes neither the replicated record nor the gossip's. A rate that is not a number (NaN/s) was accepted in all terms and is refused.

--- a/control/state/instances_test.go
+++ b/control/state/instances_test.go
@@ -78,6 +78,21 @@
 	must.False(t, m.Instance("a").GetDraining())
 }
 
+// A renewal that only counts the cold time down would otherwise be a commit, and news for all
+// hosts, with every announcement of every cold instance.
+func TestRenewalThatCountsTheColdTimeDownChangesNothing(t *testing.T) {
+	cold := func(left time.Duration) change {
+		return func(m *wire.Instance) { m.Cold, m.WarmupLeftNs = left > 0, int64(left) }
+	}
+	m := state.New()
+	must.True(t, announce(m, instanceOf("a", 7, 1, cold(3*time.Second))).GetChanged())
+	must.Eq(t, int64(3*time.Second), m.Instance("a").GetWarmupLeftNs())
+	must.False(t, state.ChangesRecord(m.Instance("a"), instanceOf("a", 7, 2, cold(time.Second))))
+	must.False(t, announce(m, instanceOf("a", 7, 2, cold(time.Second))).GetChanged())
+	must.True(t, announce(m, instanceOf("a", 7, 3, cold(0))).GetChanged())
+	must.Zero(t, m.Instance("a").GetWarmupLeftNs())
+}
+
 func TestOutdatedAnnouncementsChangeNothing(t *testing.T) {
 	for name, late := range map[string]*wire.Instance{
 		"of an earlier start":                instanceOf("a", 6, 9),
--- a/entry/gossip/instance.go
+++ b/entry/gossip/instance.go
@@ -127,6 +127,9 @@
 func changed(next, known *wire.Instance) bool {
 	a, b := clone(next), clone(known)
 	a.Revision, a.Sequence = b.GetRevision(), b.GetSequence()
+	if a.GetCold() == b.GetCold() {
+		a.WarmupLeftNs = b.GetWarmupLeftNs() // a renewal counts it down
+	}
 	return !proto.Equal(a, b)
 }
 
--- a/world/contract/service.go
+++ b/world/contract/service.go
@@ -33,6 +33,7 @@
 	health         string
 	allowance      int
 	window         time.Duration
+	coldRate       float64
 }
 
 // ServiceOption changes one term of a service.
@@ -131,6 +132,16 @@
 // RetryBudget returns the share of requests that may be retries.
 func (s *Service) RetryBudget() float64 { return s.retryBudget }
 
+// WithColdRate limits the requests a second to each cold instance, from all entry hosts
+// together; 0 means no limit.
+func WithColdRate(perSecond float64) ServiceOption {
+	return func(s *Service) { s.coldRate = perSecond }
+}
+
+// ColdRate returns the limit on requests a second to each cold instance, from all entry
+// hosts together; 0 means no limit.
+func (s *Service) ColdRate() float64 { return s.coldRate }
+
 // WithHealth sets the path at which an instance reports its load; empty means that
 // it has none.
 func WithHealth(path string) ServiceOption { return func(s *Service) { s.health = path } }
--- a/world/instance/instance.go
+++ b/world/instance/instance.go
@@ -10,6 +10,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/snipebeam/snipebeam/world/wire"
 )
@@ -20,6 +21,10 @@
 	DefaultMaxLinks = 500
 )
 
+// MaxWarmup is the longest time for which an instance may state that it stays cold. A
+// longer one is taken as this one, so that a wrong figure does not limit it for good.
+const MaxWarmup = time.Hour
+
 // ID identifies an instance and is unique in the whole system.
 type ID string
 
@@ -32,6 +37,7 @@
 	slots       int
 	maxLinks    int
 	cold        bool
+	warmupLeft  time.Duration
 	draining    bool
 	incarnation uint64
 }
@@ -60,6 +66,10 @@
 // WithCold sets whether the instance has just started and is still warming up.
 func WithCold(cold bool) Option { return func(i *Instance) { i.cold = cold } }
 
+// WithWarmupLeft sets for how long the instance stays cold from its announcement on; 0
+// means that it did not state this.
+func WithWarmupLeft(d time.Duration) Option { return func(i *Instance) { i.warmupLeft = d } }
+
 // WithDraining sets whether the instance accepts no new requests.
 func WithDraining(draining bool) Option { return func(i *Instance) { i.draining = draining } }
 
@@ -71,7 +81,7 @@
 func FromWire(m *wire.Instance) *Instance {
 	i := New(ID(m.GetId()), m.GetService(), m.GetAddress(),
 		WithZone(m.GetZone()), WithCold(m.GetCold()), WithDraining(m.GetDraining()),
-		WithIncarnation(m.GetIncarnation()))
+		WithIncarnation(m.GetIncarnation()), WithWarmupLeft(min(time.Duration(max(m.GetWarmupLeftNs(), 0)), MaxWarmup)))
 	if m.GetSlots() > 0 {
 		i.slots = int(m.GetSlots())
 	}
@@ -102,6 +112,10 @@
 // Cold reports whether the instance has just started and is still warming up.
 func (i *Instance) Cold() bool { return i.cold }
 
+// WarmupLeft returns for how long the instance stays cold from its announcement on, 0 if
+// it did not state this.
+func (i *Instance) WarmupLeft() time.Duration { return i.warmupLeft }
+
 // Draining reports whether the instance accepts no new requests.
 func (i *Instance) Draining() bool { return i.draining }
 
--- a/world/rule/term.go
+++ b/world/rule/term.go
@@ -74,6 +74,7 @@
 		return contract.WithEachCallerInFlight(v.count(maxCount))
 	},
 	"callerRate": func(v *values) contract.ServiceOption { return contract.WithEachCallerRate(v.rate()) },
+	"coldRate":   func(v *values) contract.ServiceOption { return contract.WithColdRate(v.rate()) },
 }
 
 // Terms returns the names of all terms, sorted.
--- a/world/rule/value.go
+++ b/world/rule/value.go
@@ -139,7 +139,7 @@
 		return 0
 	}
 	r, err := strconv.ParseFloat(number, 64)
-	if err != nil || r <= 0 || math.IsInf(r, 0) {
+	if err != nil || !(r > 0) || math.IsInf(r, 0) { // NaN too
 		v.fail(text+" is not a rate", "write it as 50/s")
 		return 0
 	}
