entry, control/quota: cold instances are limited over all hosts

Cause: each host took a cold instance for one that is twice as slow, so that all hosts together could send it far more than it tolerates.

Change: a cold instance of a service with a coldRate gets only what the leader granted, like one that names a rate limit; of two limits the lower one holds. What was granted under a higher limit ends when a host hears that the instance is cold. Hosts ask for grants once a cold instance is the better choice, a request waits or went to one, and then at once. A new leader grants cold instances from its first moment from empty buckets. After the cold time hosts stop avoiding an instance one after the other within 2 s.

Services without a coldRate are chosen for as before.

--- a/control/quota/quota.go
+++ b/control/quota/quota.go
@@ -95,7 +95,8 @@
 	b.at = now
 }
 
-// Grant grants requests to an entry host. On a control host that is not the leader it
+// Grant grants requests to an entry host, to instances that named a rate limit and to cold
+// instances of services that limit the requests to them. On a control host that is not the leader it
 // names the leader; a leader without a quorum, or whose predecessor's grants may still
 // be in use, returns an error.
 func (s *Service) Grant(_ context.Context, req *wire.GrantRequest) (*wire.GrantResponse, error) {
@@ -103,7 +104,9 @@
 	if status.Leader() != s.name {
 		return &wire.GrantResponse{LeaderAddress: status.LeaderAddress()}, nil
 	}
-	if !status.Quorum() || now.Sub(status.LeadsSince()) < Validity {
+	coldRate := s.coldRate(req)
+	limits := now.Sub(status.LeadsSince()) >= Validity // no grant of the previous leader is in use
+	if !status.Quorum() || !limits && coldRate == 0 {
 		return nil, twirp.NewError(twirp.Unavailable, "this control host does not grant yet")
 	}
 	s.fleet.AddRateLimits(req.GetRateLimits(), now)
@@ -112,6 +115,10 @@
 	s.startTerm(status.Term())
 	response := &wire.GrantResponse{Leader: true, ValidNs: int64(Validity), PauseNs: int64(s.pause(req.GetHost(), now))}
 	var candidates []candidate
+	if coldRate > 0 {
+		response.ValidNs = int64(coldValidity(coldRate))
+		candidates = s.coldCandidates(req, coldRate, limits, status.LeadsSince(), now)
+	}
 	for _, known := range req.GetRateLimits() {
 		limit := s.fleet.RateLimit(known.GetInstance(), now)
 		if limit == nil {
@@ -120,7 +127,7 @@
 		if limit.GetAgeNs() < known.GetAgeNs() {
 			response.RateLimits = append(response.RateLimits, limit)
 		}
-		if !limit.GetEnded() {
+		if limits && !limit.GetEnded() && !(coldRate > 0 && slices.Contains(req.GetCold(), known.GetInstance())) {
 			candidates = append(candidates, candidate{instance: known.GetInstance(), bucket: s.bucket(known.GetInstance(), limit.GetPerSecond(), now)})
 		}
 	}
--- a/entry/caller/dialect.go
+++ b/entry/caller/dialect.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
@@ -39,6 +40,9 @@
 	// RateLimit is the response header with the requests a second that the instance
 	// accepts from all entry hosts together.
 	RateLimit string
+	// Warmup is the header of a response to a probe with the milliseconds for which the
+	// instance stays cold.
+	Warmup string
 	// Leaving is the response header by which an instance states that it leaves and wants no
 	// new requests.
 	Leaving string
@@ -107,6 +111,16 @@
 	return route.NewRateLimit(perSecond)
 }
 
+// WarmupLeft returns for how long an instance stays cold, as its response to a probe
+// states it. A header that is missing or not a decimal number of at least 0 states nothing.
+func (d *Dialect) WarmupLeft(h http.Header) route.Warmup {
+	ms, err := strconv.ParseFloat(strings.TrimSpace(header(h, d.Warmup)), 64)
+	if err != nil || math.IsNaN(ms) || math.IsInf(ms, 0) || ms < 0 {
+		return route.Warmup{}
+	}
+	return route.NewWarmup(time.Duration(min(ms, float64(instance.MaxWarmup.Milliseconds())) * float64(time.Millisecond)))
+}
+
 // isLeaving reports whether a response states that its instance leaves.
 func (d *Dialect) isLeaving(h http.Header) bool {
 	value := strings.TrimSpace(header(h, d.Leaving))
--- a/entry/host/listener.go
+++ b/entry/host/listener.go
@@ -49,6 +49,7 @@
 	if o.dialect == nil {
 		return
 	}
+	report.Warmup = o.dialect.WarmupLeft(h)
 	if load, ok := o.dialect.Load(h); ok {
 		report.HasLoad, report.Requests, report.Slowdown = true, load.Requests, load.Slowdown
 	}
--- a/entry/host/ratelimit.go
+++ b/entry/host/ratelimit.go
@@ -90,8 +90,12 @@
 	now := time.Now().UnixNano()
 	req := &wire.GrantRequest{Host: g.host, Wanted: uint32(wanted)}
 	for _, m := range members {
-		limit, at := m.Load().RateLimitAt()
-		req.RateLimits = append(req.RateLimits, rateLimitMessage(m, limit, now-at))
+		if limit, at := m.Load().RateLimitAt(); limit.Limited() {
+			req.RateLimits = append(req.RateLimits, rateLimitMessage(m, limit, now-at))
+		}
+		if m.ColdUntil(now) > now {
+			req.Service, req.Cold = m.Instance().Service(), append(req.Cold, string(m.Instance().ID()))
+		}
 	}
 	response, err := g.quota.Grant(ctx, req)
 	if err != nil {
--- a/entry/prometheus/prometheus.go
+++ b/entry/prometheus/prometheus.go
@@ -106,6 +106,9 @@
 		if limit := m.Load().RateLimit(); limit.Limited() {
 			metrics.WriteGaugeFloat64(w, "snipebeam_instance_rate_limit"+label, limit.PerSecond())
 		}
+		if now := time.Now().UnixNano(); m.ColdUntil(now) > now {
+			metrics.WriteGaugeUint64(w, "snipebeam_instance_cold"+label, 1)
+		}
 		draining := uint64(0)
 		if i.Draining() {
 			draining = 1
--- a/entry/route/adaptive.go
+++ b/entry/route/adaptive.go
@@ -113,7 +113,7 @@
 		if !m.load.fresh(now) {
 			service *= staleFactor
 		}
-		score, hasCapacity := e.scoreWithFill(m, service, local, inFlight, load, state)
+		score, hasCapacity := e.scoreWithFill(m, q, service, local, inFlight, load, state)
 		return score, hasCapacity && (q.slowService || !m.load.slowMoment(now))
 	}
 	score := damped * (max(1, (load+1)/slots) + e.slotCost*load/slots)
@@ -135,9 +135,9 @@
 const coldFactor = 2.0
 
 // scoreWithFill returns the score of an instance of which only a share of the slots is used.
-func (e *expectedLatency) scoreWithFill(m *Member, service, local, inFlight, load float64, state State) (score float64, hasCapacity bool) {
+func (e *expectedLatency) scoreWithFill(m *Member, q *Query, service, local, inFlight, load float64, state State) (score float64, hasCapacity bool) {
 	slots := float64(m.instance.Slots())
-	if state == Cold || state == Recovering {
+	if state == Cold && q.coldRate == 0 || state == Recovering { // else the cost of cold ones is added to the score
 		service *= coldFactor
 	}
 	limit := max(math.Floor(slots*e.fill), 1)
--- a/entry/route/baseline.go
+++ b/entry/route/baseline.go
@@ -74,7 +74,7 @@
 		at := int(p.next.Add(1) % uint64(len(view.members)))
 		m := &view.members[at]
 		state := stateOf(m, query, now)
-		within := m.load.withinRateLimit(now)
+		within := m.mayTake(query.coldRate, now)
 		trace.add(m, state, 0, within, now)
 		if state == Draining || state == Excluded || m.load.blocked(now) {
 			continue
--- /dev/null
+++ b/entry/route/cold.go
@@ -0,0 +1,191 @@
+package route
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/snipebeam/snipebeam/world/instance"
+)
+
+var (
+	coldRequests = metrics.GetOrCreateCounter("snipebeam_requests_to_cold_instances_total")
+	coldProbes   = metrics.GetOrCreateCounter("snipebeam_probes_of_cold_instances_total")
+)
+
+// Warmup is the time for which an instance stays cold, as its response to a probe states
+// it. The zero value states nothing.
+type Warmup struct {
+	left   time.Duration
+	stated bool
+}
+
+// NewWarmup returns the statement that an instance stays cold for a time; 0 means that it
+// is not cold.
+func NewWarmup(left time.Duration) Warmup {
+	return Warmup{left: min(max(left, 0), instance.MaxWarmup), stated: true}
+}
+
+// Stated reports whether the response stated a time.
+func (w Warmup) Stated() bool { return w.stated }
+
+// Left returns the stated time, 0 if the instance is not cold.
+func (w Warmup) Left() time.Duration { return w.left }
+
+// warmup is when an instance stops being cold, from its record and from probes.
+type warmup struct {
+	record atomic.Pointer[recordedWarmup]
+	probed atomic.Int64 // end as last stated to a probe, 0 if never
+}
+
+// recordedWarmup is the end of the cold time that a record of the instance states.
+type recordedWarmup struct {
+	instance *instance.Instance
+	end      int64 // in the past if the instance is not cold, 0 if it never was
+}
+
+// untimed is the end of the cold time of an instance that did not state it.
+const untimed = math.MaxInt64
+
+// after returns what applies once the host knows a later record of the instance.
+func (old *recordedWarmup) after(next *instance.Instance, now int64) *recordedWarmup {
+	record := &recordedWarmup{instance: next}
+	switch {
+	case !next.Cold():
+		if old != nil {
+			record.end = min(old.end, now)
+		}
+	case old != nil && old.instance.Cold() && old.instance.WarmupLeft() == next.WarmupLeft():
+		record.end = old.end // the record changed in another way
+	case next.WarmupLeft() == 0:
+		record.end = untimed
+	default:
+		record.end = now + int64(next.WarmupLeft())
+	}
+	return record
+}
+
+// end returns when the instance stops or stopped being cold, 0 if it never was. The time
+// that a record states counts from the first call with that record.
+func (w *warmup) end(i *instance.Instance, now int64) int64 {
+	old := w.record.Load()
+	if old != nil && old.instance == i {
+		return max(old.end, w.probed.Load())
+	}
+	record := old.after(i, now)
+	w.record.CompareAndSwap(old, record)
+	return max(record.end, w.probed.Load())
+}
+
+// state records what a response to a probe stated. That the instance is not cold ends
+// also what the record states, which is older.
+func (w *warmup) state(i *instance.Instance, stated Warmup, now int64) {
+	if !stated.stated {
+		return
+	}
+	end := w.end(i, now)
+	if stated.left > 0 {
+		coldProbes.Inc()
+		w.probed.Store(now + int64(stated.left))
+		return
+	}
+	if end > now {
+		w.record.Store(&recordedWarmup{instance: i, end: min(w.record.Load().end, now)})
+		w.probed.Store(min(w.probed.Load(), now))
+	}
+}
+
+// ColdUntil returns when the instance stops or stopped being cold, 0 if it never was.
+func (m Member) ColdUntil(now int64) int64 { return m.load.warmup.end(m.instance, now) }
+
+// noteCold starts the cold times that new records state.
+func (d *Dispatcher) noteCold(view *View, now int64) {
+	if d.router.terms(d.service).ColdRate() <= 0 {
+		return
+	}
+	for _, m := range view.members {
+		m.ColdUntil(now)
+	}
+}
+
+// isCold reports whether the member counts as cold. Without a limit on requests to cold
+// instances, this is what its record states.
+func (m *Member) isCold(coldRate float64, now int64) bool {
+	if coldRate <= 0 {
+		return m.instance.Cold()
+	}
+	return m.ColdUntil(now) > now
+}
+
+// warmRamp is the time over which instances that were cold get their share back. All hosts
+// see their end at nearly the same time, and would otherwise send their next requests to the
+// instances of a returned zone, which are idle.
+const warmRamp = 2 * time.Second
+
+// warmDelay returns the time for which a host goes on to avoid instances after their cold
+// time. It is spread evenly over warmRamp by the names of hosts. A cost that fell over that
+// time would change the choice of all hosts at once, when it falls below that of the others.
+func warmDelay(host string) int64 { return int64(xxhash.Sum64String(host) % uint64(warmRamp)) }
+
+// coldCost returns the factor on the score of an instance whose cold time ends at the given
+// time, at a host with the given delay.
+func coldCost(end, delay, now int64) float64 {
+	if end == 0 || now >= end && now-end >= delay {
+		return 1
+	}
+	return coldFactor
+}
+
+// lower returns the lower of two limits. One of them may be none.
+func (l RateLimit) lower(other RateLimit) RateLimit {
+	if !l.limited || other.limited && other.perSecond < l.perSecond {
+		return other
+	}
+	return l
+}
+
+// allowance is the limit that binds requests to a member.
+type allowance struct {
+	limit RateLimit
+	cold  bool // the member is cold and its service limits the requests to cold ones
+}
+
+// allowance returns the limit that binds requests to the member: the lower one of the
+// limit that it named and of that for cold instances.
+func (m *Member) allowance(coldRate float64, now int64) allowance {
+	named := m.load.RateLimit()
+	if coldRate <= 0 || !m.isCold(coldRate, now) {
+		return allowance{limit: named}
+	}
+	return allowance{limit: named.lower(NewRateLimit(coldRate)), cold: true}
+}
+
+// available returns the requests that this host may send to a member with a limit.
+func (m *Member) available(a allowance, now int64) int {
+	return m.load.rateLimit.available(a.cold, now)
+}
+
+// mayTake reports whether this host may send one more request now.
+func (m *Member) mayTake(coldRate float64, now int64) bool {
+	a := m.allowance(coldRate, now)
+	return !a.limit.limited || m.available(a, now) > 0
+}
+
+// takeRequest counts a request against the limits. It returns false if none may be sent.
+func (m *Member) takeRequest(coldRate float64, now int64) bool {
+	a := m.allowance(coldRate, now)
+	if !a.limit.limited {
+		return true
+	}
+	if !m.load.rateLimit.take(a.cold, now) {
+		return false
+	}
+	if a.cold {
+		coldRequests.Inc()
+	} else {
+		limitedRequests.Inc()
+	}
+	return true
+}
--- /dev/null
+++ b/entry/route/cold_test.go
@@ -0,0 +1,158 @@
+package route_test
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/world/contract"
+	"github.com/snipebeam/snipebeam/world/instance"
+)
+
+// newColdFixture returns a router of a service with a limit for cold instances, to which
+// the leader grants the given number of requests at every call.
+func newColdFixture(n, granted int, policy route.Policy) *fixture {
+	terms := contract.NewService(service, contract.WithColdRate(1.6))
+	return newFixture(n, policy, route.WithTerms(func(string) *contract.Service { return terms }),
+		route.WithGrants(func(_ context.Context, _ int, members []route.Member) (route.Grants, error) {
+			grants := route.Grants{Requests: map[instance.ID]int{}, Validity: grantValidity}
+			for _, m := range members {
+				grants.Requests[m.Instance().ID()] = granted
+			}
+			return grants, nil
+		}))
+}
+
+func (f *fixture) probed(n int, warmup route.Warmup) {
+	f.router.RecordProbe(f.members[n], route.ProbeReport{Answered: true, Healthy: true, Warmup: warmup})
+}
+
+// sendable returns how many requests the router sends at once, of the given number.
+func (f *fixture) sendable(t *testing.T, requests int) int {
+	t.Helper()
+	n := 0
+	for range requests {
+		if ticket := f.router.Try(query()); ticket != nil {
+			n++
+			ticket.Finish(route.Report{Latency: time.Millisecond})
+		}
+	}
+	return n
+}
+
+func TestColdInstanceGetsOnlyWhatIsGranted(t *testing.T) {
+	for _, policy := range []string{contract.PolicyAdaptive, contract.PolicyRandom, contract.PolicyRoundRobin, contract.PolicyLeast, contract.PolicyPowerOfTwo, contract.PolicyPeakEWMA} {
+		f := newColdFixture(1, 2, route.ByName(policy))
+		f.change(0, instance.WithCold(true), instance.WithWarmupLeft(3*time.Second))
+		must.Zero(t, f.sendable(t, 5), must.Sprint(policy)) // also retries and hedges
+		_, waiter, err := f.router.Offer(query(), func(ticket *route.Ticket, err error) {
+			must.NoError(t, err)
+			ticket.Finish(route.Report{Latency: time.Millisecond})
+		})
+		must.NoError(t, err)
+		must.NotNil(t, waiter)
+		f.router.RequestGrants(context.Background())
+		must.False(t, waiter.Cancel()) // it was sent
+		must.Eq(t, 1, f.sendable(t, 5), must.Sprint(policy))
+		f.now += int64(3 * time.Second)
+		must.Eq(t, 5, f.sendable(t, 5), must.Sprint(policy))
+	}
+}
+
+func TestColdInstanceOfAServiceWithoutALimitIsNotLimited(t *testing.T) {
+	f := newFixture(1, route.NewAdaptive())
+	f.change(0, instance.WithCold(true), instance.WithWarmupLeft(3*time.Second))
+	f.probed(0, route.NewWarmup(time.Second))
+	must.Eq(t, 5, f.sendable(t, 5))
+}
+
+// Guards against an instance that is limited later than a host hears of it, or for longer than
+// it states.
+func TestColdTimeOfRecordsAndProbes(t *testing.T) {
+	cold := func(left time.Duration) []instance.Option {
+		return []instance.Option{instance.WithCold(true), instance.WithWarmupLeft(left)}
+	}
+	for name, test := range map[string]struct {
+		run  func(f *fixture)
+		cold time.Duration // from the end of run on
+	}{
+		"never":                        {func(*fixture) {}, 0},
+		"a record":                     {func(f *fixture) { f.change(0, cold(3*time.Second)...) }, 3 * time.Second},
+		"a record without a time":      {func(f *fixture) { f.change(0, instance.WithCold(true)) }, math.MaxInt64},
+		"a record that ends it":        {func(f *fixture) { f.change(0, cold(3*time.Second)...); f.change(0) }, 0},
+		"a probe":                      {func(f *fixture) { f.probed(0, route.NewWarmup(time.Second)) }, time.Second},
+		"a probe that states more":     {func(f *fixture) { f.change(0, cold(time.Second)...); f.probed(0, route.NewWarmup(2*time.Second)) }, 2 * time.Second},
+		"a probe that states the end":  {func(f *fixture) { f.change(0, cold(time.Second)...); f.probed(0, route.NewWarmup(0)) }, 0},
+		"a probe that states nothing":  {func(f *fixture) { f.change(0, cold(time.Second)...); f.probed(0, route.Warmup{}) }, time.Second},
+		"an older record after probes": {func(f *fixture) { f.probed(0, route.NewWarmup(time.Second)); f.change(0) }, time.Second},
+		"a record that changes in another way": {func(f *fixture) {
+			f.change(0, cold(3*time.Second)...)
+			f.now += int64(time.Second)
+			f.change(0, append(cold(3*time.Second), instance.WithZone("z"))...)
+		}, 2 * time.Second},
+		"cold again": {func(f *fixture) {
+			f.change(0, cold(time.Second)...)
+			f.now += int64(5 * time.Second)
+			f.change(0)
+			f.change(0, cold(2*time.Second)...)
+		}, 2 * time.Second},
+		"a negative time": {func(f *fixture) { f.probed(0, route.NewWarmup(-time.Second)) }, 0},
+		"a time too long": {func(f *fixture) { f.probed(0, route.NewWarmup(math.MaxInt64)) }, instance.MaxWarmup},
+	} {
+		f := newColdFixture(1, 1, route.NewAdaptive())
+		f.now = int64(100 * time.Hour)
+		must.Eq(t, 1, f.sendable(t, 1))
+		test.run(f)
+		end := f.members[0].ColdUntil(f.now)
+		if test.cold == math.MaxInt64 {
+			must.Eq(t, int64(math.MaxInt64), end, must.Sprint(name))
+			continue
+		}
+		must.Eq(t, test.cold, time.Duration(max(end-f.now, 0)), must.Sprint(name))
+		must.Eq(t, test.cold == 0, f.sendable(t, 1) == 1, must.Sprint(name))
+		f.now += int64(test.cold)
+		must.Eq(t, 1, f.sendable(t, 1), must.Sprint(name))
+	}
+}
+
+// Guards against what was granted under a rate limit and is sent after the instance turned
+// cold, which tolerates far less.
+func TestGrantsOfARateLimitEndWhenTheInstanceTurnsCold(t *testing.T) {
+	f := newColdFixture(1, 20, route.NewAdaptive())
+	f.members[0].Load().RecordRateLimit(route.NewRateLimit(50), f.now)
+	_, waiter, err := f.router.Offer(query(), func(*route.Ticket, error) {})
+	must.NoError(t, err)
+	must.NotNil(t, waiter)
+	f.router.RequestGrants(context.Background())
+	must.Eq(t, 3, f.sendable(t, 3))
+	f.probed(0, route.NewWarmup(time.Second))
+	must.Zero(t, f.sendable(t, 3))
+	f.now += int64(time.Second) // it is warm again, the earlier grants are gone
+	must.Zero(t, f.sendable(t, 3))
+}
+
+// Guards against grants that are asked for, and lost to other hosts, while the other
+// instances are better, and against none when they are full.
+func TestGrantsAreRequestedOnceColdInstancesAreNeeded(t *testing.T) {
+	f := newColdFixture(3, 1, route.NewAdaptive(route.WithFill(1)))
+	f.change(0, instance.WithCold(true), instance.WithWarmupLeft(time.Hour))
+	cold := f.members[0].Load()
+	for range 200 {
+		f.now += int64(20 * time.Millisecond)
+		must.Eq(t, 1, f.sendable(t, 1))
+		f.router.RequestGrants(context.Background())
+	}
+	must.Zero(t, cold.InFlight())
+	sent := 0
+	for cold.InFlight() == 0 && sent < 50 {
+		f.now += int64(20 * time.Millisecond)
+		_, err := f.offer(query())
+		must.NoError(t, err)
+		sent++
+		f.router.RequestGrants(context.Background())
+	}
+	must.Between(t, 4, sent, 8) // the others have 3 slots each
+}
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -18,6 +18,7 @@
 	limits      *limiter
 	subsetCache atomic.Pointer[subset]
 	demand      demand
+	coldDemand  demand // of requests that found no instance that is not cold
 	grants      grantState
 	retryGrants retryGrants
 
@@ -50,6 +51,7 @@
 		ticket, at := d.choose(view, &q, terms, now)
 		if ticket != nil {
 			ticket.permit = admitted
+			d.observeColdDemand(&q, &ticket.member, now)
 			return ticket, nil, nil
 		}
 		if at == NoMember {
@@ -57,6 +59,8 @@
 			return nil, nil, d.noInstance()
 		}
 	}
+	q.coldRate = terms.ColdRate()
+	d.observeColdDemand(&q, nil, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if q.softDeadline != 0 {
@@ -102,12 +106,13 @@
 	}
 	policy := d.router.policyOf(terms)
 	q.preferred, q.slowService = d.subset(view, q.zone), view.stats.slow(now)
+	q.coldRate, q.warmDelay = terms.ColdRate(), d.router.warmDelay
 	t := &Ticket{}
 	if d.router.trace {
 		t.trace = &Trace{}
 	}
 	at := policy.Choose(view, q, now, d.router.random, t.trace)
-	for at >= 0 && !view.members[at].load.takeRequest(now) { // another request was quicker
+	for at >= 0 && !view.members[at].takeRequest(q.coldRate, now) { // another request was quicker
 		t.trace.reset()
 		at = policy.Choose(view, q, now, d.router.random, t.trace)
 	}
@@ -214,6 +219,7 @@
 	defer d.mu.Unlock()
 	if view != nil {
 		d.releaseEjected(view, now)
+		d.noteCold(view, now)
 	}
 	d.dispatch(now)
 }
--- a/entry/route/export_test.go
+++ b/entry/route/export_test.go
@@ -5,8 +5,8 @@
 // RequestGrants requests the grants that each service needs now, and applies them.
 func (r *Router) RequestGrants(ctx context.Context) {
 	for _, d := range *r.dispatchers.Load() {
-		if wanted, members := d.wantedGrants(r.clock()); wanted > 0 {
-			d.requestGrants(ctx, wanted, members)
+		if request := d.grantRequest(r.clock()); request.wanted > 0 {
+			d.requestGrants(ctx, request)
 		}
 	}
 }
--- a/entry/route/health.go
+++ b/entry/route/health.go
@@ -98,7 +98,7 @@
 	if s := m.load.health.state(now); s != Ready {
 		return s
 	}
-	if m.instance.Cold() {
+	if m.isCold(q.coldRate, now) {
 		return Cold
 	}
 	return Ready
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -129,6 +129,7 @@
 	probedAt   atomic.Int64 // time of the last pre-dispatch probe, Unix nanoseconds
 	work       workClock
 	rateLimit  announcedLimit
+	warmup     warmup
 	leaving    atomic.Bool // a response stated that this incarnation of the instance leaves
 }
 
--- a/entry/route/loadprobe.go
+++ b/entry/route/loadprobe.go
@@ -52,6 +52,7 @@
 	if terms.Health() == "" {
 		return stats
 	}
+	q.coldRate = terms.ColdRate()
 	started := d.router.clock()
 	for range probeRounds {
 		now, n := d.router.clock(), min(d.probeAllowance(view, terms, q)-stats.Sent, maxProbes)
@@ -211,7 +212,7 @@
 
 func usable(m *Member, q *Query, now int64) bool {
 	state := stateOf(m, q, now)
-	return state != Draining && state != Excluded && state != Ejected && m.load.withinRateLimit(now)
+	return state != Draining && state != Excluded && state != Ejected && m.mayTake(q.coldRate, now)
 }
 
 // hasFreeSlot reports whether one more request would leave a slot free, according to
--- a/entry/route/lowest.go
+++ b/entry/route/lowest.go
@@ -33,6 +33,7 @@
 
 // Choose returns the position of the member with the lowest score.
 func (p *LowestScore[S]) Choose(view *View, query *Query, now int64, random Random, trace *Trace) int {
+	query.coldWanted = false
 	if best := p.choosePreferred(view, query, now, random, trace); best >= 0 {
 		return best
 	}
@@ -43,6 +44,7 @@
 	if sample > 0 && sample < len(view.members) {
 		s := scan[S]{policy: p, view: view, query: query, now: now, random: random, trace: trace, best: NoMember}
 		s.considerSample(sample)
+		s.noteColdWanted()
 		if s.best >= 0 {
 			return s.best
 		}
@@ -68,6 +70,7 @@
 	for _, at := range query.preferred {
 		s.consider(at, p.eject)
 	}
+	s.noteColdWanted()
 	return s.best
 }
 
@@ -85,6 +88,17 @@
 	best   int
 	score  float64
 	ties   int
+	// coldScore is the lowest score of a cold member to which this host may send nothing
+	// without a grant, 0 if there is none.
+	coldScore float64
+}
+
+// noteColdWanted notes in the query that a cold member would be the best choice if this
+// host had been granted a request there.
+func (s *scan[S]) noteColdWanted() {
+	if s.coldScore > 0 && (s.best < 0 || s.coldScore < s.score) {
+		s.query.coldWanted = true
+	}
 }
 
 // considerSample considers up to n distinct random members that accept requests.
@@ -119,9 +133,17 @@
 		return false
 	}
 	score, hasCapacity := s.policy.scorer.Score(m, s.query, s.view.stats.Latency(), s.view.stats.slowdown.get(), state, s.now)
-	if m.load.RateLimit().limited {
-		score *= grantedScore // a grant that expires is lost to all hosts
-		if !m.load.withinRateLimit(s.now) {
+	if s.query.coldRate > 0 {
+		score *= coldCost(m.ColdUntil(s.now), s.query.warmDelay, s.now)
+	}
+	if allowance := m.allowance(s.query.coldRate, s.now); allowance.limit.limited {
+		if !allowance.cold { // requests prefer instances that are not cold
+			score *= grantedScore // a grant that expires is lost to all hosts
+		}
+		if m.available(allowance, s.now) == 0 {
+			if allowance.cold && hasCapacity && (s.coldScore == 0 || score < s.coldScore) {
+				s.coldScore = score
+			}
 			state, hasCapacity = RateLimited, false
 		}
 	}
--- a/entry/route/probereport.go
+++ b/entry/route/probereport.go
@@ -7,6 +7,7 @@
 	HasLoad  bool    // the response contained the load
 	Requests int     // running and queued, valid if HasLoad
 	Slowdown float64 // current service time as a multiple of the usual one, 0 if not reported
+	Warmup   Warmup  // for how long the instance stays cold
 }
 
 // RecordProbe updates the load and health of an instance from a probe. The health
@@ -16,6 +17,7 @@
 	now := r.clock()
 	d := r.Dispatcher(m.instance.Service())
 	view := r.views.Load(m.instance.Service())
+	m.load.warmup.state(m.instance, report.Warmup, now)
 	switch {
 	case report.HasLoad:
 		m.load.RecordProbe(report.Requests, report.Slowdown, now)
--- a/entry/route/query.go
+++ b/entry/route/query.go
@@ -20,6 +20,9 @@
 	deadline     int64                  // Unix nanoseconds, 0 for none
 	repeated     bool                   // the request has earned its share of a retry
 	organisation *contract.Organisation // of the caller, nil for none
+	coldRate     float64                // limit on the requests a second to each cold instance, 0 for none
+	warmDelay    int64                  // time for which instances are avoided after they were cold
+	coldWanted   bool                   // a cold instance was the best choice, but this host may send it nothing
 }
 
 // NewQuery returns a query. A query that excludes instances is one of a repeated request.
--- a/entry/route/quota.go
+++ b/entry/route/quota.go
@@ -18,7 +18,7 @@
 }
 
 // GrantFunc requests grants from the control hosts for up to wanted requests to the given
-// members, which have a rate limit.
+// members of a service, which have a rate limit or are cold.
 type GrantFunc func(ctx context.Context, wanted int, members []Member) (Grants, error)
 
 // WithGrants sets the function that requests grants. Without one this host sends nothing
@@ -30,7 +30,10 @@
 	grantInterval = 50 * time.Millisecond // interval of checks for services that need grants
 	// grantHorizon is the time for which a host requests grants in advance. It is shorter
 	// than their validity, as a grant that expires is lost to all hosts.
-	grantHorizon     = 500 * time.Millisecond
+	grantHorizon = 500 * time.Millisecond
+	// coldHorizon is that of grants to cold instances. A host of a large deployment has about
+	// one request a second for a service, and would otherwise wait for a grant with each.
+	coldHorizon      = time.Second
 	fallbackValidity = time.Second
 	demandDecay      = 4 * time.Second // time constant of the decay of a service's request rate
 )
@@ -57,6 +60,11 @@
 	d.rate.update(func(old float64) float64 { return decay(old, now-last, demandDecay) + 1/demandDecay.Seconds() })
 }
 
+// expected returns the requests within a time.
+func (d *demand) expected(within time.Duration, now int64) int {
+	return int(math.Round(d.perSecond(now) * within.Seconds()))
+}
+
 func (d *demand) perSecond(now int64) float64 {
 	return decay(d.rate.get(), now-d.at.Load(), demandDecay)
 }
@@ -78,75 +86,110 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-r.coldWaiting:
 		}
 		for _, d := range *r.dispatchers.Load() {
-			if wanted, members := d.wantedGrants(r.clock()); wanted > 0 && d.grants.pending.CompareAndSwap(false, true) {
+			if request := d.grantRequest(r.clock()); request.wanted > 0 && d.grants.pending.CompareAndSwap(false, true) {
 				go func() {
 					defer d.grants.pending.Store(false)
-					d.requestGrants(ctx, wanted, members)
+					d.requestGrants(ctx, request)
 				}()
 			}
 		}
 	}
 }
 
-// wantedGrants returns how many requests to grant, and the members with a rate limit
-// that may take them.
-func (d *Dispatcher) wantedGrants(now int64) (wanted int, members []Member) {
+// observeColdDemand counts a request that a cold member serves best: it was sent to one,
+// would have been with a grant, or has to wait, as m is nil. Only such requests call for
+// grants to cold members, as the others are better served by the rest.
+func (d *Dispatcher) observeColdDemand(q *Query, m *Member, now int64) {
+	if q.coldRate <= 0 || m != nil && !q.coldWanted && !m.isCold(q.coldRate, now) {
+		return
+	}
+	d.coldDemand.observe(now)
+	if m != nil {
+		return
+	}
+	select {
+	case d.router.coldWaiting <- struct{}{}:
+	default:
+	}
+}
+
+// grantRequest is a call for grants.
+type grantRequest struct {
+	wanted  int
+	members []Member
+	cold    []bool // of the members
+}
+
+// grantRequest returns how many requests to grant, and the members with a limit that may
+// take them.
+func (d *Dispatcher) grantRequest(now int64) (request grantRequest) {
 	view := d.router.views.Load(d.service)
 	if d.router.grant == nil || view == nil || now < d.grants.notUntil.Load() {
-		return 0, nil
+		return request
 	}
-	expected := int(math.Round(d.demand.perSecond(now) * grantHorizon.Seconds()))
-	wanted = max(expected, int(d.waiting.Load()))
-	if wanted == 0 {
-		return 0, nil
+	q := Query{coldRate: d.router.terms(d.service).ColdRate()}
+	waiting, expected, coldExpected := int(d.waiting.Load()), d.demand.expected(grantHorizon, now), 0
+	if q.coldRate > 0 {
+		coldExpected = d.coldDemand.expected(coldHorizon, now)
+	}
+	if waiting == 0 && expected == 0 && coldExpected == 0 {
+		return request
 	}
 	cached := d.subsetCache.Load()
 	if cached == nil || cached.view != view {
-		return 0, nil // no request has used this view
+		return request // no request has used this view
 	}
-	q := Query{}
+	available, named := 0, false
 	for _, m := range cached.members() {
-		if !m.load.RateLimit().limited || m.load.blocked(now) {
+		allowance := m.allowance(q.coldRate, now)
+		if !allowance.limit.limited || m.load.blocked(now) {
 			continue
 		}
 		if state := stateOf(&m, &q, now); state == Draining || state == Ejected {
 			continue
 		}
-		wanted -= m.load.rateLimit.available(now)
-		members = append(members, m)
+		available += m.available(allowance, now)
+		named = named || !allowance.cold
+		request.members, request.cold = append(request.members, m), append(request.cold, allowance.cold)
+	}
+	if len(request.members) == 0 {
+		return grantRequest{}
 	}
-	if len(members) == 0 {
-		return 0, nil
+	request.wanted = max(coldExpected, waiting)
+	if named {
+		request.wanted = max(expected, request.wanted)
 	}
-	return wanted, members
+	request.wanted -= available
+	return request
 }
 
 // requestGrants requests grants and dispatches waiting requests.
-func (d *Dispatcher) requestGrants(ctx context.Context, wanted int, members []Member) {
+func (d *Dispatcher) requestGrants(ctx context.Context, request grantRequest) {
 	started := d.router.clock()
 	grantCalls.Inc()
-	grants, err := d.router.grant(ctx, wanted, members)
+	grants, err := d.router.grant(ctx, request.wanted, request.members)
 	if err != nil {
 		grantFailures.Inc()
 	}
-	d.applyGrants(members, grants, err, started)
+	d.applyGrants(request, grants, err, started)
 }
 
 // applyGrants records the result of a call that was sent at the given time.
-func (d *Dispatcher) applyGrants(members []Member, grants Grants, err error, sent int64) {
+func (d *Dispatcher) applyGrants(request grantRequest, grants Grants, err error, sent int64) {
 	now := d.router.clock()
 	d.grants.notUntil.Store(now + int64(grants.Pause))
 	if err != nil {
-		d.fallBack(members, now)
+		d.fallBack(request, now)
 	} else {
 		d.grants.failedAt.Store(0)
 	}
-	for _, m := range members {
+	for at, m := range request.members {
 		if n := grants.Requests[m.instance.ID()]; n > 0 {
 			grantedTotal.Add(n)
-			m.load.rateLimit.add(n, sent+int64(grants.Validity), now)
+			m.load.rateLimit.add(n, request.cold[at], sent+int64(grants.Validity), now)
 		}
 	}
 	if d.waiting.Load() > 0 {
@@ -157,13 +200,18 @@
 }
 
 // fallBack lets this host go on with a share of the rate that it was granted last.
-func (d *Dispatcher) fallBack(members []Member, now int64) {
+func (d *Dispatcher) fallBack(request grantRequest, now int64) {
 	last := d.grants.failedAt.Swap(now)
 	if last == 0 {
 		d.grants.lostAt.Store(now)
 		return
 	}
-	for _, m := range members {
-		m.load.rateLimit.fallBack(time.Duration(now-last), d.grants.lostAt.Load(), now+int64(fallbackValidity), now)
+	elapsed, until := time.Duration(now-last), now+int64(fallbackValidity)
+	for at, m := range request.members {
+		if request.cold[at] {
+			m.load.rateLimit.fallBackCold(elapsed, until, now)
+		} else {
+			m.load.rateLimit.fallBack(elapsed, d.grants.lostAt.Load(), until, now)
+		}
 	}
 }
--- a/entry/route/ratelimit.go
+++ b/entry/route/ratelimit.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -55,6 +56,7 @@
 	credits []credit // those that expire first are first
 	rate    float64  // granted requests a second, decayed over grantedDecay
 	rateAt  int64
+	cold    bool    // the rate is of grants to a cold instance
 	unspent float64 // part of a request that the fallback has earned
 }
 
@@ -64,10 +66,11 @@
 	direct bool // stated in a response to this host
 }
 
-// credit is a number of requests that may be sent until a time.
+// credit is a number of requests that may be sent until a time, at least one.
 type credit struct {
 	requests int
 	until    int64
+	cold     bool // granted to a cold instance
 }
 
 // RateLimit returns the rate limit that the instance announced, if it did.
@@ -139,29 +142,11 @@
 	return limit.limited && limit.perSecond == 0 && now-at < int64(blockedTime)
 }
 
-// withinRateLimit reports whether this host may send one more request now.
-func (l *Load) withinRateLimit(now int64) bool {
-	return !l.RateLimit().limited || l.rateLimit.available(now) > 0
-}
-
-// takeRequest counts a request against the rate limit. It returns false if none may be
-// sent.
-func (l *Load) takeRequest(now int64) bool {
-	if !l.RateLimit().limited {
-		return true
-	}
-	if !l.rateLimit.take(now) {
-		return false
-	}
-	limitedRequests.Inc()
-	return true
-}
-
 // available returns the requests that may be sent.
-func (a *announcedLimit) available(now int64) int {
+func (a *announcedLimit) available(cold bool, now int64) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.expire(now)
+	a.expire(cold, now)
 	n := 0
 	for _, c := range a.credits {
 		n += c.requests
@@ -169,10 +154,10 @@
 	return n
 }
 
-func (a *announcedLimit) take(now int64) bool {
+func (a *announcedLimit) take(cold bool, now int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.expire(now)
+	a.expire(cold, now)
 	if len(a.credits) == 0 {
 		return false
 	}
@@ -182,23 +167,26 @@
 	return true
 }
 
-// expire removes credits that have expired. The caller holds the lock.
-func (a *announcedLimit) expire(now int64) {
-	for len(a.credits) > 0 && a.credits[0].until <= now {
-		a.credits = a.credits[1:]
-	}
+// expire removes credits that have expired. Those of a rate limit, which may be far above
+// the limit for cold instances, end when the instance turns cold. The caller holds the lock.
+func (a *announcedLimit) expire(cold bool, now int64) {
+	a.credits = slices.DeleteFunc(a.credits, func(c credit) bool { return c.until <= now || cold && !c.cold })
 }
 
 // grantedDecay is the time constant of the exponential decay of the granted rate.
 const grantedDecay = 3 * time.Second
 
 // add records granted requests, which may be sent until the given time.
-func (a *announcedLimit) add(requests int, until, now int64) {
+func (a *announcedLimit) add(requests int, cold bool, until, now int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.expire(cold, now)
+	if cold != a.cold {
+		a.rate, a.cold = 0, cold
+	}
 	a.rate = decay(a.rate, now-a.rateAt, grantedDecay) + float64(requests)/grantedDecay.Seconds()
 	a.rateAt, a.unspent = now, 0
-	a.credits = append(a.credits, credit{requests: requests, until: until})
+	a.credits = append(a.credits, credit{requests: requests, until: until, cold: cold})
 }
 
 // fallbackShare is the share of the granted rate that a host keeps while nobody grants.
@@ -211,11 +199,35 @@
 func (a *announcedLimit) fallBack(elapsed time.Duration, lostAt, until, now int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.expire(now)
-	a.unspent += fallbackShare * decay(a.rate, max(lostAt-a.rateAt, 0), grantedDecay) * elapsed.Seconds()
+	if a.cold {
+		a.rate, a.unspent, a.cold = 0, 0, false
+	}
+	a.expire(false, now)
+	a.earn(fallbackShare*decay(a.rate, max(lostAt-a.rateAt, 0), grantedDecay)*elapsed.Seconds(), until)
+}
+
+// fallBackCold earns requests to a cold instance for the time since the last failed call.
+// The rate decays meanwhile, so that all of them are at most the share of what the host
+// was granted in the last seconds, however long nobody grants and however often hosts are
+// cut off.
+func (a *announcedLimit) fallBackCold(elapsed time.Duration, until, now int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.cold {
+		a.rate, a.unspent, a.cold = 0, 0, true
+	}
+	a.expire(true, now)
+	since := max(now-int64(elapsed), a.rateAt)
+	earned := decay(a.rate, since-a.rateAt, grantedDecay) - decay(a.rate, now-a.rateAt, grantedDecay)
+	a.earn(fallbackShare*grantedDecay.Seconds()*max(earned, 0), until)
+}
+
+// earn adds the whole requests that have been earned. The caller holds the lock.
+func (a *announcedLimit) earn(requests float64, until int64) {
+	a.unspent += requests
 	if n := int(a.unspent); n > 0 {
 		a.unspent -= float64(n)
-		a.credits = append(a.credits, credit{requests: n, until: until})
+		a.credits = append(a.credits, credit{requests: n, until: until, cold: a.cold})
 	}
 }
 
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -38,6 +38,7 @@
 	terms      func(service string) *contract.Service
 	share      func(service string) float64
 	host       string
+	warmDelay  int64
 	probe      ProbeFunc
 	probeTime  atomicFloat // typical duration of a pre-dispatch probe, nanoseconds
 	clock      func() int64
@@ -48,7 +49,9 @@
 	steady     func() int64   // time by which retries are counted, see steady.Clock
 	retryGrant RetryGrantFunc // nil: nobody grants
 	grant      GrantFunc      // nil: nobody grants
-	cutoff     atomic.Int64   // Unix nanoseconds, 0 for none
+	// coldWaiting is signalled when a request waits that may need a grant to a cold instance.
+	coldWaiting chan struct{}
+	cutoff      atomic.Int64 // Unix nanoseconds, 0 for none
 
 	mu          sync.Mutex
 	dispatchers atomic.Pointer[map[string]*Dispatcher]
@@ -100,8 +103,8 @@
 // NewRouter returns a router over the views.
 func NewRouter(views *Views, policy Policy, opts ...Option) *Router {
 	r := &Router{
-		limited: func(Member, RateLimit) {},
-		views:   views, policy: policy, policies: newPolicyTable(ByName), terms: defaultTermsOf, share: wholeShare, trace: true, limits: DefaultLimits(),
+		limited: func(Member, RateLimit) {}, coldWaiting: make(chan struct{}, 1),
+		views: views, policy: policy, policies: newPolicyTable(ByName), terms: defaultTermsOf, share: wholeShare, trace: true, limits: DefaultLimits(),
 		clock:  func() int64 { return time.Now().UnixNano() },
 		steady: steady.New().Now,
 		random: NewRandom(rand.Uint64),
@@ -109,6 +112,7 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	r.warmDelay = warmDelay(r.host)
 	r.dispatchers.Store(&map[string]*Dispatcher{})
 	views.subscribe(r.refresh)
 	return r
--- a/entry/route/waiting.go
+++ b/entry/route/waiting.go
@@ -47,14 +47,15 @@
 // last report is old.
 func (d *Dispatcher) probeForWaiting(now int64) {
 	cached := d.subsetCache.Load()
-	if d.router.probe == nil || cached == nil || d.router.terms(d.service).Health() == "" {
+	terms := d.router.terms(d.service)
+	if d.router.probe == nil || cached == nil || terms.Health() == "" {
 		return
 	}
 	members := cached.members()
 	if len(members) == 0 {
 		return
 	}
-	q := &Query{}
+	q := &Query{coldRate: terms.ColdRate()}
 	sent, start := 0, d.router.random.IntN(len(members))
 	for k := range members {
 		m := members[(start+k)%len(members)]
