control/upstream: the record of an instance that turns cold again states the new time

Cause: renewals that count the cold time down change no record, so that an instance that turned cold again before its first cold time was over was recorded with the end of the first, after which entry hosts no longer limit it.

Change: a control host keeps until when the record states that an instance is cold.

--- a/control/upstream/batch.go
+++ b/control/upstream/batch.go
@@ -48,11 +48,14 @@
 
 func newBatcher(log agreement.Log) *batcher { return &batcher{log: log} }
 
-// commit returns the result of an announcement once it is committed. After an error it may
-// still be committed later.
-func (b *batcher) commit(ctx context.Context, m *wire.Instance) (*wire.AnnouncementResult, error) {
-	cmd := &wire.Command{At: time.Now().UnixNano(), Body: &wire.Command_Announce{Announce: &wire.Announcement{Instance: m}}}
-	q := &queued{ctx: ctx, cmd: cmd, done: make(chan struct{})}
+// commit returns the result of the last of some announcements once they are committed, as
+// one command. After an error they may still be committed later.
+func (b *batcher) commit(ctx context.Context, announcements ...*wire.Instance) (*wire.AnnouncementResult, error) {
+	commands := make([]*wire.Command, 0, len(announcements))
+	for _, m := range announcements {
+		commands = append(commands, &wire.Command{At: time.Now().UnixNano(), Body: &wire.Command_Announce{Announce: &wire.Announcement{Instance: m}}})
+	}
+	q := &queued{ctx: ctx, cmd: together(commands), done: make(chan struct{})}
 	if !b.enqueue(q) {
 		return nil, errBusy
 	}
@@ -125,21 +128,30 @@
 	defer cancel()
 	result, err := b.log.Propose(ctx, commandOf(batch))
 	for n, q := range batch {
-		q.result, q.err = result.GetAnnounce(), err
+		of := result
 		if len(batch) > 1 && err == nil {
-			q.result = result.GetBatch().GetResults()[n].GetAnnounce()
+			of = result.GetBatch().GetResults()[n]
+		}
+		if results := of.GetBatch().GetResults(); len(results) > 0 {
+			of = results[len(results)-1]
 		}
+		q.result, q.err = of.GetAnnounce(), err
 		close(q.done)
 	}
 }
 
 func commandOf(batch []*queued) *wire.Command {
-	if len(batch) == 1 {
-		return batch[0].cmd
-	}
-	all := &wire.CommandBatch{}
+	commands := make([]*wire.Command, 0, len(batch))
 	for _, q := range batch {
-		all.Commands = append(all.Commands, q.cmd)
+		commands = append(commands, q.cmd)
+	}
+	return together(commands)
+}
+
+// together returns one command for all of them.
+func together(commands []*wire.Command) *wire.Command {
+	if len(commands) == 1 {
+		return commands[0]
 	}
-	return &wire.Command{At: batch[0].cmd.GetAt(), Body: &wire.Command_Batch{Batch: all}}
+	return &wire.Command{At: commands[0].GetAt(), Body: &wire.Command_Batch{Batch: &wire.CommandBatch{Commands: commands}}}
 }
--- a/control/upstream/upstream.go
+++ b/control/upstream/upstream.go
@@ -58,6 +58,7 @@
 	mu      sync.Mutex
 	renewed map[string]time.Time // time of the last renewal, by instance id
 	visits  map[string]time.Time // of instances whose lease another host holds, by instance id
+	warm    map[string]time.Time // end of the cold time that the record states, by instance id
 }
 
 // Option configures Instances.
@@ -71,7 +72,7 @@
 func New(name string, log agreement.Log, machine *state.Machine, logger hclog.Logger, opts ...Option) *Instances {
 	i := &Instances{
 		name: name, log: log, machine: machine, lease: DefaultLease, logger: logger.Named("upstream"),
-		batches: newBatcher(log), renewed: map[string]time.Time{}, visits: map[string]time.Time{},
+		batches: newBatcher(log), renewed: map[string]time.Time{}, visits: map[string]time.Time{}, warm: map[string]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(i)
@@ -88,6 +89,9 @@
 		if !i.log.Status().Quorum() {
 			return ErrNoQuorum
 		}
+		if i.turnedColdAgain(known, m) {
+			return i.announceColdAgain(ctx, m)
+		}
 		i.renew(m.GetId())
 		return nil
 	}
@@ -103,6 +107,7 @@
 		return nil
 	}
 	i.renew(m.GetId())
+	i.noteWarmup(m)
 	if result.GetChanged() {
 		i.logger.Info("instance announced", "instance", m.GetId(), "service", m.GetService(), "address", m.GetAddress(),
 			"zone", m.GetZone(), "cold", m.GetCold(), "draining", m.GetDraining(), "incarnation", m.GetIncarnation())
@@ -119,6 +124,7 @@
 	}
 	i.mu.Lock()
 	delete(i.renewed, m.GetId())
+	delete(i.warm, m.GetId())
 	i.mu.Unlock()
 	i.logger.Info("instance left", "instance", m.GetId(), "incarnation", m.GetIncarnation(), "changed", result.GetChanged())
 	return nil
@@ -137,7 +143,7 @@
 func (i *Instances) isVisit(known, m *wire.Instance) bool {
 	same := proto.Clone(m).(*wire.Instance)
 	same.HeardBy = known.GetHeardBy()
-	if state.ChangesRecord(known, same) {
+	if state.ChangesRecord(known, same) || i.turnedColdAgain(known, m) {
 		return false
 	}
 	i.mu.Lock()
@@ -163,6 +169,7 @@
 		}
 		group.Wait()
 		i.forgetVisits(time.Now())
+		i.forgetWarmups(time.Now())
 	}
 }
 
--- /dev/null
+++ b/control/upstream/warmup_test.go
@@ -0,0 +1,74 @@
+package upstream_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+func coldHeartbeat(sequence uint64, left time.Duration) *wire.Instance {
+	m := heartbeat(1, sequence)
+	m.Cold, m.WarmupLeftNs = left > 0, int64(left)
+	return m
+}
+
+// Guards against a commit with each announcement of a cold instance, and against a record that
+// states the first of two cold times, after which hosts no longer limit the instance.
+func TestInstanceThatTurnsColdAgainIsRecordedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &slowLog{machine: state.New()}
+		host := newInstances(log, "control-1")
+		left := func() time.Duration { return time.Duration(log.machine.Instance("i-1").GetWarmupLeftNs()) }
+		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(1, 3*time.Second)))
+		time.Sleep(1500 * time.Millisecond)
+		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(2, 1500*time.Millisecond)))
+		must.Eq(t, 1, log.proposed())
+		must.Eq(t, 3*time.Second, left())
+		time.Sleep(time.Second)
+		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(3, 2900*time.Millisecond)))
+		must.Eq(t, 2, log.proposed())
+		must.Eq(t, 2900*time.Millisecond, left())
+		must.True(t, log.machine.Instance("i-1").GetCold())
+		time.Sleep(1500 * time.Millisecond)
+		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(4, 1400*time.Millisecond)))
+		must.Eq(t, 2, log.proposed())
+		time.Sleep(1500 * time.Millisecond)
+		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(5, 0)))
+		must.Eq(t, 3, log.proposed())
+		must.False(t, log.machine.Instance("i-1").GetCold())
+	})
+}
+
+// Guards against commits for renewals that come to another control host than the one that
+// recorded the instance, which does not know when that was.
+func TestRenewalOfAColdInstanceAtAnotherHostIsNoCommand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &slowLog{machine: state.New()}
+		holder, other := newInstances(log, "control-1"), newInstances(log, "control-2")
+		must.NoError(t, holder.Announce(t.Context(), coldHeartbeat(1, 3*time.Second)))
+		time.Sleep(1500 * time.Millisecond)
+		must.NoError(t, other.Announce(t.Context(), coldHeartbeat(2, 1500*time.Millisecond)))
+		must.Eq(t, 1, log.proposed())
+		time.Sleep(time.Second)
+		must.NoError(t, other.Announce(t.Context(), coldHeartbeat(3, 2900*time.Millisecond)))
+		must.Eq(t, 2, log.proposed())
+		must.Eq(t, int64(2900*time.Millisecond), log.machine.Instance("i-1").GetWarmupLeftNs())
+	})
+}
+
+// A late announcement must not change the record, nor what is known of it.
+func TestLateAnnouncementDoesNotMakeTheInstanceColdAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &slowLog{machine: state.New()}
+		host := newInstances(log, "control-1")
+		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(5, time.Second)))
+		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(4, 3*time.Second)))
+		must.Eq(t, int64(time.Second), log.machine.Instance("i-1").GetWarmupLeftNs())
+		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(6, 3*time.Second)))
+		must.Eq(t, int64(3*time.Second), log.machine.Instance("i-1").GetWarmupLeftNs())
+	})
+}
