entry/route: the grant of a request to a cold instance that was not sent is returned

Cause: a ticket that is released (the caller has gone, no second copy is allowed) kept its grant, which is lost to all hosts, and cold instances get few.

Change: the released ticket gives the grant back, valid until when it would have been.

--- a/entry/route/cold.go
+++ b/entry/route/cold.go
@@ -173,19 +173,20 @@
 	return !a.limit.limited || m.available(a, now) > 0
 }
 
-// takeRequest counts a request against the limits. It returns false if none may be sent.
-func (m *Member) takeRequest(coldRate float64, now int64) bool {
+// takeRequest counts a request against the limits, and returns what it was charged. It
+// returns false if none may be sent.
+func (m *Member) takeRequest(coldRate float64, now int64) (taken credit, ok bool) {
 	a := m.allowance(coldRate, now)
 	if !a.limit.limited {
-		return true
+		return credit{}, true
 	}
-	if !m.load.rateLimit.take(a.cold, now) {
-		return false
+	if taken = m.load.rateLimit.take(a.cold, now); taken.requests == 0 {
+		return credit{}, false
 	}
 	if a.cold {
 		coldRequests.Inc()
 	} else {
 		limitedRequests.Inc()
 	}
-	return true
+	return taken, true
 }
--- a/entry/route/cold_test.go
+++ b/entry/route/cold_test.go
@@ -156,3 +156,60 @@
 	}
 	must.Between(t, 4, sent, 8) // the others have 3 slots each
 }
+
+// Guards against requests to a cold instance that are lost to all hosts, as they were chosen
+// for it and not sent, and against more of them than were granted.
+func TestTicketThatIsReleasedReturnsItsGrant(t *testing.T) {
+	f := newColdFixture(1, 1, route.NewAdaptive())
+	f.change(0, instance.WithCold(true), instance.WithWarmupLeft(10*time.Second))
+	var granted *route.Ticket
+	_, _, err := f.router.Offer(query(), func(ticket *route.Ticket, _ error) { granted = ticket })
+	must.NoError(t, err)
+	f.router.RequestGrants(context.Background())
+	granted.Release()
+	must.Eq(t, 1, f.sendable(t, 3))
+	_, _, err = f.router.Offer(query(), func(ticket *route.Ticket, _ error) { granted = ticket })
+	must.NoError(t, err)
+	f.router.RequestGrants(context.Background())
+	f.now += int64(grantValidity)
+	granted.Release()
+	must.Zero(t, f.sendable(t, 3)) // it is over by now
+}
+
+// Guards against a host that nobody grants anything and that sends, in any time or at once
+// after a long time, more than half of what it was granted in the seconds before.
+func TestHostWithoutALeaderSendsHalfOfItsLastGrantsOnce(t *testing.T) {
+	for _, gap := range []time.Duration{100 * time.Millisecond, time.Second, 20 * time.Second} {
+		reachable, requests := true, 0
+		terms := contract.NewService(service, contract.WithColdRate(5))
+		f := newFixture(1, route.NewAdaptive(), route.WithTerms(func(string) *contract.Service { return terms }),
+			route.WithGrants(func(_ context.Context, _ int, members []route.Member) (route.Grants, error) {
+				if !reachable {
+					return route.Grants{}, errUnreachable
+				}
+				return route.Grants{Requests: map[instance.ID]int{members[0].Instance().ID(): 1}, Validity: grantValidity}, nil
+			}))
+		f.change(0, instance.WithCold(true), instance.WithWarmupLeft(time.Hour))
+		step := func(gap time.Duration) {
+			_, waiter, err := f.router.Offer(query(), func(ticket *route.Ticket, _ error) {
+				requests++
+				ticket.Finish(route.Report{Latency: time.Millisecond})
+			})
+			must.NoError(t, err)
+			f.router.RequestGrants(context.Background())
+			if waiter != nil {
+				waiter.Cancel()
+			}
+			f.now += int64(gap)
+		}
+		for range 50 {
+			step(200 * time.Millisecond)
+		}
+		must.GreaterEq(t, 45, requests)
+		reachable, requests = false, 0
+		for range 600 {
+			step(gap)
+		}
+		must.Between(t, 1, requests, 8, must.Sprint(gap)) // 15 were granted in 3 s
+	}
+}
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -112,8 +112,13 @@
 		t.trace = &Trace{}
 	}
 	at := policy.Choose(view, q, now, d.router.random, t.trace)
-	for at >= 0 && !view.members[at].takeRequest(q.coldRate, now) { // another request was quicker
-		t.trace.reset()
+	for at >= 0 {
+		taken, ok := view.members[at].takeRequest(q.coldRate, now)
+		if ok {
+			t.taken = taken
+			break
+		}
+		t.trace.reset() // another request was quicker
 		at = policy.Choose(view, q, now, d.router.random, t.trace)
 	}
 	if at < 0 {
--- a/entry/route/ratelimit.go
+++ b/entry/route/ratelimit.go
@@ -154,17 +154,31 @@
 	return n
 }
 
-func (a *announcedLimit) take(cold bool, now int64) bool {
+// take returns the credit of one request, without requests if there is none.
+func (a *announcedLimit) take(cold bool, now int64) credit {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.expire(cold, now)
 	if len(a.credits) == 0 {
-		return false
+		return credit{}
 	}
+	taken := a.credits[0]
+	taken.requests = 1
 	if a.credits[0].requests--; a.credits[0].requests == 0 {
 		a.credits = a.credits[1:]
 	}
-	return true
+	return taken
+}
+
+// giveBack returns the credit of a request to a cold instance that was not sent. It ends
+// when it would have.
+func (a *announcedLimit) giveBack(c credit) {
+	if c.requests == 0 || !c.cold {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.credits = append([]credit{c}, a.credits...)
 }
 
 // expire removes credits that have expired. Those of a rate limit, which may be far above
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -35,6 +35,7 @@
 	waited     time.Duration
 	probes     ProbeStats
 	permit     permit
+	taken      credit // of the instance's limit
 	trace      *Trace
 }
 
@@ -114,7 +115,10 @@
 }
 
 // Release gives up a ticket with which nothing was sent, instead of Finish.
-func (t *Ticket) Release() { t.dispatcher.release(t) }
+func (t *Ticket) Release() {
+	t.member.load.rateLimit.giveBack(t.taken)
+	t.dispatcher.release(t)
+}
 
 // Finish ends the attempt and records its result. Either it or Release must be
 // called exactly once.
