bench/cold: a new leader while all instances are cold

Cause: the load patterns had no change of the leader.

Change: one in which the leader is lost while all instances are cold.

--- a/bench/cold/pattern_test.go
+++ b/bench/cold/pattern_test.go
@@ -141,3 +141,19 @@
 		must.GreaterEq(t, 0.8*before.perSecond, s.tally(2*time.Second, zone).perSecond)
 	})
 }
+
+// Guards against a service whose instances are all cold and get nothing for as long as a new
+// leader waits for the grants of the former one to expire.
+func TestNewLeaderServesAServiceWhoseInstancesAreAllCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, large(172, 250*time.Millisecond))
+		s.run(5 * time.Second)
+		s.chill(s.instances...)
+		s.lead(1, 600*time.Millisecond)
+		s.run(max(known, electionTime+callDelay))
+		cold := s.tally(warmupTime-known, s.instances)
+		t.Logf("while cold: %+v, most in a second %v", cold, s.mostCold())
+		must.LessEq(t, s.bound(), s.mostCold())
+		must.LessEq(t, 0.05, float64(cold.refused)/float64(cold.sent))
+	})
+}
