entry/route, world/instance: a second cold time of the same length is a new one

Cause: an instance that turns cold again while it is cold, and announces that at once, states the same time as before, such as 3,000 ms. The control hosts replace the record, but it equals the earlier one at an entry host: the registry dropped it, and the router would have kept the earlier end. Hosts then sent without a limit during the rest of the second cold time.

Change: the record of an instance that states its cold time also has the sequence number of the announcement. Records of other instances don't, so that a change of the number alone publishes no view.

--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/registry"
@@ -55,3 +56,22 @@
 	must.Eq(t, 0, inFlight())
 	ticket.Finish(route.Report{})
 }
+
+// Guards against a second cold time that is taken for the first as both are of the same length,
+// and against a service that is rebuilt when only the number of the announcement changes.
+func TestSequenceChangesTheRecordOfAColdInstanceAlone(t *testing.T) {
+	views := &route.Views{}
+	reg := registry.New(views)
+	update := func(sequence uint64, cold bool, left time.Duration) *route.View {
+		reg.Update([]registry.Change{registry.Announced(&wire.Instance{Id: "i", Service: "s", Incarnation: 1, Sequence: sequence, Cold: cold, WarmupLeftNs: int64(left)})})
+		return views.Load("s")
+	}
+	first := update(1, true, 3*time.Second)
+	must.True(t, update(1, true, 3*time.Second) == first)
+	again := update(2, true, 3*time.Second)
+	must.True(t, again != first)
+	untimed := update(3, true, 0)
+	must.True(t, update(4, true, 0) == untimed)
+	warm := update(5, false, 0)
+	must.True(t, update(6, false, 0) == warm)
+}
--- a/entry/route/cold.go
+++ b/entry/route/cold.go
@@ -57,7 +57,7 @@
 		if old != nil {
 			record.end = min(old.end, now)
 		}
-	case old != nil && old.instance.Cold() && old.instance.WarmupLeft() == next.WarmupLeft():
+	case old != nil && old.instance.Cold() && old.instance.WarmupLeft() == next.WarmupLeft() && old.instance.WarmupSequence() == next.WarmupSequence():
 		record.end = old.end // the record changed in another way
 	case next.WarmupLeft() == 0:
 		record.end = untimed
--- a/entry/route/cold_test.go
+++ b/entry/route/cold_test.go
@@ -93,6 +93,11 @@
 			f.now += int64(time.Second)
 			f.change(0, append(cold(3*time.Second), instance.WithZone("z"))...)
 		}, 2 * time.Second},
+		"cold again for the same time": {func(f *fixture) {
+			f.change(0, append(cold(3*time.Second), instance.WithWarmupSequence(1))...)
+			f.now += int64(2 * time.Second)
+			f.change(0, append(cold(3*time.Second), instance.WithWarmupSequence(2))...)
+		}, 3 * time.Second},
 		"cold again": {func(f *fixture) {
 			f.change(0, cold(time.Second)...)
 			f.now += int64(5 * time.Second)
--- a/world/instance/instance.go
+++ b/world/instance/instance.go
@@ -40,6 +40,7 @@
 	warmupLeft  time.Duration
 	draining    bool
 	incarnation uint64
+	warmupSeq   uint64
 }
 
 // Option sets one property of an instance.
@@ -76,12 +77,18 @@
 // WithIncarnation sets the number that the instance increments on each start.
 func WithIncarnation(n uint64) Option { return func(i *Instance) { i.incarnation = n } }
 
+// WithWarmupSequence sets the sequence number of the announcement that stated the cold time.
+func WithWarmupSequence(n uint64) Option { return func(i *Instance) { i.warmupSeq = n } }
+
 // FromWire converts a wire message. Slots and max links of zero take the
 // defaults.
 func FromWire(m *wire.Instance) *Instance {
 	i := New(ID(m.GetId()), m.GetService(), m.GetAddress(),
 		WithZone(m.GetZone()), WithCold(m.GetCold()), WithDraining(m.GetDraining()),
 		WithIncarnation(m.GetIncarnation()), WithWarmupLeft(min(time.Duration(max(m.GetWarmupLeftNs(), 0)), MaxWarmup)))
+	if i.cold && i.warmupLeft > 0 { // any other change of the number alone is no change of the record
+		i.warmupSeq = m.GetSequence()
+	}
 	if m.GetSlots() > 0 {
 		i.slots = int(m.GetSlots())
 	}
@@ -116,6 +123,10 @@
 // it did not state this.
 func (i *Instance) WarmupLeft() time.Duration { return i.warmupLeft }
 
+// WarmupSequence returns the sequence number of the announcement that stated the cold time,
+// 0 if none did. It tells two cold times of the same length apart.
+func (i *Instance) WarmupSequence() uint64 { return i.warmupSeq }
+
 // Draining reports whether the instance accepts no new requests.
 func (i *Instance) Draining() bool { return i.draining }
 
