entry/route: a clock that is set back does not prolong a cold time

Cause: the end of a cold time is a time of day. On an entry host whose clock was set back by an hour, an instance counted as cold, and was limited, for an hour more, also if its cold time was over and its record stated so.

Change: a cold time keeps when the host heard of it. If that is in the future, it begins again now with its length, so that it lasts no longer than was stated. One that a record or a probe has ended stays ended.

--- a/entry/route/cold.go
+++ b/entry/route/cold.go
@@ -37,28 +37,49 @@
 // warmup is when an instance stops being cold, from its record and from probes.
 type warmup struct {
 	record atomic.Pointer[recordedWarmup]
-	probed atomic.Int64 // end as last stated to a probe, 0 if never
+	probed atomic.Pointer[coldTime] // as last stated to a probe, nil if never
 }
 
-// recordedWarmup is the end of the cold time that a record of the instance states.
-type recordedWarmup struct {
-	instance *instance.Instance
-	end      int64 // in the past if the instance is not cold, 0 if it never was
+// coldTime is the time in which an instance is cold, from when this host heard of it.
+type coldTime struct {
+	heard int64
+	end   int64 // not after heard if the instance was no longer cold by then, 0 if it never was
 }
 
 // untimed is the end of the cold time of an instance that did not state it.
 const untimed = math.MaxInt64
 
+// at returns the cold time as it applies now. If the clock was set back to before its
+// beginning, it begins again now. It would otherwise last until the clock has caught up.
+func (c coldTime) at(now int64) coldTime {
+	if now >= c.heard {
+		return c
+	}
+	if c.end != 0 && c.end != untimed {
+		c.end -= c.heard - now
+	}
+	c.heard = now
+	return c
+}
+
+// recordedWarmup is the cold time that a record of the instance states.
+type recordedWarmup struct {
+	coldTime
+	instance *instance.Instance
+}
+
 // after returns what applies once the host knows a later record of the instance.
 func (old *recordedWarmup) after(next *instance.Instance, now int64) *recordedWarmup {
-	record := &recordedWarmup{instance: next}
+	record := &recordedWarmup{instance: next, coldTime: coldTime{heard: now}}
+	var before coldTime
+	if old != nil {
+		before = old.at(now)
+	}
 	switch {
 	case !next.Cold():
-		if old != nil {
-			record.end = min(old.end, now)
-		}
+		record.end = min(before.end, now)
 	case old != nil && old.instance.Cold() && old.instance.WarmupLeft() == next.WarmupLeft() && old.instance.WarmupSequence() == next.WarmupSequence():
-		record.end = old.end // the record changed in another way
+		record.coldTime = before // the record changed in another way
 	case next.WarmupLeft() == 0:
 		record.end = untimed
 	default:
@@ -67,16 +88,40 @@
 	return record
 }
 
-// end returns when the instance stops or stopped being cold, 0 if it never was. The time
-// that a record states counts from the first call with that record.
-func (w *warmup) end(i *instance.Instance, now int64) int64 {
+// recorded returns what the record states. The time that it states counts from the first
+// call with that record.
+func (w *warmup) recorded(i *instance.Instance, now int64) *recordedWarmup {
 	old := w.record.Load()
+	if old != nil && old.instance == i && now >= old.heard {
+		return old
+	}
+	var record *recordedWarmup
 	if old != nil && old.instance == i {
-		return max(old.end, w.probed.Load())
+		record = &recordedWarmup{instance: i, coldTime: old.at(now)}
+	} else {
+		record = old.after(i, now)
 	}
-	record := old.after(i, now)
 	w.record.CompareAndSwap(old, record)
-	return max(record.end, w.probed.Load())
+	return record
+}
+
+// probedEnd returns the end that was last stated to a probe, 0 if none was.
+func (w *warmup) probedEnd(now int64) int64 {
+	old := w.probed.Load()
+	if old == nil {
+		return 0
+	}
+	if now < old.heard {
+		next := old.at(now)
+		w.probed.CompareAndSwap(old, &next)
+		return next.end
+	}
+	return old.end
+}
+
+// end returns when the instance stops or stopped being cold, 0 if it never was.
+func (w *warmup) end(i *instance.Instance, now int64) int64 {
+	return max(w.recorded(i, now).end, w.probedEnd(now))
 }
 
 // state records what a response to a probe stated. That the instance is not cold ends
@@ -85,15 +130,17 @@
 	if !stated.stated {
 		return
 	}
-	end := w.end(i, now)
+	record := w.recorded(i, now)
 	if stated.left > 0 {
 		coldProbes.Inc()
-		w.probed.Store(now + int64(stated.left))
+		w.probed.Store(&coldTime{heard: now, end: now + int64(stated.left)})
 		return
 	}
-	if end > now {
-		w.record.Store(&recordedWarmup{instance: i, end: min(w.record.Load().end, now)})
-		w.probed.Store(min(w.probed.Load(), now))
+	if record.end > now {
+		w.record.Store(&recordedWarmup{instance: i, coldTime: coldTime{heard: now, end: now}})
+	}
+	if w.probedEnd(now) > now {
+		w.probed.Store(&coldTime{heard: now, end: now})
 	}
 }
 
--- a/entry/route/cold_test.go
+++ b/entry/route/cold_test.go
@@ -218,3 +218,28 @@
 		must.Between(t, 1, requests, 8, must.Sprint(gap)) // 15 were granted in 3 s
 	}
 }
+
+// Guards against an instance that stays limited, on a host whose clock is set back, for as long
+// as the clock was set back.
+func TestClockThatIsSetBackDoesNotProlongTheColdTime(t *testing.T) {
+	record := []instance.Option{instance.WithCold(true), instance.WithWarmupLeft(3 * time.Second)}
+	for name, test := range map[string]struct {
+		run  func(f *fixture)
+		most time.Duration // for which it counts as cold after the clock was set back
+	}{
+		"a record":               {func(f *fixture) { f.change(0, record...); f.now += int64(time.Second) }, 3 * time.Second},
+		"a probe":                {func(f *fixture) { f.probed(0, route.NewWarmup(3*time.Second)); f.now += int64(time.Second) }, 3 * time.Second},
+		"a record that ended it": {func(f *fixture) { f.change(0, record...); f.now += int64(4 * time.Second); f.change(0) }, 0},
+		"a probe that ended it":  {func(f *fixture) { f.change(0, record...); f.now += int64(time.Second); f.probed(0, route.NewWarmup(0)) }, 0},
+	} {
+		f := newColdFixture(1, 1, route.NewAdaptive())
+		f.now = int64(100 * time.Hour)
+		test.run(f)
+		f.now += int64(time.Second)
+		f.sendable(t, 1)
+		f.now -= int64(time.Hour)
+		must.Eq(t, test.most == 0, f.sendable(t, 1) == 1, must.Sprint(name))
+		f.now += int64(test.most)
+		must.Eq(t, 1, f.sendable(t, 1), must.Sprint(name))
+	}
+}
