entry/route: a clock that is set back does not prolong grants to cold instances

Cause: a grant is valid until a time of day. A host whose clock is set back could use what it was granted for as long as the clock takes to catch up, while the leader grants the same requests to others.

Change: a grant to a cold instance keeps when it was recorded, and ends if that is in the future. Grants of rate limits that instances name are as before.

--- a/entry/route/cold_test.go
+++ b/entry/route/cold_test.go
@@ -243,3 +243,15 @@
 		must.Eq(t, 1, f.sendable(t, 1), must.Sprint(name))
 	}
 }
+
+// Guards against grants that outlive their validity on a host whose clock is set back.
+func TestClockThatIsSetBackDoesNotProlongGrants(t *testing.T) {
+	f := newColdFixture(1, 2, route.NewAdaptive())
+	f.change(0, instance.WithCold(true), instance.WithWarmupLeft(time.Hour))
+	_, waiter, err := f.router.Offer(query(), func(ticket *route.Ticket, _ error) { ticket.Finish(route.Report{Latency: time.Millisecond}) })
+	must.NoError(t, err)
+	f.router.RequestGrants(context.Background())
+	must.False(t, waiter.Cancel())
+	f.now -= int64(time.Minute)
+	must.Zero(t, f.sendable(t, 2)) // one of the two is left
+}
--- a/entry/route/ratelimit.go
+++ b/entry/route/ratelimit.go
@@ -69,6 +69,7 @@
 // credit is a number of requests that may be sent until a time, at least one.
 type credit struct {
 	requests int
+	since    int64
 	until    int64
 	cold     bool // granted to a cold instance
 }
@@ -182,9 +183,11 @@
 }
 
 // expire removes credits that have expired. Those of a rate limit, which may be far above
-// the limit for cold instances, end when the instance turns cold. The caller holds the lock.
+// the limit for cold instances, end when the instance turns cold. Those of a cold instance end
+// when the clock is set back, after which they would be valid for longer than was granted. The
+// caller holds the lock.
 func (a *announcedLimit) expire(cold bool, now int64) {
-	a.credits = slices.DeleteFunc(a.credits, func(c credit) bool { return c.until <= now || cold && !c.cold })
+	a.credits = slices.DeleteFunc(a.credits, func(c credit) bool { return c.until <= now || c.cold && now < c.since || cold && !c.cold })
 }
 
 // grantedDecay is the time constant of the exponential decay of the granted rate.
@@ -200,7 +203,7 @@
 	}
 	a.rate = decay(a.rate, now-a.rateAt, grantedDecay) + float64(requests)/grantedDecay.Seconds()
 	a.rateAt, a.unspent = now, 0
-	a.credits = append(a.credits, credit{requests: requests, until: until, cold: cold})
+	a.credits = append(a.credits, credit{requests: requests, since: now, until: until, cold: cold})
 }
 
 // fallbackShare is the share of the granted rate that a host keeps while nobody grants.
@@ -217,7 +220,7 @@
 		a.rate, a.unspent, a.cold = 0, 0, false
 	}
 	a.expire(false, now)
-	a.earn(fallbackShare*decay(a.rate, max(lostAt-a.rateAt, 0), grantedDecay)*elapsed.Seconds(), until)
+	a.earn(fallbackShare*decay(a.rate, max(lostAt-a.rateAt, 0), grantedDecay)*elapsed.Seconds(), until, now)
 }
 
 // fallBackCold earns requests to a cold instance for the time since the last failed call.
@@ -233,15 +236,15 @@
 	a.expire(true, now)
 	since := max(now-int64(elapsed), a.rateAt)
 	earned := decay(a.rate, since-a.rateAt, grantedDecay) - decay(a.rate, now-a.rateAt, grantedDecay)
-	a.earn(fallbackShare*grantedDecay.Seconds()*max(earned, 0), until)
+	a.earn(fallbackShare*grantedDecay.Seconds()*max(earned, 0), until, now)
 }
 
 // earn adds the whole requests that have been earned. The caller holds the lock.
-func (a *announcedLimit) earn(requests float64, until int64) {
+func (a *announcedLimit) earn(requests float64, until, now int64) {
 	a.unspent += requests
 	if n := int(a.unspent); n > 0 {
 		a.unspent -= float64(n)
-		a.credits = append(a.credits, credit{requests: n, until: until, cold: a.cold})
+		a.credits = append(a.credits, credit{requests: n, since: now, until: until, cold: a.cold})
 	}
 }
 
