entry/route: a clock that is set back changes no call for grants

Cause: the pause between calls ended at a time of day, and the rate of requests decayed by its differences. A host whose clock was set back by a minute called for no grants for a minute, and with the next call wanted as many requests as its rate raised by exp(60/4), which is all that the leader has.

Change: the pause is measured by the steady clock, as that of calls for retries is, and a negative time is taken as none in the decay of rates. Both also apply to rate limits that instances name, for which nothing changes unless the clock is set back or the machine is suspended.

--- a/entry/route/cold_test.go
+++ b/entry/route/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -255,3 +256,31 @@
 	f.now -= int64(time.Minute)
 	must.Zero(t, f.sendable(t, 2)) // one of the two is left
 }
+
+// Guards against a host that asks for no grants, or for all that the leader has, until its
+// clock has caught up after it was set back.
+func TestClockThatIsSetBackChangesNoCallForGrants(t *testing.T) {
+	var wanted []int
+	steady := int64(0)
+	terms := contract.NewService(service, contract.WithColdRate(1.6))
+	f := newFixture(1, route.NewAdaptive(), route.WithTerms(func(string) *contract.Service { return terms }), route.WithSteadyClock(func() int64 { return steady }),
+		route.WithGrants(func(_ context.Context, n int, members []route.Member) (route.Grants, error) {
+			wanted = append(wanted, n)
+			return route.Grants{Requests: map[instance.ID]int{members[0].Instance().ID(): 1}, Validity: grantValidity, Pause: 100 * time.Millisecond}, nil
+		}))
+	f.change(0, instance.WithCold(true), instance.WithWarmupLeft(time.Hour))
+	for n := range 20 {
+		if n == 10 {
+			f.now -= int64(time.Minute)
+		}
+		_, waiter, err := f.router.Offer(query(), func(ticket *route.Ticket, _ error) { ticket.Finish(route.Report{Latency: time.Millisecond}) })
+		must.NoError(t, err)
+		f.router.RequestGrants(context.Background())
+		if waiter != nil {
+			waiter.Cancel()
+		}
+		f.now, steady = f.now+int64(500*time.Millisecond), steady+int64(500*time.Millisecond)
+	}
+	must.GreaterEq(t, 15, len(wanted))
+	must.LessEq(t, 4, slices.Max(wanted))
+}
--- a/entry/route/export_test.go
+++ b/entry/route/export_test.go
@@ -17,3 +17,6 @@
 		d.retryWaiting()
 	}
 }
+
+// WithSteadyClock sets the source of the time that never goes back.
+func WithSteadyClock(clock func() int64) Option { return func(r *Router) { r.steady = clock } }
--- a/entry/route/quota.go
+++ b/entry/route/quota.go
@@ -44,9 +44,10 @@
 	grantedTotal  = metrics.GetOrCreateCounter("snipebeam_requests_granted_total")
 )
 
-// decay returns the value of an exponentially decaying rate after some time.
+// decay returns the value of an exponentially decaying rate after some time. The time is
+// negative after the clock was set back, which must not raise the rate.
 func decay(rate float64, elapsed int64, timeConstant time.Duration) float64 {
-	return rate * math.Exp(-float64(elapsed)/float64(timeConstant))
+	return rate * math.Exp(-float64(max(elapsed, 0))/float64(timeConstant))
 }
 
 // demand is the rate of requests to a service at this host.
@@ -72,7 +73,7 @@
 // grantState is the progress of a service's requests for grants.
 type grantState struct {
 	pending  atomic.Bool
-	notUntil atomic.Int64 // time of the next call
+	notUntil atomic.Int64 // time of the next call, see steady.Clock
 	failedAt atomic.Int64 // last time that the fallback was applied, 0 after a success
 	lostAt   atomic.Int64 // time of the first call that failed since the last success
 }
@@ -127,7 +128,7 @@
 // take them.
 func (d *Dispatcher) grantRequest(now int64) (request grantRequest) {
 	view := d.router.views.Load(d.service)
-	if d.router.grant == nil || view == nil || now < d.grants.notUntil.Load() {
+	if d.router.grant == nil || view == nil || d.router.steady() < d.grants.notUntil.Load() {
 		return request
 	}
 	q := Query{coldRate: d.router.terms(d.service).ColdRate()}
@@ -180,7 +181,7 @@
 // applyGrants records the result of a call that was sent at the given time.
 func (d *Dispatcher) applyGrants(request grantRequest, grants Grants, err error, sent int64) {
 	now := d.router.clock()
-	d.grants.notUntil.Store(now + int64(grants.Pause))
+	d.grants.notUntil.Store(d.router.steady() + int64(grants.Pause))
 	if err != nil {
 		d.fallBack(request, now)
 	} else {
