control/quota: grants at a very low coldRate are valid

Cause: the validity of a grant to a cold instance divides by the rate. Below 2.2e-10/s the time exceeds its type and became negative, so that each grant was over at once and the instances got nothing while cold.

Change: the validity is that of the least rate that is granted, 0.1/s. The test of the validity has such rates, and says what it guards against.

--- a/control/quota/cold.go
+++ b/control/quota/cold.go
@@ -21,7 +21,7 @@
 
 // coldValidity returns how long an entry host may use a grant to a cold instance.
 func coldValidity(perSecond float64) time.Duration {
-	held := time.Duration(heldCold / perSecond * float64(time.Second))
+	held := time.Duration(heldCold / max(perSecond, minPerSecond) * float64(time.Second))
 	return min(Validity, Validity/3+held)
 }
 
--- a/control/quota/cold_test.go
+++ b/control/quota/cold_test.go
@@ -132,8 +132,10 @@
 	must.Zero(t, count(response))
 }
 
-func TestGrantsToColdInstancesOfHighRatesAreValidForLess(t *testing.T) {
-	for perSecond, want := range map[float64]time.Duration{1.6: 1500 * time.Millisecond, 4: time.Second, 40: 550 * time.Millisecond} {
+// Guards against grants that add up at high rates, and against ones that are over at once at a
+// rate so low that the time exceeds its type.
+func TestValidityOfGrantsToColdInstances(t *testing.T) {
+	for perSecond, want := range map[float64]time.Duration{1e-320: 1500 * time.Millisecond, 1e-10: 1500 * time.Millisecond, 1.6: 1500 * time.Millisecond, 4: time.Second, 40: 550 * time.Millisecond} {
 		now := time.Unix(1000, 0)
 		r := newColdReplica("a", &now, perSecond)
 		r.follow("a", 1, now.Add(-time.Hour))
