control/quota: a new leader grants cold instances that name a rate limit at once

Cause: for 1.5 s a new leader granted nothing to a cold instance that names a rate limit, as its predecessor may have granted far more under that limit. Hosts drop such grants when they hear that the instance is cold, and one that has not heard it is not limited by what others are granted. A service whose instances are all cold and name a limit got nothing for 1.5 s after a change of the leader.

Change: such an instance is granted as the other cold ones are, the lower one of both limits, from an empty bucket. The test of a new leader now requires this, and still that an instance that is not cold gets nothing before the grants of the predecessor have expired. The property test of the bound over several leaders also draws an instance that names a limit.

--- a/control/quota/cold.go
+++ b/control/quota/cold.go
@@ -35,16 +35,13 @@
 }
 
 // coldCandidates returns the cold instances of a request with their buckets. One that has
-// named a rate limit gets the lower one of both, and nothing while an earlier leader's
-// grants of that limit may be in use, which may be far more.
-func (s *Service) coldCandidates(req *wire.GrantRequest, perSecond float64, limits bool, leadsSince, now time.Time) []candidate {
+// named a rate limit gets the lower one of both. Grants of that limit by an earlier leader
+// may be far more, but hosts drop them when they hear that the instance is cold.
+func (s *Service) coldCandidates(req *wire.GrantRequest, perSecond float64, leadsSince, now time.Time) []candidate {
 	var candidates []candidate
 	for _, id := range req.GetCold() {
 		limit := perSecond
 		if named := s.fleet.RateLimit(id, now); named != nil && !named.GetEnded() {
-			if !limits {
-				continue
-			}
 			limit = min(limit, named.GetPerSecond())
 		}
 		candidates = append(candidates, candidate{instance: id, bucket: s.coldBucket(id, limit, leadsSince, now)})
--- a/control/quota/quota.go
+++ b/control/quota/quota.go
@@ -117,7 +117,7 @@
 	var candidates []candidate
 	if coldRate > 0 {
 		response.ValidNs = int64(coldValidity(coldRate))
-		candidates = s.coldCandidates(req, coldRate, limits, status.LeadsSince(), now)
+		candidates = s.coldCandidates(req, coldRate, status.LeadsSince(), now)
 	}
 	for _, known := range req.GetRateLimits() {
 		limit := s.fleet.RateLimit(known.GetInstance(), now)
