control/quota, entry/route: a host keeps a share of rate limits while only cold instances are granted

Cause: a new leader grants no rate limits for 1.5 s, and hosts go on with half of their last rate while nobody grants. With cold instances in the same call it now answers, which hosts took for a leader that grants nothing to the others: instances of the service that name a limit and are not cold got nothing for 1.5 s.

Change: the response states that only cold instances are granted (cold_only), and the host applies the share to the others.

--- a/control/quota/cold_test.go
+++ b/control/quota/cold_test.go
@@ -104,10 +104,12 @@
 	response, err = r.Grant(context.Background(), named)
 	must.NoError(t, err)
 	must.Zero(t, count(response)) // a former leader may have granted it 50 a second
+	must.True(t, response.GetColdOnly())
 	now = now.Add(time.Second)
 	response, err = r.Grant(context.Background(), named)
 	must.NoError(t, err)
 	must.Eq(t, 3, count(response)) // 1 and, of the cold instance, what is saved at most
+	must.False(t, response.GetColdOnly())
 }
 
 // Guards against a cold instance that gets the higher one of its two limits.
--- a/control/quota/quota.go
+++ b/control/quota/quota.go
@@ -5,8 +5,8 @@
 // The leader of the control hosts grants single requests, each for a short time, from
 // a token bucket for each instance. An entry host sends to an instance with a limit
 // only what was granted to it. Nothing is stored: a new leader grants nothing until
-// the grants of the previous one have expired. Retries are granted in the same way, from
-// a token bucket for each service.
+// the grants of the previous one have expired, except to cold instances, whose buckets it
+// begins empty. Retries are granted in the same way, from a token bucket for each service.
 //
 // Usage:
 //
@@ -96,9 +96,9 @@
 }
 
 // Grant grants requests to an entry host, to instances that named a rate limit and to cold
-// instances of services that limit the requests to them. On a control host that is not the leader it
-// names the leader; a leader without a quorum, or whose predecessor's grants may still
-// be in use, returns an error.
+// instances of services that limit the requests to them. On a control host that is not the
+// leader it names the leader; a leader without a quorum returns an error. So does one whose
+// predecessor's grants may still be in use, unless there are cold instances to grant.
 func (s *Service) Grant(_ context.Context, req *wire.GrantRequest) (*wire.GrantResponse, error) {
 	status, now := s.log.Status(), s.now()
 	if status.Leader() != s.name {
@@ -113,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startTerm(status.Term())
-	response := &wire.GrantResponse{Leader: true, ValidNs: int64(Validity), PauseNs: int64(s.pause(req.GetHost(), now))}
+	response := &wire.GrantResponse{Leader: true, ValidNs: int64(Validity), PauseNs: int64(s.pause(req.GetHost(), now)), ColdOnly: !limits}
 	var candidates []candidate
 	if coldRate > 0 {
 		response.ValidNs = int64(coldValidity(coldRate))
--- a/entry/host/cold_test.go
+++ b/entry/host/cold_test.go
@@ -24,7 +24,7 @@
 
 func (q *quotaRecorder) Grant(_ context.Context, req *wire.GrantRequest) (*wire.GrantResponse, error) {
 	q.last = req
-	return &wire.GrantResponse{Leader: true, ValidNs: int64(time.Second), Grants: []*wire.Grant{{Instance: "cold", Requests: 2}}}, nil
+	return &wire.GrantResponse{Leader: true, ValidNs: int64(time.Second), ColdOnly: true, Grants: []*wire.Grant{{Instance: "cold", Requests: 2}}}, nil
 }
 
 // directly sends requests to a handler without a network.
@@ -54,6 +54,7 @@
 	granted, err := g.request(t.Context(), 3, []route.Member{member("cold", false, cold...), member("both", true, cold...), member("named", true)})
 	must.NoError(t, err)
 	must.Eq(t, 2, granted.Requests["cold"])
+	must.True(t, granted.ColdOnly)
 	must.Eq(t, "shop", leader.last.GetService())
 	must.Eq(t, []string{"cold", "both"}, leader.last.GetCold())
 	must.Len(t, 2, leader.last.GetRateLimits())
--- a/entry/host/ratelimit.go
+++ b/entry/host/ratelimit.go
@@ -104,7 +104,7 @@
 	g.news.apply(response.GetRateLimits())
 	granted := route.Grants{
 		Requests: make(map[instance.ID]int, len(response.GetGrants())),
-		Validity: time.Duration(response.GetValidNs()), Pause: time.Duration(response.GetPauseNs()),
+		Validity: time.Duration(response.GetValidNs()), Pause: time.Duration(response.GetPauseNs()), ColdOnly: response.GetColdOnly(),
 	}
 	for _, one := range response.GetGrants() {
 		granted.Requests[instance.ID(one.GetInstance())] = int(one.GetRequests())
--- a/entry/route/cold_test.go
+++ b/entry/route/cold_test.go
@@ -284,3 +284,42 @@
 	must.GreaterEq(t, 15, len(wanted))
 	must.LessEq(t, 4, slices.Max(wanted))
 }
+
+// Guards against instances with a rate limit that get nothing while a new leader grants only
+// cold instances, though without an answer they would get a share of what they got before.
+func TestHostKeepsAShareOfRateLimitsWhileOnlyColdInstancesAreGranted(t *testing.T) {
+	var f *fixture
+	coldOnly := false
+	terms := contract.NewService(service, contract.WithColdRate(1.6))
+	f = newFixture(2, route.NewAdaptive(), route.WithTerms(func(string) *contract.Service { return terms }),
+		route.WithGrants(func(context.Context, int, []route.Member) (route.Grants, error) {
+			grants := route.Grants{ColdOnly: coldOnly, Validity: grantValidity, Requests: map[instance.ID]int{}}
+			if !coldOnly {
+				grants.Requests[f.members[0].Instance().ID()], grants.Requests[f.members[1].Instance().ID()] = 1, 1
+			}
+			return grants, nil
+		}))
+	f.change(0, instance.WithCold(true), instance.WithWarmupLeft(time.Hour))
+	f.members[1].Load().RecordRateLimit(route.NewRateLimit(50), f.now)
+	sent := map[instance.ID]int{}
+	run := func(d time.Duration) {
+		clear(sent)
+		for end := f.now + int64(d); f.now < end; f.now += int64(100 * time.Millisecond) {
+			_, waiter, err := f.router.Offer(query(), func(ticket *route.Ticket, _ error) {
+				sent[ticket.Instance().ID()]++
+				ticket.Finish(route.Report{Latency: time.Millisecond})
+			})
+			must.NoError(t, err)
+			f.router.RequestGrants(context.Background())
+			if waiter != nil {
+				waiter.Cancel()
+			}
+		}
+	}
+	run(10 * time.Second)
+	coldOnly = true
+	run(2 * grantValidity) // what was granted before is used up
+	run(3 * time.Second)
+	must.Between(t, 3, sent[f.members[1].Instance().ID()], 15)
+	must.Zero(t, sent[f.members[0].Instance().ID()])
+}
--- a/entry/route/quota.go
+++ b/entry/route/quota.go
@@ -15,6 +15,8 @@
 	Requests map[instance.ID]int
 	Validity time.Duration // from the time of the call
 	Pause    time.Duration // until the next call for the same service
+	// ColdOnly states that the leader does not grant yet what is not for cold instances.
+	ColdOnly bool
 }
 
 // GrantFunc requests grants from the control hosts for up to wanted requests to the given
@@ -75,7 +77,7 @@
 	pending  atomic.Bool
 	notUntil atomic.Int64 // time of the next call, see steady.Clock
 	failedAt atomic.Int64 // last time that the fallback was applied, 0 after a success
-	lostAt   atomic.Int64 // time of the first call that failed since the last success
+	lostAt   atomic.Int64 // time of the first call since the last success that failed or granted only cold instances
 }
 
 // RunGrants requests grants for the services that need them until the context ends.
@@ -182,8 +184,8 @@
 func (d *Dispatcher) applyGrants(request grantRequest, grants Grants, err error, sent int64) {
 	now := d.router.clock()
 	d.grants.notUntil.Store(d.router.steady() + int64(grants.Pause))
-	if err != nil {
-		d.fallBack(request, now)
+	if err != nil || grants.ColdOnly {
+		d.fallBack(request, grants.ColdOnly, now)
 	} else {
 		d.grants.failedAt.Store(0)
 	}
@@ -200,8 +202,9 @@
 	}
 }
 
-// fallBack lets this host go on with a share of the rate that it was granted last.
-func (d *Dispatcher) fallBack(request grantRequest, now int64) {
+// fallBack lets this host go on with a share of the rate that it was granted last, except at
+// cold instances if those are granted.
+func (d *Dispatcher) fallBack(request grantRequest, coldGranted bool, now int64) {
 	last := d.grants.failedAt.Swap(now)
 	if last == 0 {
 		d.grants.lostAt.Store(now)
@@ -209,10 +212,11 @@
 	}
 	elapsed, until := time.Duration(now-last), now+int64(fallbackValidity)
 	for at, m := range request.members {
-		if request.cold[at] {
-			m.load.rateLimit.fallBackCold(elapsed, until, now)
-		} else {
+		switch {
+		case !request.cold[at]:
 			m.load.rateLimit.fallBack(elapsed, d.grants.lostAt.Load(), until, now)
+		case !coldGranted:
+			m.load.rateLimit.fallBackCold(elapsed, until, now)
 		}
 	}
 }
