bench/cold: what waits at a host ends when the host restarts

Cause: the site replaced a host that restarts, but requests that waited at the former one went on there without news of the instances, and were sent to cold ones without a limit. TestBoundOfColdInstancesHoldsThroughFaults failed with -rapid.checks=500 -rapid.seed=5 for that (1 host, 10 requests where 9.5 are the bound), though no process does so.

Change: requests wait in the context of their host. The responses of leaders also state whether they grant only cold instances, as the real ones do.

--- a/bench/cold/server_test.go
+++ b/bench/cold/server_test.go
@@ -72,7 +72,7 @@
 
 func (s *site) send(h *host) {
 	started := time.Now()
-	ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
+	ctx, cancel := context.WithTimeout(h.ctx, requestTimeout)
 	defer cancel()
 	ticket, err := h.router.Acquire(ctx, route.NewQuery(shop, contract.New(), "caller", h.zone).WithSoftDeadline(started.Add(requestTimeout/2)))
 	s.mu.Lock()
--- a/bench/cold/site_test.go
+++ b/bench/cold/site_test.go
@@ -96,7 +96,8 @@
 	views  *route.Views
 	loads  []*route.Load
 	router *route.Router
-	cut    bool // from the control hosts
+	cut    bool            // from the control hosts
+	ctx    context.Context // ends with the process
 	stop   context.CancelFunc
 }
 
@@ -159,7 +160,7 @@
 		}))
 	s.publish(h)
 	ctx, cancel := context.WithCancel(s.ctx)
-	h.stop = cancel
+	h.ctx, h.stop = ctx, cancel
 	go h.router.RunGrants(ctx)
 	go h.router.RunWaiting(ctx)
 	return h
@@ -188,7 +189,8 @@
 	return len(i.ends)
 }
 
-// restart replaces a host by one that knows nothing but the records.
+// restart replaces a host by one that knows nothing but the records. What waits at the
+// former one ends with it.
 func (s *site) restart(n int) {
 	s.mu.Lock()
 	old := s.hosts[n]
@@ -232,7 +234,7 @@
 			continue
 		}
 		time.Sleep(callDelay)
-		granted := route.Grants{Requests: map[instance.ID]int{}, Validity: time.Duration(response.GetValidNs()), Pause: time.Duration(response.GetPauseNs())}
+		granted := route.Grants{Requests: map[instance.ID]int{}, Validity: time.Duration(response.GetValidNs()), Pause: time.Duration(response.GetPauseNs()), ColdOnly: response.GetColdOnly()}
 		for _, g := range response.GetGrants() {
 			granted.Requests[instance.ID(g.GetInstance())] = int(g.GetRequests())
 		}
