control/upstream: a host that starts again records a second cold time

Cause: when a control host starts, it does not know until when the records that it holds state that an instance is cold. It took an announcement of a second cold time that is no longer than the first for a renewal, and entry hosts ended their limit with the first.

Change: such a host records the stated time once, for each cold instance that it holds. An announcement that only visits a host is no commit, as before.

--- a/control/upstream/warmup.go
+++ b/control/upstream/warmup.go
@@ -34,7 +34,10 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	end, ok := i.warm[m.GetId()]
-	if !ok { // another host has committed the record, at an unknown time
+	if !ok && known.GetHeardBy() == i.name { // committed before this host started, at an unknown time
+		return true
+	}
+	if !ok { // committed by another host; the next announcement here is committed
 		i.warm[m.GetId()] = time.Now().Add(left)
 		return left > time.Duration(known.GetWarmupLeftNs())+warmupTolerance
 	}
--- a/control/upstream/warmup_test.go
+++ b/control/upstream/warmup_test.go
@@ -72,3 +72,20 @@
 		must.Eq(t, int64(3*time.Second), log.machine.Instance("i-1").GetWarmupLeftNs())
 	})
 }
+
+// Guards against a host that starts again and takes a second cold time for the one that its
+// record states, as it no longer knows when that was.
+func TestHostThatStartsAgainRecordsAColdInstanceOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &slowLog{machine: state.New()}
+		must.NoError(t, newInstances(log, "control-1").Announce(t.Context(), coldHeartbeat(1, 3*time.Second)))
+		time.Sleep(2500 * time.Millisecond)
+		host := newInstances(log, "control-1")
+		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(2, 2900*time.Millisecond)))
+		must.Eq(t, 2, log.proposed())
+		must.Eq(t, int64(2900*time.Millisecond), log.machine.Instance("i-1").GetWarmupLeftNs())
+		time.Sleep(1500 * time.Millisecond)
+		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(3, 1400*time.Millisecond)))
+		must.Eq(t, 2, log.proposed())
+	})
+}
