--- a/control/upstream/upstream.go
+++ b/control/upstream/upstream.go
@@ -25,6 +25,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/control/agreement"
 	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"google.golang.org/protobuf/proto"
@@ -52,6 +53,7 @@
 	machine *state.Machine
 	lease   time.Duration
 	logger  hclog.Logger
+	terms   func(service string) *contract.Service
 
 	batches *batcher
 
@@ -68,11 +70,17 @@
 // silent.
 func WithLease(d time.Duration) Option { return func(i *Instances) { i.lease = d } }
 
+// WithTerms sets the function that returns the terms of a service in the rules in force.
+func WithTerms(terms func(service string) *contract.Service) Option {
+	return func(i *Instances) { i.terms = terms }
+}
+
 // New returns the Instances of one control host.
 func New(name string, log agreement.Log, machine *state.Machine, logger hclog.Logger, opts ...Option) *Instances {
 	i := &Instances{
 		name: name, log: log, machine: machine, lease: DefaultLease, logger: logger.Named("upstream"),
 		batches: newBatcher(log), renewed: map[string]time.Time{}, visits: map[string]time.Time{}, warm: map[string]time.Time{},
+		terms: func(service string) *contract.Service { return contract.NewService(service) },
 	}
 	for _, opt := range opts {
 		opt(i)
--- a/control/upstream/upstream_test.go
+++ b/control/upstream/upstream_test.go
@@ -55,8 +55,8 @@
 	return agreement.NewStatus("control-1", "", 1, 1, true, members)
 }
 
-func newInstances(l *slowLog, name string) *upstream.Instances {
-	return upstream.New(name, l, l.machine, hclog.NewNullLogger())
+func newInstances(l *slowLog, name string, opts ...upstream.Option) *upstream.Instances {
+	return upstream.New(name, l, l.machine, hclog.NewNullLogger(), opts...)
 }
 
 func heartbeat(n int, sequence uint64) *wire.Instance {
--- a/control/upstream/warmup.go
+++ b/control/upstream/warmup.go
@@ -25,10 +25,11 @@
 }
 
 // turnedColdAgain reports whether an instance that was cold stays so for longer than its
-// record states, after which entry hosts no longer take it for cold.
+// record states, after which entry hosts no longer take it for cold. This matters only if its
+// service limits the requests to cold instances.
 func (i *Instances) turnedColdAgain(known, m *wire.Instance) bool {
 	left := time.Duration(m.GetWarmupLeftNs())
-	if !m.GetCold() || left <= 0 {
+	if !m.GetCold() || left <= 0 || i.terms(m.GetService()).ColdRate() <= 0 {
 		return false
 	}
 	i.mu.Lock()
--- a/control/upstream/warmup_test.go
+++ b/control/upstream/warmup_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/control/upstream"
+	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -16,12 +18,19 @@
 	return m
 }
 
+// newColdInstances returns the Instances of a host whose rules limit the requests to cold ones.
+func newColdInstances(log *slowLog, name string) *upstream.Instances {
+	return newInstances(log, name, upstream.WithTerms(func(service string) *contract.Service {
+		return contract.NewService(service, contract.WithColdRate(1.6))
+	}))
+}
+
 // Guards against a commit with each announcement of a cold instance, and against a record that
 // states the first of two cold times, after which hosts no longer limit the instance.
 func TestInstanceThatTurnsColdAgainIsRecordedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &slowLog{machine: state.New()}
-		host := newInstances(log, "control-1")
+		host := newColdInstances(log, "control-1")
 		left := func() time.Duration { return time.Duration(log.machine.Instance("i-1").GetWarmupLeftNs()) }
 		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(1, 3*time.Second)))
 		time.Sleep(1500 * time.Millisecond)
@@ -48,7 +57,7 @@
 func TestRenewalOfAColdInstanceAtAnotherHostIsNoCommand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &slowLog{machine: state.New()}
-		holder, other := newInstances(log, "control-1"), newInstances(log, "control-2")
+		holder, other := newColdInstances(log, "control-1"), newColdInstances(log, "control-2")
 		must.NoError(t, holder.Announce(t.Context(), coldHeartbeat(1, 3*time.Second)))
 		time.Sleep(1500 * time.Millisecond)
 		must.NoError(t, other.Announce(t.Context(), coldHeartbeat(2, 1500*time.Millisecond)))
@@ -64,7 +73,7 @@
 func TestLateAnnouncementDoesNotMakeTheInstanceColdAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &slowLog{machine: state.New()}
-		host := newInstances(log, "control-1")
+		host := newColdInstances(log, "control-1")
 		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(5, time.Second)))
 		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(4, 3*time.Second)))
 		must.Eq(t, int64(time.Second), log.machine.Instance("i-1").GetWarmupLeftNs())
@@ -78,9 +87,9 @@
 func TestHostThatStartsAgainRecordsAColdInstanceOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &slowLog{machine: state.New()}
-		must.NoError(t, newInstances(log, "control-1").Announce(t.Context(), coldHeartbeat(1, 3*time.Second)))
+		must.NoError(t, newColdInstances(log, "control-1").Announce(t.Context(), coldHeartbeat(1, 3*time.Second)))
 		time.Sleep(2500 * time.Millisecond)
-		host := newInstances(log, "control-1")
+		host := newColdInstances(log, "control-1")
 		must.NoError(t, host.Announce(t.Context(), coldHeartbeat(2, 2900*time.Millisecond)))
 		must.Eq(t, 2, log.proposed())
 		must.Eq(t, int64(2900*time.Millisecond), log.machine.Instance("i-1").GetWarmupLeftNs())
@@ -89,3 +98,17 @@
 		must.Eq(t, 2, log.proposed())
 	})
 }
+
+// Guards against commits, and news for all hosts, with each announcement of an instance whose
+// service does not limit the requests to cold ones.
+func TestColdTimeOfAServiceWithoutALimitIsNoCommand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &slowLog{machine: state.New()}
+		host := newInstances(log, "control-1")
+		for sequence := range uint64(4) {
+			must.NoError(t, host.Announce(t.Context(), coldHeartbeat(sequence+1, 3*time.Second)))
+			time.Sleep(1500 * time.Millisecond)
+		}
+		must.Eq(t, 1, log.proposed())
+	})
+}
