bench/cold: the tests run in parallel

Cause: the package took 10 s by itself, and up to 17 s beside the tests of other packages; its limit is 20 s.

Change: each test has its own site in virtual time, and they run in parallel.

--- a/bench/cold/bound_test.go
+++ b/bench/cold/bound_test.go
@@ -35,6 +35,7 @@
 // Guards against a cold instance that gets from all hosts together more than it tolerates,
 // through changes of the leader, hosts that reach no control host, and hosts that start.
 func TestBoundOfColdInstancesHoldsThroughFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		shape := shape{
 			hosts: rapid.IntRange(1, 30).Draw(rt, "hosts"), zones: 2, instances: rapid.IntRange(1, 6).Draw(rt, "instances"),
--- a/bench/cold/pattern_test.go
+++ b/bench/cold/pattern_test.go
@@ -49,6 +49,7 @@
 // Guards against requests that wait for grants to cold instances, or slow down there, though
 // the other zones have room.
 func TestRequestsPreferInstancesThatAreNotCold(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, large(172, 500*time.Millisecond))
 		s.run(5 * time.Second)
@@ -68,6 +69,7 @@
 // Guards against cold instances that stay idle while those that are not cold have more than
 // they can handle, as each host sees too little to know.
 func TestColdInstancesHelpWhenTheOthersAreFull(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, large(800, 500*time.Millisecond)) // 254 slots of the other zones answer 508
 		s.run(5 * time.Second)
@@ -84,6 +86,7 @@
 // Guards against a service that is refused while all of its instances are cold, though they
 // can take what it needs, and against a leader that is asked too often then.
 func TestAllInstancesAreColdAfterAnOutage(t *testing.T) {
+	t.Parallel()
 	for name, shape := range map[string]shape{
 		"203 hosts": large(172, 250*time.Millisecond),
 		"55 hosts":  {hosts: 55, zones: 4, instances: 135, rate: 150, work: 250 * time.Millisecond, coldRate: 1.6},
@@ -108,6 +111,7 @@
 // Guards against cold instances that get less than they tolerate from a service that could
 // use more.
 func TestColdInstancesGetTheirRateWhenAllAreNeeded(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, large(450, 250*time.Millisecond))
 		s.run(5 * time.Second)
@@ -123,6 +127,7 @@
 // Guards against a zone that is given all requests at the moment at which its instances stop
 // being cold, as all hosts see them idle, and against one that does not get its share back.
 func TestShareOfAZoneReturnsSmoothly(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, large(300, 500*time.Millisecond))
 		zone := s.zone("z0")
@@ -145,6 +150,7 @@
 // Guards against a service whose instances are all cold and get nothing for as long as a new
 // leader waits for the grants of the former one to expire.
 func TestNewLeaderServesAServiceWhoseInstancesAreAllCold(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, large(172, 250*time.Millisecond))
 		s.run(5 * time.Second)
