--- a/control/upstream/upstream.go
+++ b/control/upstream/upstream.go
@@ -25,6 +25,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/control/agreement"
 	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/pause"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"google.golang.org/protobuf/proto"
@@ -52,12 +53,14 @@
 	machine *state.Machine
 	lease   time.Duration
 	logger  hclog.Logger
+	terms   func(service string) *contract.Service
 
 	batches *batcher
 
 	mu      sync.Mutex
 	renewed map[string]time.Time // time of the last renewal, by instance id
 	visits  map[string]time.Time // of instances whose lease another host holds, by instance id
+	warm    map[string]time.Time // end of the cold time that the record states, by instance id
 }
 
 // Option configures Instances.
@@ -67,11 +70,17 @@
 // silent.
 func WithLease(d time.Duration) Option { return func(i *Instances) { i.lease = d } }
 
+// WithTerms sets the function that returns the terms of a service in the rules in force.
+func WithTerms(terms func(service string) *contract.Service) Option {
+	return func(i *Instances) { i.terms = terms }
+}
+
 // New returns the Instances of one control host.
 func New(name string, log agreement.Log, machine *state.Machine, logger hclog.Logger, opts ...Option) *Instances {
 	i := &Instances{
 		name: name, log: log, machine: machine, lease: DefaultLease, logger: logger.Named("upstream"),
-		batches: newBatcher(log), renewed: map[string]time.Time{}, visits: map[string]time.Time{},
+		batches: newBatcher(log), renewed: map[string]time.Time{}, visits: map[string]time.Time{}, warm: map[string]time.Time{},
+		terms: func(service string) *contract.Service { return contract.NewService(service) },
 	}
 	for _, opt := range opts {
 		opt(i)
@@ -88,6 +97,9 @@
 		if !i.log.Status().Quorum() {
 			return ErrNoQuorum
 		}
+		if i.turnedColdAgain(known, m) {
+			return i.announceColdAgain(ctx, m)
+		}
 		i.renew(m.GetId())
 		return nil
 	}
@@ -103,6 +115,7 @@
 		return nil
 	}
 	i.renew(m.GetId())
+	i.noteWarmup(m)
 	if result.GetChanged() {
 		i.logger.Info("instance announced", "instance", m.GetId(), "service", m.GetService(), "address", m.GetAddress(),
 			"zone", m.GetZone(), "cold", m.GetCold(), "draining", m.GetDraining(), "incarnation", m.GetIncarnation())
@@ -119,6 +132,7 @@
 	}
 	i.mu.Lock()
 	delete(i.renewed, m.GetId())
+	delete(i.warm, m.GetId())
 	i.mu.Unlock()
 	i.logger.Info("instance left", "instance", m.GetId(), "incarnation", m.GetIncarnation(), "changed", result.GetChanged())
 	return nil
@@ -137,7 +151,7 @@
 func (i *Instances) isVisit(known, m *wire.Instance) bool {
 	same := proto.Clone(m).(*wire.Instance)
 	same.HeardBy = known.GetHeardBy()
-	if state.ChangesRecord(known, same) {
+	if state.ChangesRecord(known, same) || i.turnedColdAgain(known, m) {
 		return false
 	}
 	i.mu.Lock()
@@ -163,6 +177,7 @@
 		}
 		group.Wait()
 		i.forgetVisits(time.Now())
+		i.forgetWarmups(time.Now())
 	}
 }
 
--- a/entry/route/ratelimit.go
+++ b/entry/route/ratelimit.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -55,6 +56,7 @@
 	credits []credit // those that expire first are first
 	rate    float64  // granted requests a second, decayed over grantedDecay
 	rateAt  int64
+	cold    bool    // the rate is of grants to a cold instance
 	unspent float64 // part of a request that the fallback has earned
 }
 
@@ -64,10 +66,12 @@
 	direct bool // stated in a response to this host
 }
 
-// credit is a number of requests that may be sent until a time.
+// credit is a number of requests that may be sent until a time, at least one.
 type credit struct {
 	requests int
+	since    int64
 	until    int64
+	cold     bool // granted to a cold instance
 }
 
 // RateLimit returns the rate limit that the instance announced, if it did.
@@ -139,29 +143,11 @@
 	return limit.limited && limit.perSecond == 0 && now-at < int64(blockedTime)
 }
 
-// withinRateLimit reports whether this host may send one more request now.
-func (l *Load) withinRateLimit(now int64) bool {
-	return !l.RateLimit().limited || l.rateLimit.available(now) > 0
-}
-
-// takeRequest counts a request against the rate limit. It returns false if none may be
-// sent.
-func (l *Load) takeRequest(now int64) bool {
-	if !l.RateLimit().limited {
-		return true
-	}
-	if !l.rateLimit.take(now) {
-		return false
-	}
-	limitedRequests.Inc()
-	return true
-}
-
 // available returns the requests that may be sent.
-func (a *announcedLimit) available(now int64) int {
+func (a *announcedLimit) available(cold bool, now int64) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.expire(now)
+	a.expire(cold, now)
 	n := 0
 	for _, c := range a.credits {
 		n += c.requests
@@ -169,36 +155,55 @@
 	return n
 }
 
-func (a *announcedLimit) take(now int64) bool {
+// take returns the credit of one request, without requests if there is none.
+func (a *announcedLimit) take(cold bool, now int64) credit {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.expire(now)
+	a.expire(cold, now)
 	if len(a.credits) == 0 {
-		return false
+		return credit{}
 	}
+	taken := a.credits[0]
+	taken.requests = 1
 	if a.credits[0].requests--; a.credits[0].requests == 0 {
 		a.credits = a.credits[1:]
 	}
-	return true
+	return taken
 }
 
-// expire removes credits that have expired. The caller holds the lock.
-func (a *announcedLimit) expire(now int64) {
-	for len(a.credits) > 0 && a.credits[0].until <= now {
-		a.credits = a.credits[1:]
+// giveBack returns the credit of a request to a cold instance that was not sent. It ends
+// when it would have.
+func (a *announcedLimit) giveBack(c credit) {
+	if c.requests == 0 || !c.cold {
+		return
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.credits = append([]credit{c}, a.credits...)
+}
+
+// expire removes credits that have expired. Those of a rate limit, which may be far above
+// the limit for cold instances, end when the instance turns cold. Those of a cold instance end
+// when the clock is set back, after which they would be valid for longer than was granted. The
+// caller holds the lock.
+func (a *announcedLimit) expire(cold bool, now int64) {
+	a.credits = slices.DeleteFunc(a.credits, func(c credit) bool { return c.until <= now || c.cold && now < c.since || cold && !c.cold })
 }
 
 // grantedDecay is the time constant of the exponential decay of the granted rate.
 const grantedDecay = 3 * time.Second
 
 // add records granted requests, which may be sent until the given time.
-func (a *announcedLimit) add(requests int, until, now int64) {
+func (a *announcedLimit) add(requests int, cold bool, until, now int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.expire(cold, now)
+	if cold != a.cold {
+		a.rate, a.cold = 0, cold
+	}
 	a.rate = decay(a.rate, now-a.rateAt, grantedDecay) + float64(requests)/grantedDecay.Seconds()
 	a.rateAt, a.unspent = now, 0
-	a.credits = append(a.credits, credit{requests: requests, until: until})
+	a.credits = append(a.credits, credit{requests: requests, since: now, until: until, cold: cold})
 }
 
 // fallbackShare is the share of the granted rate that a host keeps while nobody grants.
@@ -211,11 +216,35 @@
 func (a *announcedLimit) fallBack(elapsed time.Duration, lostAt, until, now int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.expire(now)
-	a.unspent += fallbackShare * decay(a.rate, max(lostAt-a.rateAt, 0), grantedDecay) * elapsed.Seconds()
+	if a.cold {
+		a.rate, a.unspent, a.cold = 0, 0, false
+	}
+	a.expire(false, now)
+	a.earn(fallbackShare*decay(a.rate, max(lostAt-a.rateAt, 0), grantedDecay)*elapsed.Seconds(), until, now)
+}
+
+// fallBackCold earns requests to a cold instance for the time since the last failed call.
+// The rate decays meanwhile, so that all of them are at most the share of what the host
+// was granted in the last seconds, however long nobody grants and however often hosts are
+// cut off.
+func (a *announcedLimit) fallBackCold(elapsed time.Duration, until, now int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.cold {
+		a.rate, a.unspent, a.cold = 0, 0, true
+	}
+	a.expire(true, now)
+	since := max(now-int64(elapsed), a.rateAt)
+	earned := decay(a.rate, since-a.rateAt, grantedDecay) - decay(a.rate, now-a.rateAt, grantedDecay)
+	a.earn(fallbackShare*grantedDecay.Seconds()*max(earned, 0), until, now)
+}
+
+// earn adds the whole requests that have been earned. The caller holds the lock.
+func (a *announcedLimit) earn(requests float64, until, now int64) {
+	a.unspent += requests
 	if n := int(a.unspent); n > 0 {
 		a.unspent -= float64(n)
-		a.credits = append(a.credits, credit{requests: n, until: until})
+		a.credits = append(a.credits, credit{requests: n, since: now, until: until, cold: a.cold})
 	}
 }
 
