entry/route: ranks of organisations go before those of routes

Waiting requests were ordered by soft deadline and by the rank of the route alone. Requests without an aim are in the same order, with their deadline as the aim.

The expected time of such a request is that of earlier ones with the same terms: the mean of a service with work of 220 ms and of 880 ms refuses an urgent request of 220 ms after 880 ms in the queue although its deadline of 1,200 ms can be met. A request that cannot be served in time behind those that go first is refused at once, with the wait after which it can be (Problem.WithRetryAfter). A full queue refuses its least urgent request.

Deployments without organisations keep the order, the limits and the expected times that they had.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -144,7 +144,7 @@
 	if c.staleAt != "" {
 		tried = append(slices.Clone(tried), c.staleAt)
 	}
-	q := route.NewQuery(c.service, c.rule.Contract(), c.caller, zone, tried...).WithOrganisation(c.organisation)
+	q := route.NewQuery(c.service, c.rule.Contract(), c.caller, zone, tried...).WithOrganisation(c.organisation).WithRanks(c.keyed)
 	if c.counted {
 		q = q.Repeated()
 	}
@@ -163,7 +163,7 @@
 		ticket, problem = h.acquireTicket(c, tried)
 	}
 	if problem != nil {
-		return result{problem: c.problem(problem.Kind(), problem.Reason(), problem.Detail())}
+		return result{problem: c.problem(problem.Kind(), problem.Reason(), problem.Detail()).WithRetryAfter(problem.RetryAfter())}
 	}
 	d := &dispatch{h: h, c: c, ticket: ticket, target: ticket.Instance(), recorder: rec}
 	defer d.finish()
--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -157,7 +157,7 @@
 	if problem.Reason() == outcome.HostStopping {
 		return stoppingRetryAfter
 	}
-	return 0
+	return problem.RetryAfter()
 }
 
 // serviceOf returns the service that a request names by header, else by the
--- a/entry/caller/hedge.go
+++ b/entry/caller/hedge.go
@@ -112,7 +112,7 @@
 		return nil
 	}
 	exclude := append(append([]instance.ID{}, tried...), first.target.ID())
-	ticket := h.cfg.Router.Try(route.NewQuery(c.service, c.rule.Contract(), c.caller, h.cfg.Zone, exclude...).WithOrganisation(c.organisation))
+	ticket := h.cfg.Router.Try(route.NewQuery(c.service, c.rule.Contract(), c.caller, h.cfg.Zone, exclude...).WithOrganisation(c.organisation).WithRanks(c.keyed))
 	if ticket == nil {
 		return nil
 	}
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -59,6 +59,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if q.ranked {
+		return d.enqueueRanked(view, q, admitted, granted, now)
+	}
 	if q.softDeadline != 0 {
 		return nil, d.enqueueSoft(q, admitted, granted, now), nil
 	}
@@ -103,6 +106,9 @@
 	policy := d.router.policyOf(terms)
 	q.preferred, q.slowService = d.subset(view, q.zone), view.stats.slow(now)
 	t := &Ticket{}
+	if q.ranked {
+		t.kind = view.stats.kinds.of(q)
+	}
 	if d.router.trace {
 		t.trace = &Trace{}
 	}
--- a/entry/route/load.go
+++ b/entry/route/load.go
@@ -58,6 +58,7 @@
 	notSlowAt       atomic.Int64 // time of the last report of no slow moment
 	latencySamples  sampleCounter
 	slowdownSamples sampleCounter
+	kinds           kinds
 }
 
 // Latency returns the mean service time in nanoseconds, 0 if unknown.
--- a/entry/route/query.go
+++ b/entry/route/query.go
@@ -20,6 +20,7 @@
 	deadline     int64                  // Unix nanoseconds, 0 for none
 	repeated     bool                   // the request has earned its share of a retry
 	organisation *contract.Organisation // of the caller, nil for none
+	ranked       bool                   // the rules in force hold organisations
 }
 
 // NewQuery returns a query. A query that excludes instances is one of a repeated request.
@@ -43,6 +44,13 @@
 // Organisation returns the organisation of the caller, nil for none.
 func (q Query) Organisation() *contract.Organisation { return q.organisation }
 
+// WithRanks returns the query of a request that is ordered strictly by rank, as the rules
+// in force hold organisations.
+func (q Query) WithRanks(ranked bool) Query {
+	q.ranked = ranked
+	return q
+}
+
 // WithDeadline returns the query with the time by which the response must have begun.
 func (q Query) WithDeadline(deadline time.Time) Query {
 	q.deadline = deadline.UnixNano()
--- a/entry/route/queue.go
+++ b/entry/route/queue.go
@@ -78,8 +78,8 @@
 	if key == 0 {
 		key = w.arrivedAt + int64(defaultDeadline)
 	}
-	if terms := w.query.contract; terms != nil {
-		key += int64(terms.Priority()-contract.PriorityHigh) * int64(priorityDelay)
+	if w.query.contract != nil {
+		key += int64(w.query.rank().route-contract.PriorityHigh) * int64(priorityDelay)
 	}
 	return key + int64(q.byCaller[w.query.caller])*int64(callerDelay)
 }
--- a/entry/route/shed.go
+++ b/entry/route/shed.go
@@ -40,7 +40,7 @@
 	if q.contract == nil {
 		return int(limit)
 	}
-	switch q.contract.Priority() {
+	switch q.rank().route {
 	case contract.PriorityLow:
 		limit *= lowShare
 	case contract.PriorityNormal:
--- a/entry/route/softdeadline.go
+++ b/entry/route/softdeadline.go
@@ -3,9 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/snipebeam/snipebeam/world/contract"
-	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
 // Constants of scheduling by soft deadline.
@@ -21,7 +18,8 @@
 // that can still meet it are served first, by priority and then by earliest
 // deadline. While the earliest one has little slack, the newest is served instead
 // (adaptive LIFO): under overload, strict deadline order would make every request
-// miss its soft deadline by a little. Late requests get the remaining capacity.
+// miss its soft deadline by a little. Late requests get the remaining capacity. Of ranked
+// requests, only those of the most urgent rank are considered, late or not.
 type softDeadlineQueue struct{ all []*Waiter }
 
 // responseTime returns the expected time from dispatch to the response, with a margin.
@@ -33,19 +31,14 @@
 	return float64(w.query.softDeadline-now) >= responseTime
 }
 
-func (w *Waiter) priority() contract.Priority {
-	if w.query.contract == nil {
-		return contract.PriorityNormal
-	}
-	return w.query.contract.Priority()
-}
-
 // next returns the request to serve next, or nil, without removing it.
-func (q *softDeadlineQueue) next(now int64, responseTime float64) *Waiter {
-	first, last := q.earliestAndLatest(now, responseTime)
+func (q *softDeadlineQueue) next(now int64, expect expectation) *Waiter {
+	eligible := q.eligible()
+	first, last := earliestAndLatest(eligible, now, expect)
 	if first == nil {
-		return q.nextLate()
+		return nextLate(eligible)
 	}
+	responseTime := expect(first)
 	if slack := float64(first.query.softDeadline-now) - responseTime; slack < lifoSlackShare*responseTime {
 		return last
 	}
@@ -53,14 +46,20 @@
 }
 
 // earliestAndLatest returns the requests with the earliest and the latest soft
-// deadline among those of the highest priority that can still meet it.
-func (q *softDeadlineQueue) earliestAndLatest(now int64, responseTime float64) (first, last *Waiter) {
-	for _, w := range q.all {
+// deadline among those of the most urgent rank that can still meet it.
+func earliestAndLatest(all []*Waiter, now int64, expect expectation) (first, last *Waiter) {
+	for _, w := range all {
+		if !w.meetsSoftDeadline(now, expect(w)) {
+			continue
+		}
+		order := -1
+		if first != nil {
+			order = w.rank().compare(first.rank())
+		}
 		switch {
-		case !w.meetsSoftDeadline(now, responseTime):
-		case first == nil || w.priority() < first.priority():
+		case order < 0:
 			first, last = w, w
-		case w.priority() > first.priority():
+		case order > 0:
 		case w.query.softDeadline < first.query.softDeadline:
 			first = w
 		case w.query.softDeadline >= last.query.softDeadline:
@@ -70,11 +69,15 @@
 	return first, last
 }
 
-// nextLate returns the request of the highest priority with the earliest deadline.
-func (q *softDeadlineQueue) nextLate() *Waiter {
+// nextLate returns the request of the most urgent rank with the earliest deadline.
+func nextLate(all []*Waiter) *Waiter {
 	var best *Waiter
-	for _, w := range q.all {
-		if best == nil || w.priority() < best.priority() || w.priority() == best.priority() && w.query.deadline < best.query.deadline {
+	for _, w := range all {
+		if best == nil {
+			best = w
+			continue
+		}
+		if order := w.rank().compare(best.rank()); order < 0 || order == 0 && w.query.deadline < best.query.deadline {
 			best = w
 		}
 	}
@@ -90,9 +93,10 @@
 // unserviceable returns the requests to shed: those that cannot meet their
 // deadline, and the late ones beyond maxLate with the lowest priority and the
 // earliest soft deadline.
-func (q *softDeadlineQueue) unserviceable(now int64, responseTime float64, maxLate int) []*Waiter {
+func (q *softDeadlineQueue) unserviceable(now int64, expect expectation, maxLate int) []*Waiter {
 	var shed, late []*Waiter
 	for _, w := range q.all {
+		responseTime := expect(w)
 		switch {
 		case w.query.deadline != 0 && float64(w.query.deadline-now) < responseTime:
 			shed = append(shed, w)
@@ -104,8 +108,8 @@
 		return shed
 	}
 	slices.SortStableFunc(late, func(a, b *Waiter) int {
-		if a.priority() != b.priority() {
-			return int(a.priority()) - int(b.priority())
+		if order := a.rank().compare(b.rank()); order != 0 {
+			return order
 		}
 		return int((b.query.softDeadline - a.query.softDeadline) / int64(time.Millisecond)) // the most overdue ones are shed
 	})
@@ -132,12 +136,12 @@
 		}
 		return
 	}
-	responseTime := d.responseTime(view)
-	for _, w := range d.softQueue.unserviceable(now, responseTime, d.maxLate(view)) {
-		d.rejectWaiter(w, outcome.New(outcome.NotRun, outcome.Overload, "shed: the response would be too late"))
+	expect := d.expectation(view)
+	for _, w := range d.shed(view, now, expect) {
+		d.rejectWaiter(w, d.tooLate(view, w))
 	}
 	for len(d.softQueue.all) > 0 {
-		w := d.softQueue.next(now, responseTime)
+		w := d.softQueue.next(now, expect)
 		ticket, at := d.choose(view, &w.query, terms, now)
 		if at == AllBusy {
 			return
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -36,6 +36,7 @@
 	probes     ProbeStats
 	permit     permit
 	trace      *Trace
+	kind       *kindStats // of a ranked request, else nil
 }
 
 // Instance returns the chosen instance.
--- a/world/outcome/outcome.go
+++ b/world/outcome/outcome.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -100,9 +101,10 @@
 // Problem is an outcome other than an answer. It is an error, and is sent to
 // callers as a problem document (RFC 9457).
 type Problem struct {
-	kind   Kind
-	reason Reason
-	detail string
+	kind       Kind
+	reason     Reason
+	detail     string
+	retryAfter time.Duration // 0: the default of the reason
 }
 
 // New returns a problem. The detail is an explanation for people.
@@ -110,6 +112,18 @@
 	return &Problem{kind: kind, reason: reason, detail: detail}
 }
 
+// WithRetryAfter returns the problem with the time after which the request can be served,
+// 0 for the default of the reason.
+func (p *Problem) WithRetryAfter(wait time.Duration) *Problem {
+	q := *p
+	q.retryAfter = wait
+	return &q
+}
+
+// RetryAfter returns the time after which the request can be served, 0 for the default of
+// the reason.
+func (p *Problem) RetryAfter() time.Duration { return p.retryAfter }
+
 // Kind returns the outcome.
 func (p *Problem) Kind() Kind { return p.kind }
 
@@ -144,8 +158,8 @@
 	h.Set(Header, string(p.kind))
 	h.Set(ReasonHeader, string(p.reason))
 	h.Set(DecisionHeader, decisionID)
-	if props.retryAfter > 0 && p.kind == NotRun {
-		h.Set("Retry-After", strconv.Itoa(int(props.retryAfter/time.Second)))
+	if wait := max(props.retryAfter, p.retryAfter); props.retryAfter > 0 && p.kind == NotRun {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
 	w.WriteHeader(props.status)
 	body := problemBody{
