entry/admission, control/demand: the leader decides what is admitted, entry hosts obey

Entry hosts count arrivals, refusals, answers and the slot time by service, ranks and organisation, and report them with their polls, only for requests under rules that hold organisations. Every control host follows the sum with control/admission; the leader answers in the watch. An entry host applies the share of a request's ranks or organisation as a probability, refuses with 503 and the wait before anything is sent, and obeys an answer for 2 s. The leader ends polls after 1 s while there is demand, as hosts that have another primary would report every 3 s only.

Demand gets the rank of the organisation, the answers a second and the slots in use; Admission gets the rank of the organisation. Without it a limit of a rank needs an entry for each of its organisations.

--- a/control/admission/fill_test.go
+++ b/control/admission/fill_test.go
@@ -1,12 +1,16 @@
 package admission
 
 import (
+	"os"
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/world/testseed"
 	"pgregory.net/rapid"
 )
 
+func TestMain(m *testing.M) { os.Exit(testseed.Run(m)) }
+
 const rounding = 1e-6
 
 func drawClaims(t *rapid.T) []claim {
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/control/agreement"
+	"github.com/snipebeam/snipebeam/control/demand"
 	"github.com/snipebeam/snipebeam/control/directory"
 	"github.com/snipebeam/snipebeam/control/entry"
 	"github.com/snipebeam/snipebeam/control/fleet"
@@ -51,13 +52,14 @@
 			newDirectory,
 			entry.NewClaims,
 			newQuota,
+			newDecider,
 			newRing,
 			newOperatorRing,
 			newServers,
 			prometheus.New,
 			newServer,
 		),
-		fx.Invoke(runNode, runInstances, runListeners, runReload, runStop),
+		fx.Invoke(runNode, runInstances, runDecider, runListeners, runReload, runStop),
 		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
@@ -67,8 +69,17 @@
 	return fleet.New(fleet.WithRecords(machine))
 }
 
-func newRules(cfg *settings.Settings, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet, dir *directory.Directory) *operator.Rules {
-	return operator.New(cfg.Host.Name, log, machine, hosts).WithZone(cfg.Host.Zone).WithDirectory(dir)
+func newRules(cfg *settings.Settings, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet, dir *directory.Directory, decider *demand.Decider) *operator.Rules {
+	return operator.New(cfg.Host.Name, log, machine, hosts).WithZone(cfg.Host.Zone).WithDirectory(dir).WithAdmission(decider)
+}
+
+func newDecider(cfg *settings.Settings, log agreement.Log, machine *state.Machine, hosts *fleet.Fleet, logger hclog.Logger) *demand.Decider {
+	return demand.New(cfg.Host.Name, log, machine, hosts, logger)
+}
+
+func runDecider(lc fx.Lifecycle, decider *demand.Decider) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StartStopHook(func() { go decider.Run(ctx) }, cancel))
 }
 
 func newQuota(cfg *settings.Settings, log agreement.Log, hosts *fleet.Fleet, dir *directory.Directory) *quota.Service {
--- a/control/operator/rules.go
+++ b/control/operator/rules.go
@@ -34,6 +34,7 @@
 	name      string
 	zone      string
 	directory Directory // if nil, responses to watches have no number of active hosts
+	admission Admission // nil: nobody decides
 	log       agreement.Log
 	machine   *state.Machine
 	fleet     *fleet.Fleet
@@ -65,6 +66,21 @@
 	return s
 }
 
+// Admission decides which part of the demand entry hosts admit.
+type Admission interface {
+	// Leads reports whether this control host decides.
+	Leads() bool
+	// Admissions returns the parts, empty if all of the demand is admitted or another
+	// control host decides.
+	Admissions() []*wire.Admission
+}
+
+// WithAdmission sets what decides which part of the demand is admitted.
+func (s *Rules) WithAdmission(a Admission) *Rules {
+	s.admission = a
+	return s
+}
+
 // WithZone sets this host's availability zone for responses to watches.
 func (s *Rules) WithZone(zone string) *Rules {
 	s.zone = zone
--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -23,6 +23,9 @@
 	batchDelay     = 150 * time.Millisecond
 	hostBatchDelay = time.Millisecond
 	maxBatchDelay  = 500 * time.Millisecond
+	// admissionWait limits a poll of the leader while it decides which part of the demand
+	// is admitted. Entry hosts obey an answer for 2 s.
+	admissionWait = time.Second
 	// quorumCheckInterval is how often a poll for instances checks that this host
 	// still has a quorum. Without one the poll ends, so that the entry host gets
 	// the changes from another control host.
@@ -60,6 +63,9 @@
 	if report := req.GetReport(); s.directory != nil && (req.GetInstances() || report.GetState() == placement.StateIsolated) {
 		response.Relays = s.directory.Relays(report.GetName(), report.GetZone())
 	}
+	if s.admission != nil {
+		response.Admissions = s.admission.Admissions()
+	}
 	if req.GetRateLimits() {
 		response.RateLimits, response.RateLimitsRevision = s.fleet.RateLimits(req.GetKnownRateLimits(), time.Now())
 	}
@@ -103,7 +109,7 @@
 func (s *Rules) await(ctx context.Context, req *wire.WatchRequest) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatchWait)
+	wait := s.maxWait(req)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	lost := s.quorumLost(ctx, req)
@@ -132,6 +138,19 @@
 	}
 }
 
+// maxWait returns how long a poll waits for changes. The leader hears of the demand, and
+// entry hosts of its answer, more often while there is one.
+func (s *Rules) maxWait(req *wire.WatchRequest) time.Duration {
+	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatchWait)
+	if s.admission == nil || !s.admission.Leads() {
+		return wait
+	}
+	if len(req.GetReport().GetDemand()) > 0 || len(s.admission.Admissions()) > 0 {
+		return min(wait, admissionWait)
+	}
+	return wait
+}
+
 // delay returns how long a poll collects changes. News of instances that were lost, or that
 // hosts reach none, do not wait for longer in a large fleet.
 func (s *Rules) delay(req *wire.WatchRequest) time.Duration {
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -53,6 +53,7 @@
 	restore     func(previous *wire.HostReport)
 	restoreOnce sync.Once
 	rateLimits  func(limits []*wire.RateLimit)
+	admissions  func(admissions []*wire.Admission)
 	relays      func(addresses []string)
 	isolated    func()
 
@@ -85,6 +86,12 @@
 	return func(w *Watch) { w.rateLimits = apply }
 }
 
+// WithAdmissions calls apply with the parts of the demand to admit, from each response that
+// has some.
+func WithAdmissions(apply func(admissions []*wire.Admission)) WatchOption {
+	return func(w *Watch) { w.admissions = apply }
+}
+
 // WithRelays calls store with the addresses of other entry hosts to which requests can be
 // relayed.
 func WithRelays(store func(addresses []string)) WatchOption {
@@ -392,6 +399,9 @@
 	if limits := response.GetRateLimits(); w.rateLimits != nil && len(limits) > 0 {
 		w.rateLimits(limits)
 	}
+	if admissions := response.GetAdmissions(); w.admissions != nil && len(admissions) > 0 {
+		w.admissions(admissions)
+	}
 	if previous := response.GetPrevious(); previous != nil && w.restore != nil {
 		w.restoreOnce.Do(func() { w.restore(previous) })
 	}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -15,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"github.com/snipebeam/snipebeam/entry/admission"
 	"github.com/snipebeam/snipebeam/entry/backlog"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/decision"
@@ -65,7 +66,7 @@
 			newRegistry, newMembers,
 			rules.NewTable, placement.NewRates, backlog.NewTracker, decision.NewLog,
 			newControlHosts, newPool, newSettler, newSuspects,
-			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newDetector, newRelay, newRouter, newKeyRings, newExporter,
+			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newDetector, newRelay, newGate, newRouter, newKeyRings, newExporter,
 		),
 		fx.Invoke(membershipRunners(cfg)...),
 		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runRouter, runIsolation, runCallers),
@@ -82,15 +83,18 @@
 	suspects *poison.Tracker
 	views    *route.Views
 	reach    *isolation.Detector
+	gate     *admission.Gate
 	draining atomic.Bool
 	left     atomic.Bool // drained and stopped
 	bound    atomic.Bool // listeners are open
 }
 
-func newState(cfg *settings.Settings, table *rules.Table, requests *backlog.Tracker, suspects *poison.Tracker, views *route.Views, reach *isolation.Detector) *State {
-	return &State{cfg: cfg, table: table, requests: requests, suspects: suspects, views: views, reach: reach}
+func newState(cfg *settings.Settings, table *rules.Table, requests *backlog.Tracker, suspects *poison.Tracker, views *route.Views, reach *isolation.Detector, gate *admission.Gate) *State {
+	return &State{cfg: cfg, table: table, requests: requests, suspects: suspects, views: views, reach: reach, gate: gate}
 }
 
+func newGate() *admission.Gate { return admission.New() }
+
 // Ready reports whether this host serves callers.
 func (s *State) Ready() bool {
 	return s.bound.Load() && !s.draining.Load() && s.table.Confirmed()
@@ -122,7 +126,7 @@
 		CallersAddress: s.cfg.Listen.Callers, PeersAddress: s.cfg.Listen.Peers, PlatformAddress: s.cfg.Listen.Platform,
 		Version: s.table.Current().Number(), ReportedAt: now.UnixNano(), Backlog: s.requests.Services(now),
 		VersionConfirmedAt: s.table.ConfirmedNano(), InFlight: uint32(inFlight), Suspects: s.suspects.Suspects(), RateCapacity: s.cfg.Host.RateCapacity(), ByteCapacity: s.cfg.Host.ByteCapacity(),
-		RateLimits: statedRateLimits(s.views, now),
+		RateLimits: statedRateLimits(s.views, now), Demand: s.gate.Report(),
 	}
 }
 
@@ -158,7 +162,7 @@
 	return route.ByName(name)
 }
 
-func newRouter(cfg *settings.Settings, rates *placement.Rates, views *route.Views, policy route.Policy, table *rules.Table, node *peer.Node, members *registry.Membership, prober *prober, grants *grants, logger hclog.Logger) *route.Router {
+func newRouter(cfg *settings.Settings, rates *placement.Rates, views *route.Views, policy route.Policy, table *rules.Table, node *peer.Node, members *registry.Membership, prober *prober, grants *grants, gate *admission.Gate, logger hclog.Logger) *route.Router {
 	dir := &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, rates: rates, table: table, entries: node.Entries}
 	share := dir.share
 	if cfg.Peers.Membership == settings.MembershipControl {
@@ -166,6 +170,7 @@
 	}
 	return route.NewRouter(views, policy,
 		route.WithShare(share), route.WithHost(cfg.Host.Name), prober.routeOption(cfg),
+		route.WithGate(gate),
 		route.WithGrants(grants.request), route.WithRetryGrants(grants.requestRetries),
 		route.WithRateLimitChanged(func(m route.Member, limit route.RateLimit) { logRateLimit(logger, m, limit, "response") }),
 		route.WithLimits(route.Limits{
--- a/entry/host/inflight_test.go
+++ b/entry/host/inflight_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/admission"
 	"github.com/snipebeam/snipebeam/entry/backlog"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/isolation"
@@ -70,7 +71,7 @@
 	t.Helper()
 	cfg := settings.Default()
 	cfg.Host.LeaveSeconds = 2.5
-	state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}))
+	state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}), admission.New())
 	for n, advance := range requests {
 		r := state.requests.Track("catalogue", time.Now())
 		r.SetID(fmt.Sprintf("id-%d", n))
@@ -182,7 +183,7 @@
 		stops, out := stopsAtLimit.Get(), &lineBuffer{}
 		cfg, table, requests, suspects := settings.Default(), rules.NewTable(), backlog.NewTracker(), poison.NewTracker()
 		logger := logging.New("test", "info", out)
-		state := newState(cfg, table, requests, suspects, &route.Views{}, isolation.New(nil, &route.Views{}))
+		state := newState(cfg, table, requests, suspects, &route.Views{}, isolation.New(nil, &route.Views{}), admission.New())
 		noSeeds := func() []string { return nil }
 		var lc hooks
 		runCallers(&lc, callerDeps{
--- a/entry/host/membership.go
+++ b/entry/host/membership.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/snipebeam/snipebeam/entry/admission"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/peer"
 	"github.com/snipebeam/snipebeam/entry/poison"
@@ -66,10 +67,10 @@
 	return registry.NewMembership(reg, suspects, registry.WithLogger(logger))
 }
 
-func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, members *registry.Membership, suspects *poison.Tracker, current *controlHosts, limits *rateLimitNews, hosts *relay, logger hclog.Logger) *control.Watch {
+func newWatch(cfg *settings.Settings, rates *placement.Rates, ring *key.Ring, table *rules.Table, state *State, node *peer.Node, members *registry.Membership, suspects *poison.Tracker, current *controlHosts, limits *rateLimitNews, hosts *relay, gate *admission.Gate, logger hclog.Logger) *control.Watch {
 	client := ring.Client(&http.Client{Transport: control.Lenient(control.NewTransport(), logger)})
 	opts := []control.WatchOption{
-		control.WithRates(rates.Store), control.WithRateLimits(limits.apply),
+		control.WithRates(rates.Store), control.WithRateLimits(limits.apply), control.WithAdmissions(gate.Store),
 		control.WithRestore(func(previous *wire.HostReport) { state.requests.RestoreAlarms(previous.GetBacklog()) }),
 	}
 	join := node.Join
--- a/entry/host/stop_test.go
+++ b/entry/host/stop_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/admission"
 	"github.com/snipebeam/snipebeam/entry/backlog"
 	"github.com/snipebeam/snipebeam/entry/control"
 	"github.com/snipebeam/snipebeam/entry/isolation"
@@ -20,7 +21,7 @@
 // drained drains a host with one request that takes the given time, and returns
 // how long the drain took.
 func drained(ctx context.Context, t *testing.T, duration time.Duration) time.Duration {
-	state := newState(settings.Default(), rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}))
+	state := newState(settings.Default(), rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}), admission.New())
 	request := state.requests.Track("aftercare", time.Now())
 	time.AfterFunc(duration, func() { request.End(false, time.Now()) })
 	started := time.Now()
@@ -59,7 +60,7 @@
 
 func TestDrainClosesTheListenerBeforeRequestsInFlightEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		state := newState(settings.Default(), rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}))
+		state := newState(settings.Default(), rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}), admission.New())
 		request := state.requests.Track("aftercare", time.Now())
 		time.AfterFunc(time.Minute, func() { request.End(false, time.Now()) })
 		started, refused := time.Now(), make(chan time.Duration, 1)
@@ -76,7 +77,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cfg := settings.Default()
 		cfg.Host.LeaveSeconds, cfg.Host.StopLimitSeconds = 2, 8
-		state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}))
+		state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}), admission.New())
 		request := state.requests.Track("aftercare", time.Now())
 		started := time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), stopLimit(cfg))
@@ -99,7 +100,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cfg := settings.Default()
 		cfg.Host.LeaveSeconds, cfg.Host.StopLimitSeconds = 10, 8
-		state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}))
+		state := newState(cfg, rules.NewTable(), backlog.NewTracker(), poison.NewTracker(), &route.Views{}, isolation.New(nil, &route.Views{}), admission.New())
 		started, closed := time.Now(), time.Duration(0)
 		ctx, cancel := context.WithTimeout(t.Context(), stopLimit(cfg))
 		defer cancel()
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -37,6 +37,9 @@
 	if !d.router.endsBeforeCutoff(&q) && d.router.beyondCutoff(now, d.responseTime(view)) {
 		return nil, nil, d.cutOffProblem()
 	}
+	if problem := d.router.admit(&q); problem != nil {
+		return nil, nil, problem
+	}
 	terms := d.router.terms(d.service)
 	admitted, problem := d.limits.admit(&q, terms, d.share(&q, terms), now)
 	if problem != nil {
@@ -107,7 +110,7 @@
 	q.preferred, q.slowService = d.subset(view, q.zone), view.stats.slow(now)
 	t := &Ticket{}
 	if q.ranked {
-		t.kind = view.stats.kinds.of(q)
+		t.ranked, t.kind, t.flow = true, view.stats.kinds.of(q), q.flow()
 	}
 	if d.router.trace {
 		t.trace = &Trace{}
@@ -188,6 +191,7 @@
 
 func (d *Dispatcher) rejectWaiter(w *Waiter, problem error) {
 	d.remove(w)
+	d.router.refused(&w.query, problem)
 	w.granted(nil, problem)
 }
 
--- a/entry/route/ranked.go
+++ b/entry/route/ranked.go
@@ -26,18 +26,23 @@
 	if len(d.softQueue.all) >= d.router.limits.QueueLength {
 		last := d.softQueue.lastRanked()
 		if last == nil || last.rank().compare(w.rank()) <= 0 {
-			admitted.release()
-			return nil, nil, d.queueFull(view, w)
+			return nil, nil, d.refuse(w, d.queueFull(view, w))
 		}
 		d.rejectWaiter(last, d.queueFull(view, last))
 	}
 	if !d.softQueue.servesInTime(w, now, d.expectation(view), d.slotGap(view)) {
-		admitted.release()
-		return nil, nil, d.tooLate(view, w)
+		return nil, nil, d.refuse(w, d.tooLate(view, w))
 	}
 	return nil, d.enqueueSoft(q, admitted, granted, now), nil
 }
 
+// refuse ends a request that was not queued.
+func (d *Dispatcher) refuse(w *Waiter, problem error) error {
+	w.permit.release()
+	d.router.refused(&w.query, problem)
+	return problem
+}
+
 func (d *Dispatcher) queueFull(view *View, w *Waiter) error {
 	return outcome.New(outcome.NotRun, outcome.Overload, "the queue limit of "+d.service+" at this host is reached").WithRetryAfter(d.retryAfter(view, w))
 }
--- a/entry/route/record.go
+++ b/entry/route/record.go
@@ -55,7 +55,7 @@
 	if view != nil {
 		view.stats.observe(service)
 		view.stats.recordCompletion(now)
-		t.kind.observe(service)
+		t.served(service)
 	}
 }
 
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -48,6 +48,7 @@
 	steady     func() int64   // time by which retries are counted, see steady.Clock
 	retryGrant RetryGrantFunc // nil: nobody grants
 	grant      GrantFunc      // nil: nobody grants
+	gate       Gate           // nil: every request is admitted
 	cutoff     atomic.Int64   // Unix nanoseconds, 0 for none
 
 	mu          sync.Mutex
@@ -155,7 +156,9 @@
 // cancelWait ends a wait. If a ticket was granted concurrently, it is returned instead.
 func (r *Router) cancelWait(w *Waiter, granted <-chan grant, reason outcome.Reason, detail string) (*Ticket, error) {
 	if w.Cancel() {
-		return nil, outcome.New(outcome.NotRun, reason, detail)
+		problem := outcome.New(outcome.NotRun, reason, detail)
+		r.refused(&w.query, problem)
+		return nil, problem
 	}
 	return (<-granted).result()
 }
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -36,7 +36,9 @@
 	probes     ProbeStats
 	permit     permit
 	trace      *Trace
+	ranked     bool
 	kind       *kindStats // of a ranked request, else nil
+	flow       Flow       // of a ranked request
 }
 
 // Instance returns the chosen instance.
