entry/route: late ranked requests are bounded by the slots of this host

The number of late requests that may wait was derived from the time between completions. At a host with 1.7 requests a second that is the time between arrivals, so that one late request could wait, however free the service was. Ranked requests use the expected time between two slots, which the host's share of the capacity bounds.

--- a/entry/route/ranked.go
+++ b/entry/route/ranked.go
@@ -55,9 +55,10 @@
 // is ranked.
 func (d *Dispatcher) shed(view *View, now int64, expect expectation) []*Waiter {
 	if d.softQueue.ranked() {
-		return d.softQueue.shedRanked(now, expect, d.slotGap(view), d.maxLate(view))
+		slotGap := d.slotGap(view)
+		return d.softQueue.shedRanked(now, expect, slotGap, d.maxLate(slotGap))
 	}
-	return d.softQueue.unserviceable(now, expect, d.maxLate(view))
+	return d.softQueue.unserviceable(now, expect, d.maxLate(view.stats.gap.get()))
 }
 
 // retryAfter returns the time after which a refused request of the same kind can be served
--- a/entry/route/softdeadline.go
+++ b/entry/route/softdeadline.go
@@ -116,9 +116,9 @@
 	return append(shed, late[maxLate:]...)
 }
 
-// maxLate returns how many requests that missed their soft deadline may wait.
-func (d *Dispatcher) maxLate(view *View) int {
-	gap := view.stats.gap.get()
+// maxLate returns how many requests that missed their soft deadline may wait, by the time
+// between two slots that become free.
+func (d *Dispatcher) maxLate(gap float64) int {
 	if gap == 0 {
 		return d.router.limits.QueueLength
 	}
