--- a/control/admission/fill.go
+++ b/control/admission/fill.go
@@ -2,10 +2,14 @@
 
 import "slices"
 
-// Floors: how often a flow is served at least, as a part of how often all are. The
-// requirement is a quarter for each organisation. The margin of the regular demand covers
-// what hosts refuse themselves, which are less urgent requests first.
+// Floors: how often an organisation is served at least, as a part of how often all are. The
+// requirement is a quarter. The margin of the regular demand covers what hosts refuse
+// themselves, which are less urgent requests first.
+//
+// The floor of an organisation goes to its more urgent requests first, but urgentFirst times
+// as much at most, which is also the floor of the more urgent levels of others.
 const (
+	urgentFirst  = 1.25
 	regularFloor = 0.5
 	surplusFloor = 0.28
 )
@@ -70,25 +74,46 @@
 	}
 	split(claims)
 	served := capacity / total
+	floored := map[string]bool{} // organisations that fall below their floor without it
 	for range floorRounds {
-		given := divide(capacity, min(served, capacity/total/regularFloor), claims)
+		given := divide(capacity, min(served, capacity/total/regularFloor/urgentFirst), floored, claims)
 		sum := 0.0
 		for n, c := range claims {
 			shares[n] = given[n] / max(c.slots, tiny)
 			sum += shares[n] * c.requests
 		}
 		served = min(1, sum/max(requests, tiny))
+		findFloored(served, floored, claims, shares)
 	}
 	return shares
 }
 
-// divide gives each claim its floor where a part of all requests is served, then what is left to the regular demand of the levels
-// in order, and then to the surplus of the levels in order.
-func divide(left, served float64, claims []claim) []float64 {
-	given, wanted := make([]float64, len(claims)), make([]float64, len(claims))
+// floor returns the part of a claim's requests that are its floor where a part of all
+// requests is served.
+func (c *claim) floor(served float64) float64 {
+	regular := c.regular / max(c.slots, tiny)
+	return served * (regularFloor*regular + surplusFloor*(1-regular))
+}
+
+// findFloored adds the organisations that are served less often than their floors.
+func findFloored(served float64, floored map[string]bool, claims []claim, shares []float64) {
+	missing := map[string]float64{} // requests a second
 	for n, c := range claims {
-		given[n] = served * (regularFloor*c.regular + surplusFloor*(c.slots-c.regular))
-		left -= given[n]
+		missing[c.key.organisation] += c.requests * (c.floor(served) - shares[n])
+	}
+	for organisation, requests := range missing {
+		if requests > 0 {
+			floored[organisation] = true
+		}
+	}
+}
+
+// divide gives the floors, then what is left to the regular demand of the levels in order,
+// and then to the surplus of the levels in order.
+func divide(left, served float64, floored map[string]bool, claims []claim) []float64 {
+	given, wanted := floors(served, floored, claims), make([]float64, len(claims))
+	for _, slots := range given {
+		left -= slots
 	}
 	for _, surplus := range []bool{false, true} {
 		for n, c := range claims {
@@ -106,6 +131,33 @@
 	return given
 }
 
+// floors returns the slots of the floors: those of the organisations that need one, and of
+// all levels that are more urgent, so that these are not served less often.
+func floors(served float64, floored map[string]bool, claims []claim) []float64 {
+	given, need := make([]float64, len(claims)), map[string]float64{} // requests a second
+	for _, c := range claims {
+		need[c.key.organisation] += c.requests * c.floor(served)
+	}
+	for from := 0; from < len(claims); {
+		to := levelEnd(claims, from)
+		below := slices.ContainsFunc(claims[to:], func(c claim) bool { return floored[c.key.organisation] })
+		for n, c := range claims[from:to] {
+			part := min(1, urgentFirst*c.floor(served))
+			if !floored[c.key.organisation] {
+				if below {
+					given[from+n] = c.slots * part
+				}
+				continue
+			}
+			requests := min(need[c.key.organisation], part*c.requests)
+			need[c.key.organisation] -= requests
+			given[from+n] = c.slots * requests / max(c.requests, tiny)
+		}
+		from = to
+	}
+	return given
+}
+
 // levelEnd returns the end of the claims of one level.
 func levelEnd(claims []claim, from int) int {
 	to := from
--- a/control/admission/flow.go
+++ b/control/admission/flow.go
@@ -65,15 +65,28 @@
 // minWorkSamples is how many requests a mean slot time needs.
 const minWorkSamples = 10.0
 
-// work sums the slot time of recent requests.
-type work struct{ served, slots float64 }
+// work is the slot time of the requests of one rank. Hosts cannot tell it from the time in
+// the queue of an instance. So while demand is limited, and instances have queues, it rises
+// only slowly.
+type work struct {
+	served, slots float64 // sums of recent requests
+	time          float64 // seconds, 0 if unknown
+}
 
 func (w *work) add(interval time.Duration, d Demand) {
 	w.served += d.Served * interval.Seconds()
 	w.slots += d.Slots * interval.Seconds()
 }
 
-func (w *work) decay(interval time.Duration) {
+// update ends an interval.
+func (w *work) update(interval time.Duration, limited bool) {
+	if w.served >= minWorkSamples && w.slots > 0 {
+		mean := w.slots / w.served
+		if limited && w.time > 0 && mean > w.time {
+			mean = w.time + (mean-w.time)*interval.Seconds()/learnTime
+		}
+		w.time = mean
+	}
 	factor := math.Exp(-interval.Seconds() / workTime)
 	w.served *= factor
 	w.slots *= factor
@@ -81,8 +94,8 @@
 
 // mean returns the seconds for which a request occupies a slot, if enough were seen.
 func (w *work) mean() (float64, bool) {
-	if w == nil || w.served < minWorkSamples || w.slots <= 0 {
+	if w == nil || w.time == 0 {
 		return 0, false
 	}
-	return w.slots / w.served, true
+	return w.time, true
 }
--- a/control/admission/service.go
+++ b/control/admission/service.go
@@ -6,9 +6,14 @@
 	"time"
 )
 
-// usableShare is the part of the slots that is given away. Hosts choose instances without
-// knowing of each other's choices, so that the last slots cannot be filled without queues.
-const usableShare = 0.92
+// Parts of the slots. Hosts choose instances without knowing of each other's choices, so
+// that the last slots cannot be filled without queues at the instances: usableShare is given
+// away while demand is limited. A service whose demand is just below its slots is served
+// well enough, and is limited only from limitFrom.
+const (
+	usableShare = 0.88
+	limitFrom   = 0.96
+)
 
 // service is what is known of one service.
 type service struct {
@@ -49,6 +54,9 @@
 // capacity returns the slots for requests that arrive.
 func (s *service) capacity(figures Service) float64 {
 	usable := figures.Slots * usableShare * s.trim
+	if s.contended == 0 {
+		usable = figures.Slots * limitFrom * s.trim
+	}
 	took, _ := s.meanTime()
 	return usable - min(figures.Queued*took/drainTime, usable*maxDrain)
 }
@@ -71,7 +79,7 @@
 		s.work[d.Level.Route].add(interval, d)
 	}
 	for _, w := range s.work {
-		w.decay(interval)
+		w.update(interval, s.contended > 0)
 	}
 	for key, f := range s.flows {
 		f.observe(interval, s.age, s.contended > 0)
@@ -122,12 +130,17 @@
 
 // meanTime returns the seconds for which a request of any rank occupies a slot.
 func (s *service) meanTime() (float64, bool) {
-	var all work
+	served, seconds := 0.0, 0.0
 	for _, rank := range slices.Sorted(maps.Keys(s.work)) {
-		all.served += s.work[rank].served
-		all.slots += s.work[rank].slots
+		if w := s.work[rank]; w.time > 0 {
+			served += w.served
+			seconds += w.served * w.time
+		}
+	}
+	if served == 0 {
+		return 0, false
 	}
-	return all.mean()
+	return seconds / served, true
 }
 
 // Constants of the trim. Hosts that refuse much of what is admitted show that fewer slots
