control/admission: limits do not outlast an interval without figures

A service has no figures while none of its instances takes requests, and all have none at a control host that gets no reports. Its demand, shares and trim stayed as they were then, for up to 30 minutes. When the figures came back, the demand of a burst that was long over limited the usual load for seconds, with the trim of that time. An interval without figures now ends the limits and drops the demand; the usual rates stay, so that an organisation that pauses keeps its fair share.

--- a/control/admission/admission.go
+++ b/control/admission/admission.go
@@ -85,6 +85,7 @@
 		if seen[name] {
 			continue
 		}
+		s.rest()
 		if s.idle += interval; s.idle > forgetAfter {
 			delete(c.services, name)
 		}
--- a/control/admission/pattern_test.go
+++ b/control/admission/pattern_test.go
@@ -251,3 +251,23 @@
 	must.Eq(t, 4, swings([]float64{0.5, 0.7, 0.5, 0.7, 0.5, 0.7}))
 	must.Eq(t, 3, swings([]float64{0.5, 0.5, 0.7, 0.6, 0.5, 0.6, 0.7, 0.5}))
 }
+
+// Guards against limits and demand that outlast an interval without figures, as of a service
+// whose instances were all lost, and that refuse requests of the usual load after it.
+func TestLimitsDoNotOutlastAnIntervalWithoutFigures(t *testing.T) {
+	c := admission.New()
+	step := func(d time.Duration, times float64) (entries []admission.Entry) {
+		for range d / stepInterval {
+			entries = c.Step(stepInterval, []admission.Service{{Name: modelService, Slots: 20, Demand: []admission.Demand{
+				{Organisation: "nord", Arrivals: 50 * times, Served: 50 * times, Slots: 5 * times},
+				{Organisation: "sud", Arrivals: 50, Refused: 50 * (times - 1), Served: 50, Slots: 5},
+			}}})
+		}
+		return entries
+	}
+	must.SliceEmpty(t, step(time.Minute, 1))
+	must.SliceNotEmpty(t, step(40*time.Second, 8))
+	must.SliceEmpty(t, c.Step(stepInterval, nil))
+	must.SliceEmpty(t, step(stepInterval, 1))
+	must.SliceEmpty(t, step(5*time.Second, 1))
+}
--- a/control/admission/service.go
+++ b/control/admission/service.go
@@ -44,6 +44,15 @@
 	return entries
 }
 
+// rest ends the limits and drops the demand of an interval without figures, as of a service
+// without instances or of a control host that gets no reports. The usual rates stay.
+func (s *service) rest() {
+	s.contended, s.trim, s.published = 0, 1, newPublished()
+	for _, f := range s.flows {
+		f.now, f.fast, f.slow = 0, 0, 0
+	}
+}
+
 // Constants of the queues of the hosts, which are worked off within drainTime with at most
 // maxDrain of the capacity.
 const (
