entry/route: a full queue keeps its requests from one that is too late

A request that found the queue full displaced the least urgent one before it was checked whether it could be served in time itself. If it could not, both were refused and the place stayed empty. The check goes first now.

--- a/entry/route/ranked.go
+++ b/entry/route/ranked.go
@@ -23,6 +23,9 @@
 		q.softDeadline = now + int64(defaultDeadline)
 	}
 	w := &Waiter{dispatcher: d, query: q, permit: admitted, arrivedAt: now, granted: granted, inSoftQueue: true}
+	if !d.softQueue.servesInTime(w, now, d.expectation(view), d.slotGap(view)) {
+		return nil, nil, d.refuse(w, d.tooLate(view, w))
+	}
 	if len(d.softQueue.all) >= d.router.limits.QueueLength {
 		last := d.softQueue.lastRanked()
 		if last == nil || last.rank().compare(w.rank()) <= 0 {
@@ -30,9 +33,6 @@
 		}
 		d.rejectWaiter(last, d.queueFull(view, last))
 	}
-	if !d.softQueue.servesInTime(w, now, d.expectation(view), d.slotGap(view)) {
-		return nil, nil, d.refuse(w, d.tooLate(view, w))
-	}
 	return nil, d.enqueueSoft(q, admitted, granted, now), nil
 }
 
--- a/entry/route/ranked_test.go
+++ b/entry/route/ranked_test.go
@@ -137,6 +137,27 @@
 	})
 }
 
+// Guards against a full queue that refuses a request for the place of one that cannot be
+// served in time and is refused as well.
+func TestFullQueueKeepsItsRequestsFromOneThatIsTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := route.DefaultLimits()
+		limits.QueueLength = 1
+		r := realTimeRouter(1, 0, route.WithLimits(limits))
+		warm, err := r.Acquire(t.Context(), query())
+		must.NoError(t, err)
+		warm.Finish(good)
+		busy, err := r.Acquire(t.Context(), query())
+		must.NoError(t, err)
+		var order serveOrder
+		offerQuery(r, "rank 1", rankedQuery(1, contract.PriorityHigh, time.Minute, time.Minute), &order)
+		offerQuery(r, "rank 0", rankedQuery(0, contract.PriorityHigh, good.Latency/2, good.Latency/2), &order)
+		busy.Finish(good)
+		time.Sleep(time.Hour)
+		must.Eq(t, []string{"rank 0 refused immediately", "rank 1"}, order.names())
+	})
+}
+
 // Guards against short urgent requests that are refused because the mean of the service,
 // which long requests dominate, exceeds what is left of their deadline.
 func TestExpectationIsThatOfTheKindOfRequest(t *testing.T) {
