control/admission: the trim rises faster while hosts refuse nothing

The trim rose by 1% a second. After a burst in which half of the stated slots were not there it was 0.5, so that a usual load of 62% of the slots was limited for 14 s after slots and load were back. It now rises faster the longer hosts have refused less than 1%: 7 s.

--- a/control/admission/pattern_test.go
+++ b/control/admission/pattern_test.go
@@ -271,3 +271,28 @@
 	must.SliceEmpty(t, step(stepInterval, 1))
 	must.SliceEmpty(t, step(5*time.Second, 1))
 }
+
+// Guards against limits of the usual load for long after a burst during which half of the
+// stated slots were not there.
+func TestLimitsEndSoonAfterSlotsAreThereAgain(t *testing.T) {
+	const usual, took, stated = 100.0, 0.1, 16.0 // requests a second, seconds, slots
+	c, share := admission.New(), 1.0
+	run := func(steps int, rate, slots float64) {
+		for range steps {
+			admitted := rate * share
+			served := min(admitted, slots/took)
+			entries := c.Step(stepInterval, []admission.Service{{Name: modelService, Slots: stated, Demand: []admission.Demand{
+				{Organisation: "nord", Arrivals: rate, Served: served, Refused: admitted - served, Slots: served * took},
+			}}})
+			if share = 1; len(entries) > 0 {
+				share = entries[0].Share
+			}
+		}
+	}
+	run(240, usual, stated)
+	must.Eq(t, 1, share)
+	run(80, 2.4*usual, stated/2)
+	must.Less(t, 0.4, share)
+	run(18, usual, stated)
+	must.Eq(t, 1, share)
+}
--- a/control/admission/service.go
+++ b/control/admission/service.go
@@ -23,6 +23,7 @@
 	work      map[int]*work // by the rank of the route
 	contended time.Duration // for which shares have been in force, 0 for none
 	trim      float64       // part of the usable slots that proved to be there
+	unrefused time.Duration // since hosts last refused more than untrimBelow
 	published published
 }
 
@@ -47,7 +48,7 @@
 // rest ends the limits and drops the demand of an interval without figures, as of a service
 // without instances or of a control host that gets no reports. The usual rates stay.
 func (s *service) rest() {
-	s.contended, s.trim, s.published = 0, 1, newPublished()
+	s.contended, s.trim, s.unrefused, s.published = 0, 1, 0, newPublished()
 	for _, f := range s.flows {
 		f.now, f.fast, f.slow = 0, 0, 0
 	}
@@ -161,12 +162,15 @@
 	untrimBelow   = 0.01
 	trimPerSecond = 0.02
 	minTrim       = 0.5
+
+	untrimPerSecond = 0.01
+	untrimTime      = 2.0 // seconds without refusals from which the trim rises faster
 )
 
 func (s *service) adjust(interval time.Duration, demand []Demand, limited bool) {
 	if !limited {
 		s.contended = 0
-		s.trim = min(1, s.trim+trimPerSecond*interval.Seconds()/2)
+		s.untrim(interval)
 		return
 	}
 	s.contended += interval
@@ -178,10 +182,21 @@
 		refused += d.Refused
 		served += d.Served
 	}
-	switch part := refused / max(refused+served, tiny); {
-	case part > trimAbove:
+	part := refused / max(refused+served, tiny)
+	if part < untrimBelow {
+		s.untrim(interval)
+		return
+	}
+	s.unrefused = 0
+	if part > trimAbove {
 		s.trim = max(minTrim, s.trim-trimPerSecond*interval.Seconds())
-	case part < untrimBelow:
-		s.trim = min(1, s.trim+trimPerSecond*interval.Seconds()/2)
 	}
 }
+
+// untrim raises the trim, faster the longer hosts have refused next to nothing: slots that
+// are there again would be left empty otherwise.
+func (s *service) untrim(interval time.Duration) {
+	s.unrefused += interval
+	faster := max(1, s.unrefused.Seconds()/untrimTime)
+	s.trim = min(1, s.trim+untrimPerSecond*faster*interval.Seconds())
+}
