entry/route: only requests within the limits count as demand

The gate came before the limits of the service and of callers. Requests that these refused were reported as demand for the capacity: a caller that sends far beyond its own limit, and gets 429, made the control hosts refuse requests of others while instances were free. The limits now come first; a request that is not admitted gives its place in them back, and earns no retry, as before.

--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -37,14 +37,16 @@
 	if !d.router.endsBeforeCutoff(&q) && d.router.beyondCutoff(now, d.responseTime(view)) {
 		return nil, nil, d.cutOffProblem()
 	}
-	if problem := d.router.admit(&q); problem != nil {
-		return nil, nil, problem
-	}
 	terms := d.router.terms(d.service)
 	admitted, problem := d.limits.admit(&q, terms, d.share(&q, terms), now)
 	if problem != nil {
 		return nil, nil, problem
 	}
+	// After the limits: what they refuse is no demand for the capacity.
+	if problem := d.router.admit(&q); problem != nil {
+		admitted.release()
+		return nil, nil, problem
+	}
 	if !q.repeated {
 		_, window := terms.RetryAllowance()
 		d.limits.retries.Earn(terms.RetryBudget(), window, d.router.steady())
--- a/entry/route/gate_test.go
+++ b/entry/route/gate_test.go
@@ -75,3 +75,29 @@
 	must.SliceLen(t, 20, gate.arrived)
 	must.SliceNotEmpty(t, gate.refused)
 }
+
+// Guards against requests beyond a caller's limit that count as demand for the capacity, so
+// that those of others are refused, and against a place in that limit that a request keeps
+// which is not admitted.
+func TestGateCountsOnlyRequestsWithinTheLimits(t *testing.T) {
+	gate := &countingGate{closedTo: "nord"}
+	f := newFixture(1, route.NewAdaptive(), route.WithGate(gate))
+	terms := contract.New(contract.WithCallerInFlight(1))
+	offer := func(organisation string) (*route.Ticket, error) {
+		return f.offer(route.NewQuery(service, terms, "caller", "").WithRanks(true).WithOrganisation(contract.NewOrganisation(organisation)))
+	}
+	for range 2 {
+		_, err := offer("nord")
+		var problem *outcome.Problem
+		must.True(t, errors.As(err, &problem))
+		must.Eq(t, outcome.Overload, problem.Reason())
+	}
+	ticket, err := offer("sud")
+	must.NoError(t, err)
+	for range 10 {
+		_, err := offer("sud")
+		must.Error(t, err)
+	}
+	must.SliceLen(t, 3, gate.arrived)
+	ticket.Finish(good)
+}
