control/admission: waiting requests do not begin a limit alone

The capacity was reduced by up to a fifth for the requests that wait at the hosts, also while nothing was limited: at 85% of the slots, requests were refused because others waited. A host counts as waiting a request whose body of up to the buffer size is still arriving, so that slow uploads alone could bring that about. A limit now begins only when the demand exceeds 96% of the slots; the first shares and later ones allow for the queues as before.

--- a/control/admission/pattern_test.go
+++ b/control/admission/pattern_test.go
@@ -296,3 +296,14 @@
 	run(18, usual, stated)
 	must.Eq(t, 1, share)
 }
+
+// Guards against requests that are refused at a load that the slots serve because others wait
+// at the hosts, as those do whose bodies arrive slowly.
+func TestWaitingRequestsDoNotBeginALimit(t *testing.T) {
+	c := admission.New()
+	for range 240 {
+		must.SliceEmpty(t, c.Step(stepInterval, []admission.Service{{Name: modelService, Slots: 20, Queued: 1000, Demand: []admission.Demand{
+			{Organisation: "nord", Arrivals: 170, Served: 170, Slots: 17},
+		}}}))
+	}
+}
--- a/control/admission/service.go
+++ b/control/admission/service.go
@@ -39,7 +39,7 @@
 		s.contended = 0
 		return nil
 	}
-	shares := fill(s.capacity(figures), claims)
+	shares := fill(s.capacity(figures, claims), claims)
 	entries := s.published.update(s.name, claims, shares)
 	s.adjust(interval, figures.Demand, len(entries) > 0)
 	return entries
@@ -61,11 +61,20 @@
 	maxDrain  = 0.2
 )
 
-// capacity returns the slots for requests that arrive.
-func (s *service) capacity(figures Service) float64 {
+// capacity returns the slots for the requests that arrive, of which the claims are the demand.
+// Requests that wait do not begin a limit alone: they are worked off beside a demand below the
+// slots, and some wait for the rest of their bodies and not for a slot.
+func (s *service) capacity(figures Service, claims []claim) float64 {
 	usable := figures.Slots * usableShare * s.trim
 	if s.contended == 0 {
 		usable = figures.Slots * limitFrom * s.trim
+		demand := 0.0
+		for _, c := range claims {
+			demand += c.slots
+		}
+		if demand <= usable {
+			return usable
+		}
 	}
 	took, _ := s.meanTime()
 	return usable - min(figures.Queued*took/drainTime, usable*maxDrain)
