--- a/control/operator/watch.go
+++ b/control/operator/watch.go
@@ -21,6 +21,9 @@
 	batchDelay     = 150 * time.Millisecond
 	hostBatchDelay = time.Millisecond
 	maxBatchDelay  = 500 * time.Millisecond
+	// admissionWait limits a poll of the leader while it decides which part of the demand
+	// is admitted. Entry hosts obey an answer for 2 s.
+	admissionWait = time.Second
 	// quorumCheckInterval is how often a poll for instances checks that this host
 	// still has a quorum. Without one the poll ends, so that the entry host gets
 	// the changes from another control host.
@@ -33,8 +36,8 @@
 // committed, so it is or was in force. A response is stale unless a quorum
 // confirmed that there is no newer version.
 func (s *Rules) Watch(ctx context.Context, req *wire.WatchRequest) (*wire.WatchResponse, error) {
-	began := time.Now()
-	previous, end := s.fleet.BeginPoll(req.GetReport(), began)
+	received := time.Now()
+	previous, end := s.fleet.BeginPoll(req.GetReport(), received)
 	defer end()
 	newer := s.await(ctx, req)
 	if ctx.Err() != nil {
@@ -45,7 +48,7 @@
 		response.Previous = previous
 	}
 	if s.shouldConfirm(req, newer) {
-		s.confirmWatch(ctx, response, began)
+		s.confirmWatch(ctx, response, received)
 	}
 	version, text := s.machine.InForce()
 	response.Version = version
@@ -59,6 +62,9 @@
 	if report := req.GetReport(); s.directory != nil && (req.GetInstances() || report.GetState() == placement.StateIsolated) {
 		response.Relays = s.directory.Relays(report.GetName(), report.GetZone())
 	}
+	if s.admission != nil {
+		s.addAdmissions(response, received)
+	}
 	if req.GetRateLimits() {
 		response.RateLimits, response.RateLimitsRevision = s.fleet.RateLimits(req.GetKnownRateLimits(), time.Now())
 	}
@@ -83,6 +89,14 @@
 	return req.GetInstances() && req.GetKnownInstances() == 0 && s.machine.InstancesRevision() > 0 && s.log.Status().Quorum()
 }
 
+// addAdmissions adds the parts of the demand to admit, and the time for which the poll was
+// held, so that the entry host knows how old they are when they come.
+func (s *Rules) addAdmissions(response *wire.WatchResponse, received time.Time) {
+	if response.Admissions = s.admission.Admissions(); len(response.GetAdmissions()) > 0 {
+		response.HeldMs = time.Since(received).Milliseconds()
+	}
+}
+
 // addMembership adds instance records for hosts that get them from control
 // hosts, and gossip seeds for hosts that get them by gossip.
 func (s *Rules) addMembership(req *wire.WatchRequest, response *wire.WatchResponse) {
@@ -119,7 +133,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatchWait)
+	wait := s.maxWait(req)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	lost := s.quorumLost(ctx, req)
@@ -149,6 +163,19 @@
 	}
 }
 
+// maxWait returns how long a poll waits for changes. The leader hears of the demand, and
+// entry hosts of its answer, more often while there is one.
+func (s *Rules) maxWait(req *wire.WatchRequest) time.Duration {
+	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatchWait)
+	if s.admission == nil || !s.admission.Leads() {
+		return wait
+	}
+	if len(req.GetReport().GetDemand()) > 0 || len(s.admission.Admissions()) > 0 {
+		return min(wait, admissionWait)
+	}
+	return wait
+}
+
 // delay returns how long a poll collects changes. News of instances that were lost, that
 // hosts reach none, or of evacuated zones do not wait for longer in a large fleet.
 func (s *Rules) delay(req *wire.WatchRequest) time.Duration {
--- a/entry/control/option.go
+++ b/entry/control/option.go
@@ -1,6 +1,10 @@
 package control
 
-import "github.com/snipebeam/snipebeam/world/wire"
+import (
+	"time"
+
+	"github.com/snipebeam/snipebeam/world/wire"
+)
 
 // WatchOption changes one property of a watch.
 type WatchOption func(*Watch)
@@ -22,6 +26,12 @@
 	return func(w *Watch) { w.rateLimits = apply }
 }
 
+// WithAdmissions calls apply with the parts of the demand to admit, from each response that
+// has some, and their greatest possible age.
+func WithAdmissions(apply func(admissions []*wire.Admission, age time.Duration)) WatchOption {
+	return func(w *Watch) { w.admissions = apply }
+}
+
 // WithRelays calls store with the addresses of other entry hosts to which requests can be
 // relayed.
 func WithRelays(store func(addresses []string)) WatchOption {
--- a/entry/control/response.go
+++ b/entry/control/response.go
@@ -84,3 +84,11 @@
 	}
 	return 0
 }
+
+// applyAdmissions applies the parts of the demand to admit. The control host read them after
+// it had held the poll, so that the rest of the poll's time bounds their age.
+func (w *Watch) applyAdmissions(response *wire.WatchResponse, took time.Duration) {
+	if admissions := response.GetAdmissions(); w.admissions != nil && len(admissions) > 0 {
+		w.admissions(admissions, took-time.Duration(response.GetHeldMs())*time.Millisecond)
+	}
+}
--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -53,6 +53,7 @@
 	restore     func(previous *wire.HostReport)
 	restoreOnce sync.Once
 	rateLimits  func(limits []*wire.RateLimit)
+	admissions  func(admissions []*wire.Admission, age time.Duration)
 	relays      func(addresses []string)
 	isolated    func()
 
@@ -219,6 +220,7 @@
 	}
 	result := pollResult{change: w.versionChangeOf(response, known)}
 	w.applyResponse(response, poll.primary)
+	w.applyAdmissions(response, time.Since(polledAt))
 	if result.err = w.applyVersion(response, known, polledAt); result.err != nil {
 		w.requestFullText(host)
 		w.logger.Error("failed to put version in force", "version", response.GetVersion().GetNumber(), "error", result.err)
--- a/entry/route/dispatcher.go
+++ b/entry/route/dispatcher.go
@@ -43,6 +43,11 @@
 	if problem != nil {
 		return nil, nil, problem
 	}
+	// After the limits: what they refuse is no demand for the capacity.
+	if problem := d.router.admit(&q); problem != nil {
+		admitted.release()
+		return nil, nil, problem
+	}
 	if !q.repeated {
 		_, window := terms.RetryAllowance()
 		d.limits.retries.Earn(terms.RetryBudget(), window, d.router.steady())
@@ -63,6 +68,9 @@
 	d.observeColdDemand(&q, nil, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if q.ranked {
+		return d.enqueueRanked(view, q, admitted, granted, now)
+	}
 	if q.softDeadline != 0 {
 		return nil, d.enqueueSoft(q, admitted, granted, now), nil
 	}
@@ -111,6 +119,9 @@
 	q.preferred, q.slowService = d.subset(view, q.zone), view.stats.slow(now)
 	q.coldRate, q.warmDelay = terms.ColdRate(), d.router.warmDelay
 	t := &Ticket{}
+	if q.ranked {
+		t.ranked, t.kind, t.flow = true, view.stats.kinds.of(q), q.flow()
+	}
 	if d.router.trace {
 		t.trace = &Trace{}
 	}
@@ -195,6 +206,7 @@
 
 func (d *Dispatcher) rejectWaiter(w *Waiter, problem error) {
 	d.remove(w)
+	d.router.refused(&w.query, problem)
 	w.granted(nil, problem)
 }
 
--- a/entry/route/query.go
+++ b/entry/route/query.go
@@ -23,6 +23,7 @@
 	coldRate     float64                // limit on the requests a second to each cold instance, 0 for none
 	warmDelay    int64                  // time for which instances are avoided after they were cold
 	coldWanted   bool                   // a cold instance was the best choice, but this host may send it nothing
+	ranked       bool                   // the rules in force hold organisations
 }
 
 // NewQuery returns a query. A query that excludes instances is one of a repeated request.
@@ -46,6 +47,13 @@
 // Organisation returns the organisation of the caller, nil for none.
 func (q Query) Organisation() *contract.Organisation { return q.organisation }
 
+// WithRanks returns the query of a request that is ordered strictly by rank, as the rules
+// in force hold organisations.
+func (q Query) WithRanks(ranked bool) Query {
+	q.ranked = ranked
+	return q
+}
+
 // WithDeadline returns the query with the time by which the response must have begun.
 func (q Query) WithDeadline(deadline time.Time) Query {
 	q.deadline = deadline.UnixNano()
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -51,6 +51,7 @@
 	grant      GrantFunc      // nil: nobody grants
 	// coldWaiting is signalled when a request waits that may need a grant to a cold instance.
 	coldWaiting chan struct{}
+	gate        Gate         // nil: every request is admitted
 	cutoff      atomic.Int64 // Unix nanoseconds, 0 for none
 
 	mu          sync.Mutex
@@ -159,7 +160,9 @@
 // cancelWait ends a wait. If a ticket was granted concurrently, it is returned instead.
 func (r *Router) cancelWait(w *Waiter, granted <-chan grant, reason outcome.Reason, detail string) (*Ticket, error) {
 	if w.Cancel() {
-		return nil, outcome.New(outcome.NotRun, reason, detail)
+		problem := outcome.New(outcome.NotRun, reason, detail)
+		r.refused(&w.query, problem)
+		return nil, problem
 	}
 	return (<-granted).result()
 }
--- a/entry/route/ticket.go
+++ b/entry/route/ticket.go
@@ -37,6 +37,9 @@
 	permit     permit
 	taken      credit // of the instance's limit
 	trace      *Trace
+	ranked     bool
+	kind       *kindStats // of a ranked request, else nil
+	flow       Flow       // of a ranked request
 }
 
 // Instance returns the chosen instance.
