control/quota, world: the leader grants requests of organisations

Change: the leader keeps a token bucket for each organisation with a limit. A leader whose machine was suspended waits until it would have heard of a successor.

--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -158,6 +158,16 @@
 	return d.set.Terms(service)
 }
 
+// Organisation returns the terms of an organisation in the rules in force, nil if there is
+// none.
+func (d *Directory) Organisation(name string) *contract.Organisation {
+	version, text := d.machine.InForce()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.readRules(version.GetNumber(), text)
+	return d.set.Organisation(name)
+}
+
 // readRules reads the rules in force if they are newer than those known. The caller holds
 // the lock.
 func (d *Directory) readRules(version uint64, text string) {
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -71,8 +71,8 @@
 	return operator.New(cfg.Host.Name, log, machine, hosts).WithZone(cfg.Host.Zone).WithDirectory(dir)
 }
 
-func newQuota(cfg *settings.Settings, log agreement.Log, hosts *fleet.Fleet, dir *directory.Directory) *quota.Service {
-	return quota.New(cfg.Host.Name, log, hosts, quota.WithTerms(dir.Terms))
+func newQuota(cfg *settings.Settings, log agreement.Log, hosts *fleet.Fleet, dir *directory.Directory, logger hclog.Logger) *quota.Service {
+	return quota.New(cfg.Host.Name, log, hosts, quota.WithTerms(dir.Terms), quota.WithOrganisations(dir.Organisation), quota.WithLogger(logger.Named("quota")))
 }
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
--- a/control/quota/quota.go
+++ b/control/quota/quota.go
@@ -6,7 +6,8 @@
 // a token bucket for each instance. An entry host sends to an instance with a limit
 // only what was granted to it. Nothing is stored: a new leader grants nothing until
 // the grants of the previous one have expired. Retries are granted in the same way, from
-// a token bucket for each service.
+// a token bucket for each service. Requests of organisations with a limit are granted from
+// a token bucket for each organisation, in which a new leader begins with a little.
 //
 // Usage:
 //
@@ -59,13 +60,14 @@
 	terms     func(service string) *contract.Service
 	suspended func() time.Duration // of the machine, since the start
 
-	mu         sync.Mutex
-	term       uint64
-	buckets    map[string]*bucket   // by instance
-	retries    map[string]*bucket   // by service
-	hosts      map[string]time.Time // time of the last request of an entry host
-	suspension time.Duration        // as last known
-	resumedAt  time.Time            // end of the last suspension, zero for none
+	mu            sync.Mutex
+	term          uint64
+	buckets       map[string]*bucket   // by instance
+	retries       map[string]*bucket   // by service
+	hosts         map[string]time.Time // time of the last request of an entry host
+	organisations organisations
+	suspension    time.Duration // as last known
+	resumedAt     time.Time     // end of the last suspension, zero for none
 }
 
 // Option changes one property of the service.
@@ -76,7 +78,7 @@
 
 // New returns the service of one control host.
 func New(name string, log agreement.Log, hosts *fleet.Fleet, opts ...Option) *Service {
-	s := &Service{name: name, log: log, fleet: hosts, now: time.Now, buckets: map[string]*bucket{}, retries: map[string]*bucket{}, terms: noAllowance, suspended: steady.New().Suspended, hosts: map[string]time.Time{}}
+	s := &Service{name: name, log: log, fleet: hosts, now: time.Now, buckets: map[string]*bucket{}, retries: map[string]*bucket{}, terms: noAllowance, suspended: steady.New().Suspended, hosts: map[string]time.Time{}, organisations: newOrganisations()}
 	for _, opt := range opts {
 		opt(s)
 	}
--- a/control/quota/retries.go
+++ b/control/quota/retries.go
@@ -73,11 +73,7 @@
 // has certainly heard of it, and once it would itself have heard of a successor after its
 // machine was suspended. The caller holds the lock.
 func (s *Service) grantsSince(status agreement.Status, now time.Time) time.Time {
-	if suspended := s.suspended(); suspended-s.suspension > suspensionLimit {
-		s.resumedAt = now
-		clear(s.retries)
-		s.suspension = suspended
-	}
+	s.noteSuspension(now)
 	since := status.LeadsSince()
 	if s.resumedAt.After(since) {
 		since = s.resumedAt
@@ -85,6 +81,15 @@
 	return since.Add(Validity)
 }
 
+// noteSuspension records the end of a suspension of the machine. The caller holds the lock.
+func (s *Service) noteSuspension(now time.Time) {
+	if suspended := s.suspended(); suspended-s.suspension > suspensionLimit {
+		s.resumedAt = now
+		clear(s.retries)
+		s.suspension = suspended
+	}
+}
+
 // take takes up to n tokens and leaves the given number.
 func (b *bucket) take(n uint32, leave float64) uint32 {
 	taken := min(n, uint32(max(b.tokens-leave, 0)))
