entry/quota, entry/caller: requests are charged to their organisation

Cause: an entry host sent any number of requests of an organisation to instances.

Change: a host holds a small reserve of tokens of each organisation that it served lately, and fills and renews it by one call at a time in the background. A request takes a token once it has an instance, and spends it when the link is there, just before the first byte; it is charged once, however often it is sent, and the token returns to the reserve if nothing was sent. Organisations without a rate are never charged.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -165,6 +165,10 @@
 	if problem != nil {
 		return result{problem: c.problem(problem.Kind(), problem.Reason(), problem.Detail())}
 	}
+	if problem := h.charge(c); problem != nil {
+		ticket.Release()
+		return result{problem: problem}
+	}
 	d := &dispatch{h: h, c: c, ticket: ticket, target: ticket.Instance(), recorder: rec}
 	defer d.finish()
 	if h.mayHedge(c) {
@@ -231,6 +235,7 @@
 	var failure *upstream.Failure
 	d.c.sent = d.c.sent || !errors.As(err, &failure) || failure.Wrote()
 	d.c.exchanges--
+	d.c.restoreToken()
 	if err != nil {
 		return result{problem: d.exchangeProblem(err), instance: id}
 	}
@@ -262,7 +267,9 @@
 }
 
 // usable reports whether the request may still be sent once there is a link.
-func (d *dispatch) usable() bool { return !d.c.leftUnnoticed() && d.ticket.Usable() }
+func (d *dispatch) usable() bool {
+	return !d.c.leftUnnoticed() && d.ticket.Usable() && d.c.token.Spend()
+}
 
 func (d *dispatch) context() context.Context {
 	if d.ctx != nil {
--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -13,6 +13,7 @@
 	"github.com/snipebeam/snipebeam/entry/backlog"
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/poison"
+	"github.com/snipebeam/snipebeam/entry/quota"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/instance"
@@ -38,6 +39,8 @@
 	rule            *rule.Rule
 	organisation    *contract.Organisation // that holds the caller's key, nil for none
 	keyed           bool                   // the rules in force hold organisations
+	token           *quota.Token           // charged to the organisation, nil for none
+	quotaRetryAfter time.Duration          // after which the organisation may get a token, 0 if unknown
 	rulesOutdated   bool                   // on arrival, a newer version may have been in force elsewhere for maxRulesAge
 	backlogEntry    *backlog.Request       // tracks the request in the backlog
 	w               http.ResponseWriter
@@ -153,9 +156,12 @@
 
 // retryAfter returns the time after which the caller should try again, 0 for the
 // default of the reason.
-func retryAfter(problem *outcome.Problem) time.Duration {
-	if problem.Reason() == outcome.HostStopping {
+func (c *call) retryAfter(problem *outcome.Problem) time.Duration {
+	switch problem.Reason() {
+	case outcome.HostStopping:
 		return stoppingRetryAfter
+	case outcome.OrganisationRate, outcome.NotReady:
+		return c.quotaRetryAfter
 	}
 	return 0
 }
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -81,6 +81,7 @@
 	RelayPool *upstream.Pool // links to other entry hosts, nil for the default
 	PeerKeys  *key.Ring      // keys between hosts, nil for none
 	Budget    RetryBudget    // nil: no limit
+	Quota     Quota          // nil: organisations are not limited
 	Backlog   *backlog.Tracker
 	Decisions *decision.Log
 	Stopping  *atomic.Bool
@@ -169,6 +170,7 @@
 		return
 	}
 	defer h.inFlight.release(c.caller)
+	defer c.giveBack()
 	c.backlogEntry = h.cfg.Backlog.Track(c.service, time.Now())
 	c.backlogEntry.SetID(c.id)
 	failed := true
@@ -330,7 +332,7 @@
 		c.w.Header().Set(outcome.Header, string(problem.Kind()))
 		c.w.Header().Set(outcome.ReasonHeader, string(problem.Reason()))
 	}
-	c.dialect.WriteProblem(c.w, ErrorResponse{Problem: problem, ID: c.id, RetryAfter: retryAfter(problem)})
+	c.dialect.WriteProblem(c.w, ErrorResponse{Problem: problem, ID: c.id, RetryAfter: c.retryAfter(problem)})
 }
 
 // closeIfStopping makes the server close the connection after the response if this
--- /dev/null
+++ b/entry/caller/quota.go
@@ -0,0 +1,70 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/snipebeam/snipebeam/entry/quota"
+	"github.com/snipebeam/snipebeam/world/contract"
+	"github.com/snipebeam/snipebeam/world/outcome"
+)
+
+// Quota charges requests to organisations with a limit.
+type Quota interface {
+	// Acquire returns a token for a request with the given time left, or why there is
+	// none. It may wait for a grant of the control hosts.
+	Acquire(ctx context.Context, o *contract.Organisation, left time.Duration) (*quota.Token, *quota.Refusal)
+}
+
+// charge takes a token of the organisation for the request, unless it has one that is
+// still valid. The token is spent when the request is first sent to an instance.
+func (h *Handler) charge(c *call) *outcome.Problem {
+	if h.cfg.Quota == nil || !c.organisation.Limited() || c.token.Usable() {
+		return nil
+	}
+	token, refusal := h.cfg.Quota.Acquire(c.ctx, c.organisation, c.ctx.left())
+	if refusal != nil {
+		c.quotaRetryAfter = refusal.RetryAfter()
+		return c.problem(outcome.NotRun, refusal.Reason(), refusal.Detail())
+	}
+	c.token = token
+	return nil
+}
+
+// restoreToken takes back the charge if no byte has reached an instance.
+func (c *call) restoreToken() {
+	if !c.sent && c.exchanges == 0 {
+		c.token.Restore()
+	}
+}
+
+// giveBack returns the token of a request that ends without having been sent.
+func (c *call) giveBack() {
+	c.restoreToken()
+	c.token.Release()
+}
+
+// relayedRetryAfter returns the time in the response of another entry host after which the
+// caller should try again, 0 for none.
+func relayedRetryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0 && seconds <= time.Hour.Seconds()) { // NaN too
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// left returns the time until the deadline.
+func (c *deadlineContext) left() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.deadline.IsZero() {
+		return maxLeft
+	}
+	return time.Until(c.deadline)
+}
+
+// maxLeft is the time left to a request without a deadline.
+const maxLeft = time.Hour
--- /dev/null
+++ b/entry/caller/quota_test.go
@@ -0,0 +1,161 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/quota"
+	"github.com/snipebeam/snipebeam/world/contract"
+	"github.com/snipebeam/snipebeam/world/outcome"
+	"github.com/snipebeam/snipebeam/world/rule"
+	"github.com/snipebeam/snipebeam/world/wire"
+)
+
+func limitedLine(name, key string) string {
+	return `organisation ` + name + `: keys "` + rule.KeyDigest(key) + `", rate 100/s, burst 10 # Marie: studios` + "\n"
+}
+
+// purse grants a number of requests in all, and then says that the limit is reached.
+type purse struct {
+	mu         sync.Mutex
+	tokens     int
+	retryAfter time.Duration
+	charged    atomic.Int32 // calls of Acquire
+}
+
+func (p *purse) call(_ context.Context, next func() *wire.OrganisationGrantRequest) (*wire.OrganisationGrantResponse, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	response := &wire.OrganisationGrantResponse{Leader: true, Term: 1, ValidNs: int64(time.Hour), WaitingValidNs: int64(time.Hour), PauseNs: int64(time.Hour)}
+	for _, need := range next().GetNeeds() {
+		n := min(int(need.GetWaiting()), p.tokens)
+		p.tokens -= n
+		response.Grants = append(response.Grants, &wire.OrganisationGrant{Organisation: need.GetOrganisation(), Requests: uint32(n), RetryAfterNs: int64(p.retryAfter), Renewed: true})
+	}
+	return response, nil
+}
+
+// countedReserve counts the requests that are charged.
+type countedReserve struct {
+	*quota.Reserve
+	purse *purse
+}
+
+func (r countedReserve) Acquire(ctx context.Context, o *contract.Organisation, left time.Duration) (*quota.Token, *quota.Refusal) {
+	r.purse.charged.Add(1)
+	return r.Reserve.Acquire(ctx, o, left)
+}
+
+// withPurse charges requests to a purse.
+func withPurse(t *testing.T, p *purse, limited *contract.Organisation) option {
+	t.Helper()
+	start := time.Now()
+	ledger := quota.NewLedger("entry-1", 1, func() int64 { return int64(time.Since(start)) }, func(string) *contract.Organisation { return limited })
+	reserve := quota.New(ledger, p.call)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go reserve.Run(ctx)
+	return func(cfg *caller.Config) { cfg.Quota = countedReserve{Reserve: reserve, purse: p} }
+}
+
+// Guards against a request beyond the limit that reaches an instance, against a refusal
+// without the time that the leader names, and against charges to an organisation without a
+// limit.
+func TestRequestBeyondTheLimitOfItsOrganisationIsRefused(t *testing.T) {
+	var handled atomic.Int32
+	instance := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }))
+	t.Cleanup(instance.Close)
+	p := &purse{tokens: 3, retryAfter: 7 * time.Second}
+	table, rules := withRules(t, organisationRules+limitedLine("nord", "secret")+organisationLine("sud", "other"))
+	var retryAfter atomic.Int64
+	dialect := caller.Dialect{
+		Service: caller.ServiceHeader, Key: caller.KeyHeader, Refused: func(int, http.Header) bool { return false },
+		Load: func(http.Header) (caller.LoadReport, bool) { return caller.LoadReport{}, false },
+		WriteProblem: func(w http.ResponseWriter, response caller.ErrorResponse) {
+			retryAfter.Store(int64(response.RetryAfter))
+			w.WriteHeader(response.Problem.Status())
+			_, _ = io.WriteString(w, string(response.Problem.Kind())+" "+string(response.Problem.Reason()))
+		},
+	}
+	entry := serveEntry(t, newEntry(t, viewsOf(instance.Listener.Addr().String()), nil, rules,
+		withPurse(t, p, table.Current().Set().Organisation("nord")), func(cfg *caller.Config) { cfg.Dialect = &dialect }))
+	for range 3 {
+		status, _ := get(t, entry, "/a", caller.KeyHeader, "secret")
+		must.Eq(t, http.StatusOK, status)
+	}
+	status, body := get(t, entry, "/a", caller.KeyHeader, "secret")
+	must.Eq(t, http.StatusTooManyRequests, status)
+	must.Eq(t, string(outcome.NotRun)+" "+string(outcome.OrganisationRate), body)
+	must.Eq(t, 7*time.Second, time.Duration(retryAfter.Load()))
+	must.Eq(t, 3, handled.Load())
+	for range 3 {
+		status, _ = get(t, entry, "/a", caller.KeyHeader, "other")
+		must.Eq(t, http.StatusOK, status)
+		status, _ = get(t, entry, "/open/a")
+		must.Eq(t, http.StatusOK, status)
+	}
+	must.Eq(t, 4, p.charged.Load())
+}
+
+// Guards against a charge for each attempt, and against one for a request of which no byte
+// was sent.
+func TestRequestIsChargedOnceAndOnlyIfItIsSent(t *testing.T) {
+	p := &purse{tokens: 2, retryAfter: time.Second}
+	table, rules := withRules(t, organisationRules+limitedLine("nord", "secret"))
+	limit := withPurse(t, p, table.Current().Set().Organisation("nord"))
+	var attempts atomic.Int32
+	closing := rawInstance(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		attempts.Add(1)
+	})
+	second := rawInstance(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		attempts.Add(1)
+	})
+	entry := serveEntry(t, newEntry(t, viewsOf(closing, second), nil, rules, limit))
+	status, _ := get(t, entry, "/a", caller.KeyHeader, "secret")
+	must.Eq(t, http.StatusBadGateway, status)
+	must.Eq(t, 2, attempts.Load())
+	must.Eq(t, 1, p.charged.Load())
+
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, gone.Close())
+	unsent := serveEntry(t, newEntry(t, viewsOf(gone.Addr().String()), nil, rules, limit))
+	for range 5 { // with the one token that is left
+		status, _ = get(t, unsent, "/a", caller.KeyHeader, "secret")
+		must.NotEq(t, http.StatusTooManyRequests, status)
+	}
+	status, _ = get(t, entry, "/a", caller.KeyHeader, "secret")
+	must.Eq(t, http.StatusBadGateway, status)
+	status, _ = get(t, entry, "/a", caller.KeyHeader, "secret")
+	must.Eq(t, http.StatusTooManyRequests, status)
+}
+
+// Guards against a request that runs although nobody grants it.
+func TestRequestIsRefusedIfNoControlHostGrantsIt(t *testing.T) {
+	var handled atomic.Int32
+	instance := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }))
+	t.Cleanup(instance.Close)
+	_, rules := withRules(t, organisationRules+limitedLine("nord", "secret"))
+	ledger := quota.NewLedger("entry-1", 1, func() int64 { return time.Now().UnixNano() }, func(string) *contract.Organisation { return nil })
+	reserve := quota.New(ledger, func(context.Context, func() *wire.OrganisationGrantRequest) (*wire.OrganisationGrantResponse, error) {
+		return nil, errors.New("no control host leads")
+	})
+	entry := serveEntry(t, newEntry(t, viewsOf(instance.Listener.Addr().String()), nil, rules, func(cfg *caller.Config) { cfg.Quota = reserve }))
+	status, body := get(t, entry, "/a", caller.KeyHeader, "secret")
+	must.Eq(t, http.StatusServiceUnavailable, status)
+	must.StrContains(t, body, string(outcome.NotReady))
+	must.Zero(t, handled.Load())
+}
--- a/entry/caller/relay.go
+++ b/entry/caller/relay.go
@@ -173,7 +173,8 @@
 		usable = reason != outcome.NoInstance && reason != outcome.HostStopping && reason != outcome.NotReady
 		c.sent = c.sent || kind == outcome.Unknown || reason == outcome.UpstreamRefused || reason == outcome.UpstreamLost
 		c.exchanges--
-		return c.problem(kind, reason, "as entry host "+address+" reports"), reason != outcome.Overload && reason != outcome.DeadlineExceeded
+		c.quotaRetryAfter = relayedRetryAfter(header)
+		return c.problem(kind, reason, "as entry host "+address+" reports"), reason != outcome.Overload && reason != outcome.DeadlineExceeded && reason != outcome.OrganisationRate
 	case outcome.Answer:
 	}
 	c.backlogEntry.ResponseStarted(time.Now())
--- a/entry/control/quota.go
+++ b/entry/control/quota.go
@@ -41,6 +41,20 @@
 	return askLeader(ctx, q, req, wire.Quota.GrantRetries)
 }
 
+// organisationTimeout bounds the call to one control host for requests of organisations,
+// which may be used for no longer than that if they wait.
+const organisationTimeout = 150 * time.Millisecond
+
+// GrantOrganisations requests grants within the limits of organisations. next returns the
+// request to each control host that is called, one after another.
+func (q *Quota) GrantOrganisations(ctx context.Context, next func() *wire.OrganisationGrantRequest) (*wire.OrganisationGrantResponse, error) {
+	return askLeader(ctx, q, next, func(host wire.Quota, ctx context.Context, next func() *wire.OrganisationGrantRequest) (*wire.OrganisationGrantResponse, error) {
+		ctx, cancel := context.WithTimeout(ctx, organisationTimeout)
+		defer cancel()
+		return host.GrantOrganisations(ctx, next())
+	})
+}
+
 // leaderResponse is a response of a control host that may not be the leader.
 type leaderResponse interface {
 	GetLeader() bool
--- a/entry/control/quota_test.go
+++ b/entry/control/quota_test.go
@@ -89,3 +89,27 @@
 	must.One(t, a.calls.Load())
 	must.One(t, b.calls.Load())
 }
+
+func (g *grantor) GrantOrganisations(ctx context.Context, _ *wire.OrganisationGrantRequest) (*wire.OrganisationGrantResponse, error) {
+	response, err := g.Grant(ctx, nil)
+	return &wire.OrganisationGrantResponse{Leader: response.GetLeader(), LeaderAddress: response.GetLeaderAddress()}, err
+}
+
+// Guards against one statement of what a host holds that reaches two control hosts at
+// different times.
+func TestEachControlHostGetsANewStatementOfTheReserve(t *testing.T) {
+	var follower, leader grantor
+	leader.leader.Store(true)
+	address := serveGrantor(t, &leader)
+	follower.names.Store(&address)
+	followers := []string{serveGrantor(t, &follower)}
+	statements := 0
+	quota := control.NewQuota(func() []string { return followers }, http.DefaultClient)
+	response, err := quota.GrantOrganisations(t.Context(), func() *wire.OrganisationGrantRequest {
+		statements++
+		return &wire.OrganisationGrantRequest{Sequence: uint64(statements)}
+	})
+	must.NoError(t, err)
+	must.True(t, response.GetLeader())
+	must.Eq(t, 2, statements)
+}
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -13,6 +13,7 @@
 	"github.com/snipebeam/snipebeam/entry/decision"
 	"github.com/snipebeam/snipebeam/entry/isolation"
 	"github.com/snipebeam/snipebeam/entry/poison"
+	"github.com/snipebeam/snipebeam/entry/quota"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
@@ -45,6 +46,7 @@
 	State     *State
 	Table     *rules.Table
 	Router    *route.Router
+	Reserve   *quota.Reserve
 	Pool      *upstream.Pool
 	Claims    *control.Client
 	Settler   *control.Settler
@@ -62,7 +64,7 @@
 	limits := d.Config.Limits
 	return caller.New(caller.Config{
 		Host: d.Config.Host.Name, Zone: d.Config.Host.Zone, Table: d.Table, Router: d.Router, Pool: d.Pool,
-		Claims: d.Claims, Settler: d.Settler, Suspects: d.Suspects, Reach: d.Reach, Relay: d.Relay, RelayPool: d.Relay.pool, PeerKeys: d.Keys, Budget: d.Router, Backlog: d.Backlog, Decisions: d.Decisions,
+		Claims: d.Claims, Settler: d.Settler, Suspects: d.Suspects, Reach: d.Reach, Relay: d.Relay, RelayPool: d.Relay.pool, PeerKeys: d.Keys, Budget: d.Router, Quota: d.Reserve, Backlog: d.Backlog, Decisions: d.Decisions,
 		Stopping: &d.State.draining, Logger: d.Logger.Named("caller"),
 		Dialect: d.Options.dialect,
 		Limits: caller.Limits{
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -65,10 +65,10 @@
 			newRegistry, newMembers,
 			rules.NewTable, placement.NewRates, backlog.NewTracker, decision.NewLog,
 			newControlHosts, newPool, newSettler, newSuspects,
-			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newDetector, newRelay, newRouter, newKeyRings, newExporter,
+			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newReserve, newRateLimitNews, newDetector, newRelay, newRouter, newKeyRings, newExporter,
 		),
 		fx.Invoke(membershipRunners(cfg)...),
-		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runRouter, runIsolation, runCallers),
+		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runRouter, runReserve, runIsolation, runCallers),
 		fx.StopTimeout(stopLimit(cfg)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
