entry/caller: an expired token is given up before a new one is taken

Cause: a request whose token expired before its second attempt took another one, and the first stayed counted as held by a request for as long as the host renewed its reserve.

Change: the expired token is released first.

--- a/entry/caller/quota.go
+++ b/entry/caller/quota.go
@@ -24,6 +24,7 @@
 	if h.cfg.Quota == nil || !c.organisation.Limited() || c.token.Usable() {
 		return nil
 	}
+	c.token.Release() // has expired
 	token, refusal := h.cfg.Quota.Acquire(c.ctx, c.organisation, c.ctx.left())
 	if refusal != nil {
 		c.quotaRetryAfter = refusal.RetryAfter()
