control/quota: no grants to organisations while the leader waits for its disk

Cause: a leader whose replica waits for its disk takes its quorum for current for 600 ms by default, and others may elect a successor after 300 ms, so that two leaders could grant.

Change: the leader grants requests of organisations only within 300 ms of its last contact with a quorum.

--- a/control/quota/organisations.go
+++ b/control/quota/organisations.go
@@ -16,6 +16,9 @@
 	// cleanInterval is the time between two walks over all hosts and buckets, and how long
 	// a host is known after its last call, which is longer than it holds anything.
 	cleanInterval = 10 * time.Second
+	// maxContactAge is the age of the last contact with a quorum from which a leader does not
+	// grant: others may elect a successor, by default, while this host waits for its disk.
+	maxContactAge = 300 * time.Millisecond
 	// belowLimitAfter is the time without a refusal after which an organisation counts as
 	// below its limit.
 	belowLimitAfter = 2 * time.Second
@@ -81,7 +84,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.noteSuspension(now)
-	if !status.Quorum() || now.Before(s.resumedAt.Add(Validity)) {
+	if !status.Quorum() || !recentContact(status, now) || now.Before(s.resumedAt.Add(Validity)) {
 		return nil, twirp.NewError(twirp.Unavailable, "this control host does not grant yet")
 	}
 	o := &s.organisations
@@ -105,6 +108,11 @@
 	return response, nil
 }
 
+// recentContact reports whether a quorum has answered lately, as far as the log tells.
+func recentContact(status agreement.Status, now time.Time) bool {
+	return status.AsOf().IsZero() || now.Sub(status.AsOf()) < maxContactAge
+}
+
 // startTerm drops what was granted in an earlier term.
 func (o *organisations) startTerm(status agreement.Status) {
 	if o.buckets != nil && status.Term() == o.term && status.LeadsSince().Equal(o.since) {
--- a/control/quota/organisations_test.go
+++ b/control/quota/organisations_test.go
@@ -67,10 +67,16 @@
 	must.Error(t, err)
 	r.follow("a", 2, now)
 	must.Eq(t, 1, c.grant(r, &wire.OrganisationNeed{Waiting: 1}).GetRequests()) // from its first moment
-	r.suspended = time.Second                                                   // another host may lead
+	r.log.status = r.log.status.WithAsOf(now.Add(-400 * time.Millisecond))      // it waits for its disk
+	_, err = c.need(r, &wire.OrganisationNeed{Waiting: 1})
+	must.Error(t, err)
+	r.log.status = r.log.status.WithAsOf(now)
+	must.Eq(t, 1, c.grant(r, &wire.OrganisationNeed{Waiting: 1}).GetRequests())
+	r.suspended = time.Second // another host may lead
 	_, err = c.need(r, &wire.OrganisationNeed{Waiting: 1})
 	must.Error(t, err)
 	now = now.Add(quota.Validity)
+	r.log.status = r.log.status.WithAsOf(now)
 	must.Eq(t, 1, c.grant(r, &wire.OrganisationNeed{Waiting: 1}).GetRequests())
 }
 
