--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -157,6 +157,9 @@
 
 // attempt sends the request to one instance.
 func (h *Handler) attempt(c *call, attempt int, tried []instance.ID, rec *recorder) result {
+	if problem := h.chargeFirst(c); problem != nil {
+		return result{problem: problem}
+	}
 	ticket, problem := h.acquireTicket(c, tried)
 	if problem != nil && problem.Reason() == outcome.NoInstance && c.staleAt != "" {
 		c.staleAt = "" // there is no other one
--- a/entry/caller/quota.go
+++ b/entry/caller/quota.go
@@ -16,6 +16,17 @@
 	// Acquire returns a token for a request with the given time left, or why there is
 	// none. It may wait for a grant of the control hosts.
 	Acquire(ctx context.Context, o *contract.Organisation, left time.Duration) (*quota.Token, *quota.Refusal)
+	// Ready reports whether a request of the organisation is unlikely to wait for long.
+	Ready(o *contract.Organisation) bool
+}
+
+// chargeFirst charges the request before an instance is chosen if it may wait for long,
+// as nobody leads the control hosts, so that it keeps no other request from the instance.
+func (h *Handler) chargeFirst(c *call) *outcome.Problem {
+	if h.cfg.Quota == nil || !c.organisation.Limited() || h.cfg.Quota.Ready(c.organisation) {
+		return nil
+	}
+	return h.charge(c)
 }
 
 // charge takes a token of the organisation for the request, unless it has one that is
--- a/entry/caller/quota_test.go
+++ b/entry/caller/quota_test.go
@@ -16,6 +16,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/quota"
+	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/outcome"
 	"github.com/snipebeam/snipebeam/world/rule"
@@ -143,7 +144,8 @@
 	must.Eq(t, http.StatusTooManyRequests, status)
 }
 
-// Guards against a request that runs although nobody grants it.
+// Guards against a request that runs although nobody grants it, and against one that keeps a
+// slot of an instance from others while it waits for a leader.
 func TestRequestIsRefusedIfNoControlHostGrantsIt(t *testing.T) {
 	var handled atomic.Int32
 	instance := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }))
@@ -153,9 +155,26 @@
 	reserve := quota.New(ledger, func(context.Context, func() *wire.OrganisationGrantRequest) (*wire.OrganisationGrantResponse, error) {
 		return nil, errors.New("no control host leads")
 	})
-	entry := serveEntry(t, newEntry(t, viewsOf(instance.Listener.Addr().String()), nil, rules, func(cfg *caller.Config) { cfg.Quota = reserve }))
+	ledger.Fail()
+	var chosen chosenInstances
+	entry := serveEntry(t, newEntry(t, viewsOf(instance.Listener.Addr().String()), nil, rules, func(cfg *caller.Config) {
+		chosen.Acquirer, cfg.Quota = cfg.Router, reserve
+		cfg.Router = &chosen
+	}))
 	status, body := get(t, entry, "/a", caller.KeyHeader, "secret")
 	must.Eq(t, http.StatusServiceUnavailable, status)
 	must.StrContains(t, body, string(outcome.NotReady))
 	must.Zero(t, handled.Load())
+	must.Zero(t, chosen.n.Load())
+}
+
+// chosenInstances counts the instances that are reserved for attempts.
+type chosenInstances struct {
+	caller.Acquirer
+	n atomic.Int32
+}
+
+func (c *chosenInstances) Acquire(ctx context.Context, q route.Query) (*route.Ticket, error) {
+	c.n.Add(1)
+	return c.Acquirer.Acquire(ctx, q)
 }
--- a/entry/quota/ledger.go
+++ b/entry/quota/ledger.go
@@ -96,6 +96,18 @@
 	return r
 }
 
+// Ready reports whether a request of the organisation gets a token at once, or after one
+// call of a leader that has answered the last one.
+func (l *Ledger) Ready(o *contract.Organisation) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failedAt == 0 {
+		return true
+	}
+	h := l.holdings[o.Name()]
+	return h != nil && h.usable(l.now()) != nil
+}
+
 func (l *Ledger) take(b *bundle) *Token {
 	b.free--
 	b.taken++
--- a/entry/quota/reserve.go
+++ b/entry/quota/reserve.go
@@ -69,6 +69,9 @@
 	return token, refusal
 }
 
+// Ready reports whether a request of the organisation is unlikely to wait for long.
+func (r *Reserve) Ready(o *contract.Organisation) bool { return !o.Limited() || r.ledger.Ready(o) }
+
 // wait waits until the request is decided.
 func (r *Reserve) wait(ctx context.Context, request *Request, patience time.Duration) {
 	r.wakeUp()
