--- a/bench/quota/property_test.go
+++ b/bench/quota/property_test.go
@@ -138,3 +138,26 @@
 		}
 	})
 }
+
+// Guards against an organisation that sends several times its limit and runs much less than
+// the limit, or waits for long, and against its calls that cost another one anything.
+func TestOrganisationAboveItsLimitRunsAtIt(t *testing.T) {
+	for _, rate := range []float64{0.4, 10, 126} {
+		s := newSimulation(1, 40, faults{}, organisation("nord", rate, 0), organisation("sud", 40, 40))
+		s.load("nord", 5*rate, false)
+		s.load("sud", 15, false)
+		const warmUp, length = 20 * time.Second, 40 * time.Second
+		s.runFor(warmUp + length)
+		ran := 0
+		for _, e := range s.ended["nord"] {
+			if e.ran && e.at >= warmUp {
+				ran++
+			}
+			must.LessEq(t, 400*time.Millisecond, e.at-e.arrived)
+		}
+		must.Between(t, int(0.85*rate*length.Seconds()), ran, int(1.05*rate*length.Seconds())+1)
+		for _, e := range s.ended["sud"] {
+			must.True(t, e.ran, must.Sprintf("request of %v", e.arrived))
+		}
+	}
+}
