--- a/control/quota/organisations_test.go
+++ b/control/quota/organisations_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/control/agreement"
 	"github.com/snipebeam/snipebeam/control/fleet"
@@ -270,3 +272,27 @@
 	now = now.Add(9 * time.Second)
 	must.GreaterEq(t, 100, c.grant(idle, &wire.OrganisationNeed{Waiting: 1000}).GetRequests())
 }
+
+// Guards against a log line for each refused request.
+func TestLimitOfAnOrganisationIsLoggedWhenItIsReachedAndLeft(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var lines strings.Builder
+	r := &replica{log: &log{}}
+	r.Service = quota.New("a", r.log, fleet.New(), quota.WithClock(func() time.Time { return now }),
+		quota.WithLogger(hclog.New(&hclog.LoggerOptions{Output: &lines})),
+		quota.WithOrganisations(func(name string) *contract.Organisation {
+			return contract.NewOrganisation(name, contract.WithOrganisationRate(1))
+		}))
+	r.follow("a", 1, now.Add(-time.Hour))
+	c := &caller{t: t, host: "e1"}
+	for range 100 {
+		c.grant(r, &wire.OrganisationNeed{Waiting: 10})
+		now = now.Add(50 * time.Millisecond)
+	}
+	must.Eq(t, 1, strings.Count(lines.String(), "\n"))
+	must.StrContains(t, lines.String(), "organisation reached its limit: organisation=nord")
+	now = now.Add(3 * time.Second)
+	c.grant(r, &wire.OrganisationNeed{Waiting: 1})
+	must.Eq(t, 2, strings.Count(lines.String(), "\n"))
+	must.StrContains(t, lines.String(), "organisation below its limit again")
+}
