entry/caller: no 429 for a request that may have run

Cause: a request that an isolated host relays, that the first other host may have run, and that the next one refuses as beyond the limit of its organisation, got 429, which promises that it has not run.

Change: the reason becomes upstream-lost (502, unknown), as with a host that stops.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -85,7 +85,8 @@
 func (c *call) overall(problem *outcome.Problem) *outcome.Problem {
 	if c.dispatched && problem.Kind() == outcome.NotRun {
 		reason := problem.Reason()
-		if reason == outcome.HostStopping { // promises that the request was not run
+		switch reason {
+		case outcome.HostStopping, outcome.OrganisationRate: // promise that the request was not run
 			reason = outcome.UpstreamLost
 		}
 		return outcome.New(outcome.Unknown, reason, "an earlier attempt may have run; "+problem.Detail())
--- a/entry/caller/quota_test.go
+++ b/entry/caller/quota_test.go
@@ -168,6 +168,28 @@
 	must.Zero(t, chosen.n.Load())
 }
 
+// Guards against a refusal with 429, which promises that the request has not run, of one that an
+// earlier attempt may have run: this host relays it, one host loses it, and the next refuses it.
+func TestRequestThatMayHaveRunIsNotRefusedAsBeyondTheLimit(t *testing.T) {
+	table, rules := withRules(t, organisationRules+limitedLine("nord", "secret"))
+	var runs atomic.Int32
+	instance := httpInstance(t, func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	limited := table.Current().Set().Organisation("nord")
+	host := func(tokens int) string {
+		return serveEntry(t, newEntry(t, viewsOf(instance), nil, rules, withPurse(t, &purse{tokens: tokens, retryAfter: time.Second}, limited)))
+	}
+	relay := &fakeRelay{hosts: []string{host(1), host(0)}}
+	relay.isolated.Store(true)
+	entry := serveEntry(t, newEntry(t, viewsOf(instance), nil, rules, func(cfg *caller.Config) { cfg.Relay = relay }))
+	got := call(t, http.MethodGet, entry, "/a", "", caller.ServiceHeader, "shop", caller.KeyHeader, "secret")
+	must.Positive(t, runs.Load())
+	must.Eq(t, outcome.Unknown, got.outcome())
+	must.Eq(t, http.StatusBadGateway, got.status)
+}
+
 // chosenInstances counts the instances that are reserved for attempts.
 type chosenInstances struct {
 	caller.Acquirer
