control/quota: a new leader grants to organisations once its rules are current

Cause: a leader that has not applied what was committed before its term, as after a restart of all control hosts, took an organisation with a limit for one without and granted whatever was asked for, and an organisation with a lowered limit had the former one.

Change: before its first grant in a term it confirms that the applied state includes what was committed before. The fakes of the log confirm at once, but in the test of this.

--- a/bench/quota/simulation_test.go
+++ b/bench/quota/simulation_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"math/rand"
 	"strconv"
 	"time"
@@ -86,6 +87,8 @@
 
 func (l *log) Status() agreement.Status { return l.status }
 
+func (*log) Confirm(context.Context) error { return nil }
+
 // replica is one control host.
 type replica struct {
 	*control.Service
--- a/control/quota/organisations.go
+++ b/control/quota/organisations.go
@@ -47,6 +47,7 @@
 type organisations struct {
 	terms     func(name string) *contract.Organisation
 	logger    hclog.Logger
+	confirmed uint64 // last term in which the rules in force are known to be current
 	term      uint64
 	since     time.Time
 	buckets   map[string]*organisationBucket
@@ -76,14 +77,19 @@
 // GrantOrganisations grants an entry host requests within the limits of organisations. In
 // any window of 5 s all hosts together run at most what the bucket of an organisation held
 // at its begin, and what its rate adds.
-func (s *Service) GrantOrganisations(_ context.Context, req *wire.OrganisationGrantRequest) (*wire.OrganisationGrantResponse, error) {
-	status, now := s.log.Status(), s.now()
-	if status.Leader() != s.name {
+func (s *Service) GrantOrganisations(ctx context.Context, req *wire.OrganisationGrantRequest) (*wire.OrganisationGrantResponse, error) {
+	if status := s.log.Status(); status.Leader() != s.name {
 		return &wire.OrganisationGrantResponse{LeaderAddress: status.LeaderAddress()}, nil
+	} else if err := s.confirmRules(ctx, status.Term()); err != nil {
+		return nil, err
 	}
+	status, now := s.log.Status(), s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.noteSuspension(now)
+	if status.Leader() != s.name || status.Term() != s.organisations.confirmed {
+		return &wire.OrganisationGrantResponse{LeaderAddress: status.LeaderAddress()}, nil
+	}
 	if !status.Quorum() || !recentContact(status, now) || now.Before(s.resumedAt.Add(Validity)) {
 		return nil, twirp.NewError(twirp.Unavailable, "this control host does not grant yet")
 	}
@@ -108,6 +114,24 @@
 	return response, nil
 }
 
+// confirmRules returns nil once the rules include what was committed before the given term. A
+// new leader may not have applied them yet, and does not know of a limit that they have.
+func (s *Service) confirmRules(ctx context.Context, term uint64) error {
+	s.mu.Lock()
+	confirmed := s.organisations.confirmed >= term
+	s.mu.Unlock()
+	if confirmed {
+		return nil
+	}
+	if err := s.log.Confirm(ctx); err != nil {
+		return twirp.NewError(twirp.Unavailable, "this control host has not applied the rules in force yet")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.organisations.confirmed = max(s.organisations.confirmed, term)
+	return nil
+}
+
 // recentContact reports whether a quorum has answered lately, as far as the log tells.
 func recentContact(status agreement.Status, now time.Time) bool {
 	return status.AsOf().IsZero() || now.Sub(status.AsOf()) < maxContactAge
--- a/control/quota/organisations_test.go
+++ b/control/quota/organisations_test.go
@@ -82,6 +82,28 @@
 	must.Eq(t, 1, c.grant(r, &wire.OrganisationNeed{Waiting: 1}).GetRequests())
 }
 
+// Guards against a new leader that has not applied the rules which its predecessor committed,
+// takes an organisation with a limit for one without, and grants all that is asked for.
+func TestNewLeaderGrantsOnlyOnceItsRulesAreCurrent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rules := limits{}
+	r := newOrganisationReplica(&now, rules)
+	r.follow("a", 2, now)
+	r.log.behind = agreement.ErrNoQuorum
+	c := &caller{t: t, host: "e1"}
+	_, err := c.need(r, &wire.OrganisationNeed{Waiting: 100})
+	must.Error(t, err)
+	rules["nord"] = 1
+	r.log.behind = nil
+	must.Less(t, 100, c.grant(r, &wire.OrganisationNeed{Waiting: 100}).GetRequests())
+	r.log.behind = agreement.ErrNoQuorum // is asked once in a term
+	now = now.Add(2 * time.Second)
+	must.Positive(t, c.grant(r, &wire.OrganisationNeed{Waiting: 1}).GetRequests())
+	r.follow("a", 3, now)
+	_, err = c.need(r, &wire.OrganisationNeed{Waiting: 1})
+	must.Error(t, err)
+}
+
 // Guards against a call that arrives after a later one, and whose statement is outdated.
 func TestCallThatArrivesAfterALaterOneGetsNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/control/quota/quota_test.go
+++ b/control/quota/quota_test.go
@@ -22,10 +22,13 @@
 type log struct {
 	agreement.Log
 	status agreement.Status
+	behind error // of the applied state, nil if it is current
 }
 
 func (l *log) Status() agreement.Status { return l.status }
 
+func (l *log) Confirm(context.Context) error { return l.behind }
+
 // replica is one control host.
 type replica struct {
 	*quota.Service
