entry/quota: each process of a host has an account of its own

Cause: a process began its calls with a number from the time of day, so that a host that restarted after its clock had been set back was ignored by the leader, until it had heard nothing from the host for 10 to 20 s, and its requests got 503.

Change: a process names itself, by the host and a random part, in its calls. What a former one was granted expires within 3 s and counts as spent, as before. The test fails if processes have the same name.

--- a/bench/quota/host_test.go
+++ b/bench/quota/host_test.go
@@ -34,7 +34,7 @@
 func (h *host) start() {
 	h.process++
 	h.calling, h.leader, h.waiters, h.lookAt = false, -1, nil, 0
-	h.ledger = entry.NewLedger("e"+strconv.Itoa(h.number), uint64(h.s.now)+1, func() int64 { return int64(h.s.now) },
+	h.ledger = entry.NewLedger("e"+strconv.Itoa(h.number)+"/"+strconv.Itoa(h.process), func() int64 { return int64(h.s.now) },
 		func(name string) *contract.Organisation { return h.s.rules[name] })
 }
 
--- a/bench/quota/property_test.go
+++ b/bench/quota/property_test.go
@@ -161,3 +161,21 @@
 		}
 	}
 }
+
+// Guards against a restarted host, or one whose time of day was set back meanwhile, whose calls
+// the leader takes for those that its former process sent earlier.
+func TestRestartedHostIsGrantedAtOnce(t *testing.T) {
+	nord := organisation("nord", 126, 126)
+	s := newSimulation(1, 1, faults{}, nord)
+	for range 20 {
+		s.hosts[0].arrive("nord")
+		s.runFor(time.Second)
+	}
+	s.hosts[0].start()
+	s.hosts[0].arrive("nord")
+	s.runFor(time.Second)
+	must.Len(t, 21, s.ended["nord"])
+	last := s.ended["nord"][20]
+	must.True(t, last.ran)
+	must.LessEq(t, 10*time.Millisecond, last.at-last.arrived)
+}
--- a/control/quota/organisations.go
+++ b/control/quota/organisations.go
@@ -60,7 +60,7 @@
 	return organisations{terms: func(string) *contract.Organisation { return nil }, logger: hclog.NewNullLogger()}
 }
 
-// account is what the leader knows of one host's calls.
+// account is what the leader knows of the calls of one process of a host.
 type account struct {
 	sequence uint64 // of its last call
 	at       time.Time
@@ -157,7 +157,7 @@
 	} else if req.GetSequence() <= owner.sequence {
 		return nil
 	}
-	if req.GetApplied() < owner.sequence { // a new process of the host has applied more
+	if req.GetApplied() < owner.sequence {
 		for _, g := range owner.pending {
 			g.bucket.sweep(now)
 			g.bucket.fill(now)
--- a/entry/caller/quota_test.go
+++ b/entry/caller/quota_test.go
@@ -62,7 +62,7 @@
 func withPurse(t *testing.T, p *purse, limited *contract.Organisation) option {
 	t.Helper()
 	start := time.Now()
-	ledger := quota.NewLedger("entry-1", 1, func() int64 { return int64(time.Since(start)) }, func(string) *contract.Organisation { return limited })
+	ledger := quota.NewLedger("entry-1", func() int64 { return int64(time.Since(start)) }, func(string) *contract.Organisation { return limited })
 	reserve := quota.New(ledger, p.call)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -151,7 +151,7 @@
 	instance := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }))
 	t.Cleanup(instance.Close)
 	_, rules := withRules(t, organisationRules+limitedLine("nord", "secret"))
-	ledger := quota.NewLedger("entry-1", 1, func() int64 { return time.Now().UnixNano() }, func(string) *contract.Organisation { return nil })
+	ledger := quota.NewLedger("entry-1", func() int64 { return time.Now().UnixNano() }, func(string) *contract.Organisation { return nil })
 	reserve := quota.New(ledger, func(context.Context, func() *wire.OrganisationGrantRequest) (*wire.OrganisationGrantResponse, error) {
 		return nil, errors.New("no control host leads")
 	})
--- a/entry/host/quota.go
+++ b/entry/host/quota.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 
+	"github.com/google/uuid"
 	"github.com/snipebeam/snipebeam/entry/quota"
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
@@ -12,11 +12,11 @@
 	"go.uber.org/fx"
 )
 
-// newReserve returns the reserve of requests of organisations with a limit. Its calls begin
-// with the time, so that those of a former process of this host count as earlier.
+// newReserve returns the reserve of requests of organisations with a limit. To the leader, this
+// process is another one than former ones of the host, also if the time of day was set back.
 func newReserve(cfg *settings.Settings, grants *grants, table *rules.Table) *quota.Reserve {
 	terms := func(name string) *contract.Organisation { return table.Current().Set().Organisation(name) }
-	ledger := quota.NewLedger(cfg.Host.Name, uint64(time.Now().UnixNano()), steady.New().Now, terms)
+	ledger := quota.NewLedger(cfg.Host.Name+"/"+uuid.NewString(), steady.New().Now, terms)
 	return quota.New(ledger, grants.quota.GrantOrganisations)
 }
 
--- a/entry/quota/ledger.go
+++ b/entry/quota/ledger.go
@@ -35,9 +35,9 @@
 // Ledger is the accounting of the requests that were granted to this host. It makes all
 // decisions of the reserve at the times that its clock returns, and opens no connection.
 type Ledger struct {
-	host  string
-	now   func() int64
-	terms func(name string) *contract.Organisation
+	process string
+	now     func() int64
+	terms   func(name string) *contract.Organisation
 
 	mu        sync.Mutex
 	holdings  map[string]*holding
@@ -69,10 +69,11 @@
 }
 
 // NewLedger returns a ledger. terms returns an organisation of the rules in force, nil if
-// there is none. sequence must be higher than any that a former process of the host used, so
-// that the leader knows that what it granted to that one may have been spent.
-func NewLedger(host string, sequence uint64, now func() int64, terms func(name string) *contract.Organisation) *Ledger {
-	return &Ledger{host: host, now: now, terms: terms, sequence: sequence, applied: sequence, holdings: map[string]*holding{}}
+// there is none. process differs from that of any other process of this or another host, so
+// that the leader ignores no call of a process whose predecessor made more of them, and counts
+// what the predecessor was granted as spent once it has expired.
+func NewLedger(process string, now func() int64, terms func(name string) *contract.Organisation) *Ledger {
+	return &Ledger{process: process, now: now, terms: terms, holdings: map[string]*holding{}}
 }
 
 // Acquire takes a token for a request with the given time left, or lets it wait for one.
@@ -170,7 +171,7 @@
 	now := l.now()
 	l.sequence++
 	l.pending = &pending{sentAt: now, waiting: map[string]int{}}
-	req := &wire.OrganisationGrantRequest{Host: l.host, Sequence: l.sequence, Applied: l.applied, Term: l.term}
+	req := &wire.OrganisationGrantRequest{Host: l.process, Sequence: l.sequence, Applied: l.applied, Term: l.term}
 	for name, h := range l.holdings {
 		need := l.need(name, h, now)
 		if need != nil {
--- a/entry/quota/reserve.go
+++ b/entry/quota/reserve.go
@@ -8,7 +8,7 @@
 //
 // Usage:
 //
-//	reserve := quota.New(quota.NewLedger(host, sequence, clock.Now, terms), client.GrantOrganisations)
+//	reserve := quota.New(quota.NewLedger(process, clock.Now, terms), client.GrantOrganisations)
 //	go reserve.Run(ctx)
 //	token, refusal := reserve.Acquire(ctx, organisation, left)
 //	if refusal != nil { ... }
--- a/entry/quota/reserve_test.go
+++ b/entry/quota/reserve_test.go
@@ -52,7 +52,7 @@
 func newReserve(t *testing.T, l *leader) *quota.Reserve {
 	t.Helper()
 	start := time.Now()
-	ledger := quota.NewLedger("e1", 1, func() int64 { return int64(time.Since(start)) }, func(string) *contract.Organisation { return nord })
+	ledger := quota.NewLedger("e1", func() int64 { return int64(time.Since(start)) }, func(string) *contract.Organisation { return nord })
 	r := quota.New(ledger, l.call)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -198,7 +198,7 @@
 
 func TestOrganisationWithoutALimitIsNeverCharged(t *testing.T) {
 	l := &leader{}
-	r := quota.New(quota.NewLedger("e1", 1, func() int64 { return 0 }, nil), l.call)
+	r := quota.New(quota.NewLedger("e1", func() int64 { return 0 }, nil), l.call)
 	for _, o := range []*contract.Organisation{nil, contract.NewOrganisation("sud")} {
 		token, refusal := r.Acquire(t.Context(), o, time.Second)
 		must.Nil(t, token)
