entry/caller: a token that expires while a link is opened is replaced

Cause: a token for a request that waited for its grant is valid for 150 ms, and opening a link can take longer on a busy host. The request then counted as withdrawn from its instance: it went to another one, and got 503 if there was none, although its organisation was below its limit.

Change: the request takes another token and is sent to the same instance, whose link is there by then. A hedged request still goes to another instance.

--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -216,6 +216,9 @@
 func (d *dispatch) run(attempt int) result {
 	d.begin()
 	exchange, err := d.send(attempt)
+	if d.c.tokenExpired(err) && d.h.charge(d.c) == nil {
+		exchange, err = d.send(attempt) // the link is there now
+	}
 	return d.conclude(attempt, exchange, err)
 }
 
--- a/entry/caller/quota.go
+++ b/entry/caller/quota.go
@@ -6,7 +6,9 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/entry/quota"
+	"github.com/snipebeam/snipebeam/entry/upstream"
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
@@ -45,6 +47,13 @@
 	return nil
 }
 
+// tokenExpired reports whether the request was not sent because its token had expired when there
+// was a link, which may take longer than the token is valid.
+func (c *call) tokenExpired(err error) bool {
+	var failure *upstream.Failure
+	return c.token != nil && errors.As(err, &failure) && failure.Cause() == upstream.Withdrawn && !c.token.Usable()
+}
+
 // restoreToken takes back the charge if no byte has reached an instance.
 func (c *call) restoreToken() {
 	if !c.sent && c.exchanges == 0 {
--- a/entry/caller/quota_test.go
+++ b/entry/caller/quota_test.go
@@ -17,6 +17,7 @@
 	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/quota"
 	"github.com/snipebeam/snipebeam/entry/route"
+	"github.com/snipebeam/snipebeam/entry/upstream"
 	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/outcome"
 	"github.com/snipebeam/snipebeam/world/rule"
@@ -190,6 +191,31 @@
 	must.Eq(t, http.StatusBadGateway, got.status)
 }
 
+// Guards against a request of an organisation below its limit that is refused as the link to the
+// only instance was opened for longer than its token was valid.
+func TestRequestWhoseTokenExpiredWhileItsLinkWasOpenedTakesAnother(t *testing.T) {
+	instance := httpInstance(t, echo)
+	table, rules := withRules(t, organisationRules+limitedLine("nord", "secret"))
+	var late atomic.Int64
+	start := time.Now()
+	ledger := quota.NewLedger("entry-1", func() int64 { return int64(time.Since(start)) + late.Load() }, table.Current().Set().Organisation)
+	p := &purse{tokens: 2, retryAfter: time.Second}
+	reserve := quota.New(ledger, p.call)
+	go reserve.Run(t.Context())
+	var d net.Dialer
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		late.CompareAndSwap(0, int64(2*time.Hour))
+		return d.DialContext(ctx, "tcp", address)
+	}
+	entry := serveEntry(t, newEntry(t, viewsOf(instance), nil, rules, func(cfg *caller.Config) {
+		cfg.Quota, cfg.Pool = reserve, upstream.NewPool(upstream.WithDial(dial))
+	}))
+	status, _ := get(t, entry, "/a", caller.KeyHeader, "secret")
+	must.Eq(t, http.StatusOK, status)
+	status, _ = get(t, entry, "/a", caller.KeyHeader, "secret")
+	must.Eq(t, http.StatusTooManyRequests, status) // one token has expired and one was spent
+}
+
 // chosenInstances counts the instances that are reserved for attempts.
 type chosenInstances struct {
 	caller.Acquirer
