bench/quota: former leaders that grant next to their successors

Cause: in the simulation a leader that is replaced either knew it at once or had been suspended, and the second suspension of a host did not hold its calls back. A leader that is cut off from the other control hosts can go on for a time.

Change: a third of the leaders that are replaced grant for up to 300 ms next to their successors, and a suspended one handles no calls until it wakes.

--- a/bench/quota/host_test.go
+++ b/bench/quota/host_test.go
@@ -192,7 +192,7 @@
 		}
 	}
 	s.after(delay, func() {
-		if r.frozen && r.suspended == 0 || r.frozen && r.late != nil {
+		if r.asleep {
 			r.late = append(r.late, handle)
 			return
 		}
--- a/bench/quota/simulation_test.go
+++ b/bench/quota/simulation_test.go
@@ -19,6 +19,7 @@
 const (
 	callTimeout = 150 * time.Millisecond
 	replicas    = 3
+	maxOverlap  = 300 * time.Millisecond // of two leaders
 )
 
 // faults are the troubles of one run.
@@ -94,8 +95,9 @@
 	*control.Service
 	log       *log
 	suspended time.Duration
-	frozen    bool
-	late      []func() // calls that it handles once it goes on
+	asleep    bool     // its machine is suspended
+	outdated  bool     // it does not hear of a change of the leader
+	late      []func() // calls that it handles once it wakes
 }
 
 func newSimulation(seed int64, hosts int, f faults, rules ...*contract.Organisation) *simulation {
@@ -176,22 +178,29 @@
 		if at == n {
 			since = s.epoch.Add(s.now)
 		}
-		if !r.frozen {
+		if !r.outdated {
 			r.log.status = agreement.NewStatus("c"+strconv.Itoa(n), strconv.Itoa(n), s.term, 0, true, nil).WithLeadsSince(since)
 		}
 	}
 }
 
 // change replaces the leader after a time without one. A leader may also be suspended, and
-// handle the calls that came meanwhile before it hears of its successor.
+// handle the calls that came meanwhile before it hears of its successor, or be cut off from the
+// other control hosts, and grant for a time next to its successor.
 func (s *simulation) change() {
 	old := int(s.term-1) % replicas
 	next := int(s.term) % replicas
 	gap := s.upTo(s.faults.gap)
 	r := s.control[old]
-	if r.frozen = s.random.Intn(3) == 0; r.frozen {
+	switch s.random.Intn(3) {
+	case 0:
+		r.asleep, r.outdated = true, true
 		gap = max(gap, 200*time.Millisecond)
-	} else {
+	case 1:
+		r.outdated = true
+		gap = time.Millisecond
+		s.after(gap+s.upTo(maxOverlap), func() { s.inform(r) })
+	default:
 		for _, other := range s.control {
 			other.log.status = agreement.NewStatus("", "", s.term, 0, false, nil)
 		}
@@ -199,7 +208,7 @@
 	s.gaps = append(s.gaps, [2]time.Duration{s.now, s.now + gap})
 	s.after(gap, func() {
 		s.lead(next)
-		if r.frozen {
+		if r.asleep {
 			s.after(s.upTo(200*time.Millisecond), func() { s.thaw(r, gap) })
 		}
 	})
@@ -207,15 +216,20 @@
 }
 
 func (s *simulation) thaw(r *replica, after time.Duration) {
+	r.asleep = false
 	r.suspended += after
 	for _, call := range r.late {
 		call()
 	}
 	r.late = nil
-	s.after(s.upTo(time.Second), func() {
-		r.frozen = false
-		r.log.status = agreement.NewStatus("c"+strconv.Itoa(int(s.term-1)%replicas), strconv.Itoa(int(s.term-1)%replicas), s.term, 0, true, nil)
-	})
+	s.after(s.upTo(time.Second), func() { s.inform(r) })
+}
+
+// inform has a former leader hear of its successor.
+func (s *simulation) inform(r *replica) {
+	r.outdated = false
+	leader := strconv.Itoa(int(s.term-1) % replicas)
+	r.log.status = agreement.NewStatus("c"+leader, leader, s.term, 0, true, nil)
 }
 
 // load sends requests of an organisation at a rate to random hosts, evenly or at random.
