entry/caller: a request that changes its organisation is charged to the new one

Cause: a request that was charged before an instance was chosen, and whose key was given to another organisation while it was held, was sent as one of the new organisation with a token of the former.

Change: it returns the token as it takes on the other organisation.

--- a/entry/caller/rebind.go
+++ b/entry/caller/rebind.go
@@ -60,6 +60,10 @@
 		return false, outcome.New(outcome.NotRun, outcome.NotReady, "the rules changed while this host held the request")
 	}
 	c.rule, c.version, c.service = found, inForce.Number(), h.shares.pick(found)
+	if organisation.Name() != c.organisation.Name() {
+		c.token.Release()
+		c.token = nil
+	}
 	c.organisation, c.keyed = organisation, len(inForce.Set().Organisations()) > 0
 	now := time.Now()
 	c.backlogEntry.End(false, now)
--- a/entry/caller/rebind_test.go
+++ b/entry/caller/rebind_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"testing"
@@ -9,8 +10,10 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/caller"
+	"github.com/snipebeam/snipebeam/entry/quota"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
+	"github.com/snipebeam/snipebeam/world/contract"
 	"github.com/snipebeam/snipebeam/world/instance"
 	"github.com/snipebeam/snipebeam/world/outcome"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -30,9 +33,10 @@
 	entry   *entryHost
 	table   *rules.Table
 	runs    map[string]*counter // by service
+	key     string              // that requests carry, empty for none
 }
 
-func newChangingHost(t *testing.T) *changingHost {
+func newChangingHost(t *testing.T, opts ...option) *changingHost {
 	h := &changingHost{network: newNetwork(), table: rules.NewTable(), runs: map[string]*counter{}}
 	views, all := &route.Views{}, map[string]*route.View{}
 	for _, service := range []string{"shop", "trial"} {
@@ -48,9 +52,10 @@
 		all[service] = route.NewView(service, []route.Member{member})
 	}
 	views.Store(all)
-	h.entry = newEntry(t, views, newClaims(), h.network.pool(t), func(cfg *caller.Config) {
+	opts = append(opts, h.network.pool(t), func(cfg *caller.Config) {
 		cfg.Table, cfg.Router = h.table, route.NewRouter(views, route.NewAdaptive(route.WithHeadroom(0)), route.WithTerms(termsOf(h.table)))
 	})
+	h.entry = newEntry(t, views, newClaims(), opts...)
 	h.network.serve(t, "e:1", h.entry.handler)
 	h.advance(t, 88, "route shop at a.example /x/: deadline 8s, single # Marie: why\n")
 	h.table.Confirm(88, time.Now())
@@ -87,6 +92,9 @@
 func (h *changingHost) post(t *testing.T, path string) (heldReply, error) {
 	req := newRequest(t, http.MethodPost, "e:1", path, "5")
 	req.Host = "a.example"
+	if h.key != "" {
+		req.Header.Set(caller.KeyHeader, h.key)
+	}
 	response, err := h.network.client(t).Do(req)
 	if err != nil {
 		return heldReply{}, err
@@ -165,3 +173,34 @@
 		must.Zero(t, h.runs["trial"].of(""))
 	})
 }
+
+// Guards against a request that is charged to the organisation which held its key when it
+// arrived, and is sent as one of another that holds the key by then.
+func TestHeldRequestIsChargedToTheOrganisationThatHoldsItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limited := contract.NewOrganisation("nord", contract.WithOrganisationRate(1))
+		start := time.Now()
+		ledger := quota.NewLedger("entry-1", func() int64 { return int64(time.Since(start)) }, func(string) *contract.Organisation { return limited })
+		charged := &chargedOrganisations{Reserve: quota.New(ledger, (&purse{tokens: 10}).call)}
+		go charged.Run(t.Context())
+		h := newChangingHost(t, func(cfg *caller.Config) { cfg.Quota = charged })
+		h.key = "secret"
+		h.advance(t, 89, "route shop at a.example /x/: deadline 8s, single # Marie: why\n"+limitedLine("nord", h.key))
+		got := h.holdDuring(t, "route trial at a.example /x/: deadline 8s, single # Marie: moved\n"+limitedLine("sud", h.key))
+		must.Eq(t, "trial", got.body)
+		must.Eq(t, []string{"nord", "nord", "sud"}, charged.names)
+	})
+}
+
+// chargedOrganisations records who is charged, always before an instance is chosen.
+type chargedOrganisations struct {
+	*quota.Reserve
+	names []string
+}
+
+func (*chargedOrganisations) Ready(*contract.Organisation) bool { return false }
+
+func (c *chargedOrganisations) Acquire(ctx context.Context, o *contract.Organisation, left time.Duration) (*quota.Token, *quota.Refusal) {
+	c.names = append(c.names, o.Name())
+	return c.Reserve.Acquire(ctx, o, left)
+}
