entry/caller, entry/quota: requests of an organisation at its limit hold no slot of an instance

Cause: a request beyond the limit of its organisation queued for an instance, and held its slot for up to 400 ms while it waited for a token, or got one only to be refused with 429. An organisation that sends several times its limit took slots and places in the queue from others.

Change: from a refusal of the leader until the time that it named, requests of the organisation are charged before an instance is chosen, as while nobody leads.

--- a/entry/caller/quota.go
+++ b/entry/caller/quota.go
@@ -22,8 +22,9 @@
 	Ready(o *contract.Organisation) bool
 }
 
-// chargeFirst charges the request before an instance is chosen if it may wait for long,
-// as nobody leads the control hosts, so that it keeps no other request from the instance.
+// chargeFirst charges the request before an instance is chosen if it may wait for long, as
+// nobody leads the control hosts or the organisation is at its limit, so that it keeps no other
+// request from the instance.
 func (h *Handler) chargeFirst(c *call) *outcome.Problem {
 	if h.cfg.Quota == nil || !c.organisation.Limited() || h.cfg.Quota.Ready(c.organisation) {
 		return nil
--- a/entry/caller/quota_test.go
+++ b/entry/caller/quota_test.go
@@ -216,6 +216,22 @@
 	must.Eq(t, http.StatusTooManyRequests, status) // one token has expired and one was spent
 }
 
+// Guards against requests beyond the limit that keep a slot of an instance from others while they
+// wait for a token, or wait for a slot only to be refused.
+func TestRequestOfAnOrganisationAtItsLimitHoldsNoInstance(t *testing.T) {
+	instance := httpInstance(t, echo)
+	table, rules := withRules(t, organisationRules+limitedLine("nord", "secret"))
+	var chosen chosenInstances
+	entry := serveEntry(t, newEntry(t, viewsOf(instance), nil, rules,
+		withPurse(t, &purse{retryAfter: time.Hour}, table.Current().Set().Organisation("nord")),
+		func(cfg *caller.Config) { chosen.Acquirer, cfg.Router = cfg.Router, &chosen }))
+	for range 5 {
+		status, _ := get(t, entry, "/a", caller.KeyHeader, "secret")
+		must.Eq(t, http.StatusTooManyRequests, status)
+	}
+	must.Eq(t, 1, chosen.n.Load()) // the first one finds out
+}
+
 // chosenInstances counts the instances that are reserved for attempts.
 type chosenInstances struct {
 	caller.Acquirer
--- a/entry/quota/ledger.go
+++ b/entry/quota/ledger.go
@@ -98,15 +98,15 @@
 }
 
 // Ready reports whether a request of the organisation gets a token at once, or after one
-// call of a leader that has answered the last one.
+// call of a leader that has answered the last one and has not said that it has no token yet.
 func (l *Ledger) Ready(o *contract.Organisation) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.failedAt == 0 {
+	h, now := l.holdings[o.Name()], l.now()
+	if h != nil && h.usable(now) != nil {
 		return true
 	}
-	h := l.holdings[o.Name()]
-	return h != nil && h.usable(l.now()) != nil
+	return l.failedAt == 0 && (h == nil || now >= h.askAt)
 }
 
 func (l *Ledger) take(b *bundle) *Token {
--- a/entry/quota/reserve_test.go
+++ b/entry/quota/reserve_test.go
@@ -149,6 +149,22 @@
 	})
 }
 
+// Guards against an organisation that counts as at its limit for longer than the leader says.
+func TestOrganisationIsReadyAgainOnceTheLeaderMayHaveATokenOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &leader{}
+		r := newReserve(t, l)
+		must.True(t, r.Ready(nord))
+		l.retryAfter.Store(int64(time.Second))
+		_, _, refusal := waitOf(t, r)
+		must.NotNil(t, refusal)
+		must.False(t, r.Ready(nord))
+		l.retryAfter.Store(0)
+		time.Sleep(1500 * time.Millisecond)
+		must.True(t, r.Ready(nord))
+	})
+}
+
 // Guards against a request that ends without having been sent and stays charged, and
 // against one that is charged twice.
 func TestTokenIsSpentOnceOrReturned(t *testing.T) {
