entry/caller: a test of the charges of hedged and relayed requests

Cause: nothing held the handler to one charge of a request that is sent twice at once, and to a charge at the host that sends a relayed request to an instance.

Change: a test with both.

--- a/entry/caller/quota_test.go
+++ b/entry/caller/quota_test.go
@@ -232,6 +232,39 @@
 	must.Eq(t, 1, chosen.n.Load()) // the first one finds out
 }
 
+// Guards against a charge for each copy of a hedged request, and against a relayed request that
+// is charged at both hosts, or at the one that does not send it to an instance.
+func TestHedgedAndRelayedRequestsAreChargedOnce(t *testing.T) {
+	var handled atomic.Int32
+	both := make(chan struct{})
+	instance := func() string {
+		return httpInstance(t, func(http.ResponseWriter, *http.Request) {
+			if handled.Add(1) == 2 {
+				close(both)
+			}
+			<-both
+		})
+	}
+	table, rules := withRules(t, `service shop: retryBudget 100% # Marie: tests
+route shop GET: deadline 5s, retries 1, attempts 2, hedge # Marie: studios
+`+limitedLine("nord", "secret"))
+	limited := table.Current().Set().Organisation("nord")
+	sender, first := &purse{tokens: 1, retryAfter: time.Second}, &purse{tokens: 1, retryAfter: time.Second}
+	host := serveEntry(t, newEntry(t, viewsOf(instance(), instance()), nil, rules, withPurse(t, sender, limited),
+		func(cfg *caller.Config) { cfg.Router = hedgeAtOnce{cfg.Router} }))
+	relay := &fakeRelay{hosts: []string{host}}
+	relay.isolated.Store(true)
+	entry := serveEntry(t, newEntry(t, viewsOf(deadAddress(t)), nil, rules, withPurse(t, first, limited), func(cfg *caller.Config) { cfg.Relay = relay }))
+	status, _ := get(t, entry, "/a", caller.KeyHeader, "secret")
+	must.Eq(t, http.StatusOK, status)
+	must.Eq(t, 2, handled.Load())
+	must.One(t, sender.charged.Load())
+	must.Zero(t, first.charged.Load())
+	status, body := get(t, entry, "/a", caller.KeyHeader, "secret")
+	must.Eq(t, http.StatusTooManyRequests, status)
+	must.StrContains(t, body, string(outcome.OrganisationRate))
+}
+
 // chosenInstances counts the instances that are reserved for attempts.
 type chosenInstances struct {
 	caller.Acquirer
