entry/caller: a test of tokens of requests that are not sent

Cause: nothing failed if the token of a request that ends before it is sent was kept, after a refusal of the router or a panic of the handler.

Change: a test of both; it fails without the return of the token.

--- a/entry/caller/quota_test.go
+++ b/entry/caller/quota_test.go
@@ -265,6 +265,45 @@
 	must.StrContains(t, body, string(outcome.OrganisationRate))
 }
 
+// Guards against tokens that are lost with requests that were charged and end before they are
+// sent: no instance takes them, or the handler panics.
+func TestTokenOfARequestThatIsNotSentIsReturned(t *testing.T) {
+	instance := httpInstance(t, echo)
+	table, rules := withRules(t, organisationRules+limitedLine("nord", "secret"))
+	limited := table.Current().Set().Organisation("nord")
+	p := &purse{tokens: 1, retryAfter: time.Second}
+	router := &failingRouter{}
+	entry := serveEntry(t, newEntry(t, viewsOf(instance), nil, rules, withPurse(t, p, limited), func(cfg *caller.Config) {
+		cfg.Quota, router.Acquirer, cfg.Router = chargedFirst{cfg.Quota}, cfg.Router, router
+	}))
+	for n, status := range []int{http.StatusServiceUnavailable, http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusOK, http.StatusTooManyRequests} {
+		router.panics, router.fails = n == 1, n == 0 || n == 2
+		got, _ := get(t, entry, "/a", caller.KeyHeader, "secret")
+		must.Eq(t, status, got, must.Sprintf("request %d", n))
+	}
+}
+
+// chargedFirst charges each request before an instance is chosen.
+type chargedFirst struct{ caller.Quota }
+
+func (chargedFirst) Ready(*contract.Organisation) bool { return false }
+
+// failingRouter has no instance, or panics.
+type failingRouter struct {
+	caller.Acquirer
+	fails, panics bool
+}
+
+func (r *failingRouter) Acquire(ctx context.Context, q route.Query) (*route.Ticket, error) {
+	switch {
+	case r.panics:
+		panic("broken router")
+	case r.fails:
+		return nil, outcome.New(outcome.NotRun, outcome.NoInstance, "no instance")
+	}
+	return r.Acquirer.Acquire(ctx, q)
+}
+
 // chosenInstances counts the instances that are reserved for attempts.
 type chosenInstances struct {
 	caller.Acquirer
