--- a/control/host/host.go
+++ b/control/host/host.go
@@ -91,8 +91,8 @@
 	return operator.NewEvacuations(cfg.Host.Name, log, machine, hosts, logger, opts...)
 }
 
-func newQuota(cfg *settings.Settings, log agreement.Log, hosts *fleet.Fleet, dir *directory.Directory) *quota.Service {
-	return quota.New(cfg.Host.Name, log, hosts, quota.WithTerms(dir.Terms))
+func newQuota(cfg *settings.Settings, log agreement.Log, hosts *fleet.Fleet, dir *directory.Directory, logger hclog.Logger) *quota.Service {
+	return quota.New(cfg.Host.Name, log, hosts, quota.WithTerms(dir.Terms), quota.WithOrganisations(dir.Organisation), quota.WithLogger(logger.Named("quota")))
 }
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
--- a/entry/caller/attempt.go
+++ b/entry/caller/attempt.go
@@ -85,7 +85,8 @@
 func (c *call) overall(problem *outcome.Problem) *outcome.Problem {
 	if c.dispatched && problem.Kind() == outcome.NotRun {
 		reason := problem.Reason()
-		if reason == outcome.HostStopping { // promises that the request was not run
+		switch reason {
+		case outcome.HostStopping, outcome.OrganisationRate: // promise that the request was not run
 			reason = outcome.UpstreamLost
 		}
 		return outcome.New(outcome.Unknown, reason, "an earlier attempt may have run; "+problem.Detail())
@@ -157,6 +158,9 @@
 
 // attempt sends the request to one instance.
 func (h *Handler) attempt(c *call, attempt int, tried []instance.ID, rec *recorder) result {
+	if problem := h.chargeFirst(c); problem != nil {
+		return result{problem: problem}
+	}
 	ticket, problem := h.acquireTicket(c, tried)
 	if problem != nil && problem.Reason() == outcome.NoInstance && c.staleAt != "" {
 		c.staleAt = "" // there is no other one
@@ -165,6 +169,10 @@
 	if problem != nil {
 		return result{problem: c.problem(problem.Kind(), problem.Reason(), problem.Detail()).WithRetryAfter(problem.RetryAfter())}
 	}
+	if problem := h.charge(c); problem != nil {
+		ticket.Release()
+		return result{problem: problem}
+	}
 	d := &dispatch{h: h, c: c, ticket: ticket, target: ticket.Instance(), recorder: rec}
 	defer d.finish()
 	if h.mayHedge(c) {
@@ -208,6 +216,9 @@
 func (d *dispatch) run(attempt int) result {
 	d.begin()
 	exchange, err := d.send(attempt)
+	if d.c.tokenExpired(err) && d.h.charge(d.c) == nil {
+		exchange, err = d.send(attempt) // the link is there now
+	}
 	return d.conclude(attempt, exchange, err)
 }
 
@@ -231,6 +242,7 @@
 	var failure *upstream.Failure
 	d.c.sent = d.c.sent || !errors.As(err, &failure) || failure.Wrote()
 	d.c.exchanges--
+	d.c.restoreToken()
 	if err != nil {
 		return result{problem: d.exchangeProblem(err), instance: id}
 	}
@@ -262,7 +274,9 @@
 }
 
 // usable reports whether the request may still be sent once there is a link.
-func (d *dispatch) usable() bool { return !d.c.leftUnnoticed() && d.ticket.Usable() }
+func (d *dispatch) usable() bool {
+	return !d.c.leftUnnoticed() && d.ticket.Usable() && d.c.token.Spend()
+}
 
 func (d *dispatch) context() context.Context {
 	if d.ctx != nil {
