--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
 	"sync/atomic"
@@ -13,20 +12,12 @@
 
 // Limits of an exchange.
 const (
-	maxInterimResponses = 16       // before the final response
-	maxMismatchedBytes  = 64 << 10 // of discarded responses to other requests
-	maxInlineBytes      = 16 << 10 // larger bodies are written while the response is awaited
-	unlimitedIdle       = time.Duration(math.MaxInt64)
-	retirementMargin    = time.Second // links opened up to this long after a silent one are retired with it
+	maxInlineBytes   = 16 << 10 // larger bodies are written while the response is awaited
+	unlimitedIdle    = time.Duration(math.MaxInt64)
+	retirementMargin = time.Second // links opened up to this long after a silent one are retired with it
 )
 
-var (
-	errCloseDelimited = errors.New("response body has no length, so that a truncation cannot be detected")
-	errMismatched     = errors.New("response belongs to another request")
-	errInterim        = errors.New("unexpected or too many interim responses")
-	errWithdrawn      = errors.New("the instance left before the request was sent")
-	errStatus         = errors.New("response has an invalid status code")
-)
+var errWithdrawn = errors.New("the instance left before the request was sent")
 
 // Exchange is one request and its response on one link.
 type Exchange struct {
@@ -147,122 +138,6 @@
 	return e.readHeader()
 }
 
-// upload writes the request while the response is awaited. A write error alone
-// does not close the link, since the instance may still respond after it stopped
-// reading. After a body error or a timeout no response can follow.
-func (e *Exchange) upload() {
-	err := e.write()
-	// Sent before the link is closed, so that a reader that finds the link closed
-	// can get the cause.
-	e.sent <- err
-	if cause := causeOf(err); err != nil && (cause == Body || cause == Silent) {
-		e.link.abort()
-	}
-}
-
-// responseOr reads a response that arrived although the request could not be
-// sent completely. Without one it returns the error of sending.
-func (e *Exchange) responseOr(sendErr error) error {
-	var body bodyError
-	if errors.As(sendErr, &body) || e.readHeader() != nil {
-		return sendErr
-	}
-	e.response.Close = true
-	return nil
-}
-
-func (e *Exchange) write() error {
-	err := e.request.Write(e.link.writer)
-	if err != nil && e.body != nil && e.body.err != nil {
-		return bodyError{e.body.err}
-	}
-	if err != nil {
-		return errors.Wrap(err, "write request")
-	}
-	return errors.Wrap(e.link.writer.Flush(), "write request")
-}
-
-func (e *Exchange) readHeader() error {
-	for range maxInterimResponses {
-		response, err := http.ReadResponse(e.link.reader, e.request)
-		if err != nil {
-			return errors.Wrap(err, "read response")
-		}
-		if response.StatusCode < http.StatusContinue {
-			return errors.Wrap(errStatus, response.Status)
-		}
-		if response.StatusCode >= http.StatusOK && e.isMismatched(response) {
-			if err := e.discard(response); err != nil {
-				return err
-			}
-			continue
-		}
-		if response.StatusCode >= http.StatusOK {
-			e.response = response
-			e.link.inHeader = false
-			if e.link.reused {
-				e.pool.idle.record(e.link.reusedAfter, false, time.Now())
-			}
-			return e.checkFraming(response)
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return errInterim
-		}
-		if e.onInterim != nil && response.StatusCode != http.StatusContinue && !e.isMismatched(response) {
-			e.onInterim(response.StatusCode, response.Header)
-		}
-	}
-	return errInterim
-}
-
-// isMismatched reports whether a response belongs to another request.
-func (e *Exchange) isMismatched(response *http.Response) bool {
-	if e.identityHeader == "" {
-		return false
-	}
-	got := response.Header.Get(e.identityHeader)
-	return got != "" && got != e.identity
-}
-
-// Identified reports whether the response is certainly one to this request: it echoes the
-// identity, none is in use, or the link carried no earlier request.
-func (e *Exchange) Identified() bool {
-	return e.identityHeader == "" || !e.link.reused || e.response.Header.Get(e.identityHeader) == e.identity
-}
-
-// discard reads a response to another request to its end. Together with the
-// headers, all discarded responses are limited in size. The link is not reused
-// afterwards.
-func (e *Exchange) discard(response *http.Response) error {
-	if framedBody := response.ContentLength >= 0 || len(response.TransferEncoding) > 0; !framedBody || response.Close {
-		return errMismatched
-	}
-	if e.mismatched == 0 {
-		e.link.headerBytesLeft += maxMismatchedBytes
-	}
-	e.mismatched++
-	e.link.headerLinesLeft = e.link.headerBytesLeft // its body may have any number of lines
-	_, err := io.Copy(io.Discard, response.Body)
-	e.link.headerLinesLeft, e.link.inHeaderLine = maxHeaderLines, false
-	return errors.Wrap(err, "discard response to another request")
-}
-
-// checkFraming rejects a body that ends when the link is closed, unless
-// close-delimited responses are accepted, since its end cannot be distinguished
-// from a truncation.
-func (e *Exchange) checkFraming(response *http.Response) error {
-	if e.mismatched > 0 {
-		response.Close = true
-	}
-	if e.closeDelimited {
-		return nil
-	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
-		return errCloseDelimited
-	}
-	return nil
-}
-
 // fail ends the exchange. before is the number of bytes that had been written to
 // the link when it began.
 func (e *Exchange) fail(ctx context.Context, address string, err error, before int64) *Failure {
@@ -309,37 +184,12 @@
 	return nil
 }
 
-// Received reports whether the whole response has been received already.
-func (e *Exchange) Received() bool {
-	length := e.response.ContentLength
-	return e.response.Body == http.NoBody || length >= 0 && int64(e.link.reader.Buffered()) >= length
-}
-
 // OpenedAt returns when the link was opened.
 func (e *Exchange) OpenedAt() time.Time { return e.link.openedAt }
 
 // Response returns the response header.
 func (e *Exchange) Response() *http.Response { return e.response }
 
-// Read reads the response body. Any error other than io.EOF means that the body
-// was truncated. Bytes that frame the body count as progress only if there are
-// many of them.
-func (e *Exchange) Read(p []byte) (int, error) {
-	e.link.beginBodyRead()
-	n, err := e.response.Body.Read(p)
-	if errors.Is(err, io.EOF) {
-		e.complete = true
-		return n, io.EOF
-	}
-	if err != nil && causeOf(err) == Silent {
-		e.links.retire(e.link.openedAt.Add(retirementMargin))
-	}
-	return n, err
-}
-
-// Uploading reports whether the request is still being sent.
-func (e *Exchange) Uploading() bool { return e.sent != nil && len(e.sent) == 0 }
-
 // Close ends the exchange. The link is returned to the pool only if the whole
 // request was sent and the whole response was read.
 func (e *Exchange) Close() {
@@ -369,19 +219,3 @@
 		return false
 	}
 }
-
-// requestBody records read errors of the body, which http.Request.Write does not
-// distinguish from write errors of the link.
-type requestBody struct {
-	io.ReadCloser
-	err error
-}
-
-// Read implements io.Reader.
-func (b *requestBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
-		b.err = err
-	}
-	return n, err
-}
--- /dev/null
+++ b/entry/upstream/response.go
@@ -0,0 +1,125 @@
+package upstream
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Limits of a response.
+const (
+	maxInterimResponses = 16       // before the final response
+	maxMismatchedBytes  = 64 << 10 // of discarded responses to other requests
+)
+
+var (
+	errCloseDelimited = errors.New("response body has no length, so that a truncation cannot be detected")
+	errMismatched     = errors.New("response belongs to another request")
+	errInterim        = errors.New("unexpected or too many interim responses")
+	errStatus         = errors.New("response has an invalid status code")
+)
+
+func (e *Exchange) readHeader() error {
+	for range maxInterimResponses {
+		response, err := http.ReadResponse(e.link.reader, e.request)
+		if err != nil {
+			return errors.Wrap(err, "read response")
+		}
+		if response.StatusCode < http.StatusContinue {
+			return errors.Wrap(errStatus, response.Status)
+		}
+		if response.StatusCode >= http.StatusOK && e.isMismatched(response) {
+			if err := e.discard(response); err != nil {
+				return err
+			}
+			continue
+		}
+		if response.StatusCode >= http.StatusOK {
+			e.response = response
+			e.link.inHeader = false
+			if e.link.reused {
+				e.pool.idle.record(e.link.reusedAfter, false, time.Now())
+			}
+			return e.checkFraming(response)
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return errInterim
+		}
+		if e.onInterim != nil && response.StatusCode != http.StatusContinue && !e.isMismatched(response) {
+			e.onInterim(response.StatusCode, response.Header)
+		}
+	}
+	return errInterim
+}
+
+// isMismatched reports whether a response belongs to another request.
+func (e *Exchange) isMismatched(response *http.Response) bool {
+	if e.identityHeader == "" {
+		return false
+	}
+	got := response.Header.Get(e.identityHeader)
+	return got != "" && got != e.identity
+}
+
+// Identified reports whether the response is certainly one to this request: it echoes the
+// identity, none is in use, or the link carried no earlier request.
+func (e *Exchange) Identified() bool {
+	return e.identityHeader == "" || !e.link.reused || e.response.Header.Get(e.identityHeader) == e.identity
+}
+
+// discard reads a response to another request to its end. Together with the
+// headers, all discarded responses are limited in size. The link is not reused
+// afterwards.
+func (e *Exchange) discard(response *http.Response) error {
+	if framedBody := response.ContentLength >= 0 || len(response.TransferEncoding) > 0; !framedBody || response.Close {
+		return errMismatched
+	}
+	if e.mismatched == 0 {
+		e.link.headerBytesLeft += maxMismatchedBytes
+	}
+	e.mismatched++
+	e.link.headerLinesLeft = e.link.headerBytesLeft // its body may have any number of lines
+	_, err := io.Copy(io.Discard, response.Body)
+	e.link.headerLinesLeft, e.link.inHeaderLine = maxHeaderLines, false
+	return errors.Wrap(err, "discard response to another request")
+}
+
+// checkFraming rejects a body that ends when the link is closed, unless
+// close-delimited responses are accepted, since its end cannot be distinguished
+// from a truncation.
+func (e *Exchange) checkFraming(response *http.Response) error {
+	if e.mismatched > 0 {
+		response.Close = true
+	}
+	if e.closeDelimited {
+		return nil
+	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
+		return errCloseDelimited
+	}
+	return nil
+}
+
+// Received reports whether the whole response has been received already.
+func (e *Exchange) Received() bool {
+	length := e.response.ContentLength
+	return e.response.Body == http.NoBody || length >= 0 && int64(e.link.reader.Buffered()) >= length
+}
+
+// Read reads the response body. Any error other than io.EOF means that the body
+// was truncated. Bytes that frame the body count as progress only if there are
+// many of them.
+func (e *Exchange) Read(p []byte) (int, error) {
+	e.link.beginBodyRead()
+	n, err := e.response.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		e.complete = true
+		return n, io.EOF
+	}
+	if err != nil && causeOf(err) == Silent {
+		e.links.retire(e.link.openedAt.Add(retirementMargin))
+	}
+	return n, err
+}
