entry/upstream: a reset during an upload does not end a response cleanly

A socket reports a reset once. If the write of the request came first, the read of the response found the end of the data, and a response without a length, of which a part had arrived, counted as complete.

At the end of such a response the link is closed and the result of the last write is looked at: any error of the socket but EPIPE, which it reports if the instance had finished sending, makes the response incomplete. Closing the link ends a write that waits for the instance, so a complete response waits for nothing.

--- a/entry/caller/harness_test.go
+++ b/entry/caller/harness_test.go
@@ -41,6 +41,7 @@
 service shop: retryBudget 100% # Marie: tests with more faults than a day has
 route shop GET /plain/**: deadline 5s # Marie: tests
 route shop GET /late/**: deadline 5s, retries 1, attempts 2, hedge # Marie: sent twice when late
+route shop PUT /late/**: deadline 5s, retries 1, attempts 2, hedge # Marie: sent twice when late
 route shop GET,PUT: deadline 5s, retries 2 # Marie: may be repeated
 route shop POST /pay/**: deadline 5s, once Idempotency-Key # Luc: at most once
 route shop POST /photos/**: deadline 2s, finish, maxBody 1MB # Anne: uploads
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -33,6 +33,7 @@
 	identityHeader string // response header that echoes the identity of the request
 	identity       string
 	closeDelimited bool // accept responses that end when their link is closed
+	endsWithLink   bool // the response is such a one
 	maxIdle        time.Duration
 	usable         func() bool // nil: the instance is
 	mismatched     int
--- a/entry/upstream/link.go
+++ b/entry/upstream/link.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -46,6 +47,8 @@
 	identity        string        // of the last request
 	reusedAfter     time.Duration // idle time before the current request, if reused
 	silent          atomic.Bool   // closed because it exceeded the silent limit
+	writing         sync.Mutex    // held during a write and until its error is recorded
+	broken          error         // of a write that found the connection broken
 }
 
 func newLink(conn net.Conn, progress time.Duration, maxHeaderBytes int) *Link {
@@ -75,14 +78,36 @@
 
 // write counts the bytes written and sets a deadline for progress.
 func (l *Link) write(p []byte) (int, error) {
+	l.writing.Lock()
+	defer l.writing.Unlock()
 	if err := l.conn.SetWriteDeadline(time.Now().Add(l.progress)); err != nil {
 		return 0, err
 	}
 	n, err := l.conn.Write(p)
 	l.written.Add(int64(n))
+	if isBroken(err) {
+		l.broken = err
+	}
 	return n, err
 }
 
+// isBroken reports whether the error of a write means that the connection ended before the
+// peer had finished sending. A socket reports its error once, and a read after that finds the
+// end of the data. EPIPE is reported if the peer had finished.
+func isBroken(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
+}
+
+// endOfData closes a link at which a read found the end of the data, and returns an error if it
+// was not the peer that ended them. The close ends a write that waits for the peer.
+func (l *Link) endOfData() error {
+	l.abort()
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	return errors.Wrap(l.broken, "read response")
+}
+
 // Read implements io.Reader. A response header is limited in size; a body has a
 // deadline for progress.
 func (l *Link) Read(p []byte) (int, error) {
--- a/entry/upstream/response.go
+++ b/entry/upstream/response.go
@@ -93,10 +93,8 @@
 	if e.mismatched > 0 {
 		response.Close = true
 	}
-	if e.closeDelimited {
-		return nil
-	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
+	e.endsWithLink = response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+	if e.endsWithLink && !e.closeDelimited {
 		return errCloseDelimited
 	}
 	return nil
@@ -115,11 +113,22 @@
 	e.link.beginBodyRead()
 	n, err := e.response.Body.Read(p)
 	if errors.Is(err, io.EOF) {
-		e.complete = true
-		return n, io.EOF
+		return n, e.end()
 	}
 	if err != nil && causeOf(err) == Silent {
 		e.links.retire(e.link.openedAt.Add(retirementMargin))
 	}
 	return n, err
 }
+
+// end returns io.EOF if the response is complete. Where it ends with its link, the write of
+// the request may have found out first that the link broke.
+func (e *Exchange) end() error {
+	if e.endsWithLink {
+		if err := e.link.endOfData(); err != nil {
+			return err
+		}
+	}
+	e.complete = true
+	return io.EOF
+}
