entry/caller: tests of invalid statuses on every path

A status of 000, 099, two or four digits, or one that is no number is no answer. The link refuses it already (errStatus, and the reader of responses), so that the caller gets 502 with an unknown outcome. Nothing tested that where a response is retried, hedged or relayed, or comes from another entry host.

Statuses such as 299, 600 and 999 remain answers.

--- a/entry/caller/paths_test.go
+++ b/entry/caller/paths_test.go
@@ -42,6 +42,8 @@
 	on       atomic.Bool
 	arrivals atomic.Int32
 	script   func(conn *net.TCPConn)
+	both     bool // the script also serves the hedged request, after its hedge
+	second   chan struct{}
 	done     chan struct{}
 }
 
@@ -78,10 +80,16 @@
 		case first && f.way == retried:
 			return
 		case first && f.way == hedged:
-			<-f.done
-			return
+			select {
+			case <-f.second:
+			case <-f.done:
+				return
+			}
 		}
 		f.script(conn.(*net.TCPConn))
+		if f.both && f.way == hedged && !first {
+			f.second <- struct{}{}
+		}
 		return
 	}
 }
@@ -90,7 +98,7 @@
 // script by the given way, over links that dial opens.
 func (f *fault) start(t *testing.T, dial upstream.Dial, opts ...option) string {
 	t.Helper()
-	f.done = make(chan struct{})
+	f.done, f.second = make(chan struct{}), make(chan struct{}, 1)
 	t.Cleanup(func() { close(f.done) })
 	var instances []string
 	for range 2 {
@@ -141,3 +149,7 @@
 	}
 	return conn, err
 }
+
+func withRelay(relay caller.Relay) option {
+	return func(cfg *caller.Config) { cfg.Relay = relay }
+}
