--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -52,6 +52,7 @@
 	incomingAttempt int    // number of the attempt by the layer above, 1 for the first
 	ranAttempts     int    // attempts at instances that may have run it
 	priorAttempts   int    // the same, of the host that relays it
+	leastVersion    uint64 // of the rules that may apply, 0 for any
 	named           string // service or host name in the request
 	callerName      string // that the caller stated, empty if it is known by its address only
 	fingerprint     poison.Fingerprint
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -205,13 +205,13 @@
 	if h.stop.refusing.Load() {
 		return outcome.New(outcome.NotRun, outcome.HostStopping, "this host takes no more requests")
 	}
-	if problem := h.match(c); problem != nil {
+	if problem := h.refuseRelayed(c); problem != nil {
 		return problem
 	}
-	if problem := refuseUnsupported(c.r); problem != nil {
+	if problem := h.match(c); problem != nil {
 		return problem
 	}
-	if problem := h.refuseRelayed(c); problem != nil {
+	if problem := refuseUnsupported(c.r); problem != nil {
 		return problem
 	}
 	if limit := h.bodyLimit(c.rule.Contract()); c.r.ContentLength > limit {
--- a/entry/caller/relay.go
+++ b/entry/caller/relay.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,16 +27,21 @@
 	// RelayedCountedHeader says that another entry host has counted the request for the
 	// retry budget.
 	RelayedCountedHeader = "Snipebeam-Relayed-Counted"
+	// RelayedVersionHeader holds the number of the version of the rules by which the other
+	// entry host admitted the request. Hosts of earlier builds ignore it.
+	RelayedVersionHeader = "Snipebeam-Relayed-Version"
 )
 
 // maxRelays bounds the entry hosts to which an isolated host relays a request one after
-// another. A host that reaches other instances tries one.
+// another. A host that reaches other instances tries one, and another for each that has
+// applied an older version of the rules.
 const maxRelays = 3
 
 var (
-	relayed       = metrics.GetOrCreateCounter("snipebeam_requests_relayed_total")
-	relaysFailed  = metrics.GetOrCreateCounter("snipebeam_relays_failed_total")
-	servedForPeer = metrics.GetOrCreateCounter("snipebeam_requests_for_other_hosts_total")
+	relayed         = metrics.GetOrCreateCounter("snipebeam_requests_relayed_total")
+	relaysFailed    = metrics.GetOrCreateCounter("snipebeam_relays_failed_total")
+	relayedOutdated = metrics.GetOrCreateCounter("snipebeam_relayed_requests_refused_outdated_total")
+	servedForPeer   = metrics.GetOrCreateCounter("snipebeam_requests_for_other_hosts_total")
 )
 
 // Relay tells whether requests must be handed to other entry hosts, and to which.
@@ -66,6 +72,9 @@
 	c.r.Header.Del(RelayedAttemptsHeader)
 	counted := c.r.Header.Get(RelayedCountedHeader) != ""
 	c.r.Header.Del(RelayedCountedHeader)
+	// A number out of range counts as the largest one, and a value that is no number as none.
+	c.leastVersion, _ = strconv.ParseUint(c.r.Header.Get(RelayedVersionHeader), 10, 64)
+	c.r.Header.Del(RelayedVersionHeader)
 	if origin == "" || !h.cfg.PeerKeys.AcceptsToken(token) {
 		return
 	}
@@ -76,8 +85,14 @@
 	}
 }
 
-// refuseRelayed refuses a request of another host that this host cannot serve either.
+// refuseRelayed refuses a request of another host that this host cannot serve either, or that
+// it would serve by an older version of the rules. The version counts without the key between
+// hosts too, since it can only lead to a refusal.
 func (h *Handler) refuseRelayed(c *call) *outcome.Problem {
+	if number := h.cfg.Table.Current().Number(); c.leastVersion > number {
+		relayedOutdated.Inc()
+		return outcome.New(outcome.NotRun, outcome.NotReady, fmt.Sprintf("this host has applied version %d of the rules, and the request was admitted by %d", number, c.leastVersion))
+	}
 	if c.relayed && h.cfg.Relay.Isolated() {
 		return outcome.New(outcome.NotRun, outcome.NoInstance, "this host reaches no instance")
 	}
@@ -127,14 +142,17 @@
 	if h.cfg.Relay.Isolated() {
 		most = maxRelays
 	}
-	for n, address := range hosts[:min(len(hosts), most)] {
-		if n > 0 && (c.ctx.Err() != nil || !c.body.replayable() || !h.allowRepeat(c, decision.Relay)) {
+	for n, address := range hosts[:min(len(hosts), maxRelays)] {
+		if n >= most || n > 0 && (c.ctx.Err() != nil || !c.body.replayable() || !h.allowRepeat(c, decision.Relay)) {
 			break
 		}
 		problem, next := h.relayTo(c, address)
 		if problem == nil {
 			return nil
 		}
+		if problem.Kind() == outcome.NotRun && problem.Reason() == outcome.NotReady {
+			most++
+		}
 		last = problem
 		c.dispatched = c.dispatched || problem.Kind() == outcome.Unknown
 		if !next || problem.Kind() == outcome.Unknown && !c.repeatable() {
@@ -217,6 +235,7 @@
 	setHeader(out.Header, c.dialect.Attempt, strconv.Itoa(c.incomingAttempt))
 	c.keepKey(out.Header)
 	out.Header.Set(RelayedForHeader, c.caller)
+	out.Header.Set(RelayedVersionHeader, strconv.FormatUint(c.version, 10))
 	if c.callerName == "" {
 		out.Header.Del(c.dialect.Caller)
 	}
