control/upstream: an announcement of an unknown service ends no other record

Anyone may announce anything, and a later start at an address ends the record of the instance that used it, for good: one heartbeat of another writer, of a service that no rule names, took an instance out of use until it started again.

The control host that receives such an announcement acknowledges it without a command as long as the other instance goes on announcing itself, that is, until its record is marked silent (5 s lease). The same holds for an announcement that would change the service of a live record. Once a rule names the service, or the earlier instance is silent, the next announcement takes the address over as before; until then the instance there refuses requests for the earlier one (421). An instance of such a service at an address of its own is recorded as before. The check precedes the command, and how a command is applied has not changed, so that builds may be mixed.

--- a/control/directory/directory.go
+++ b/control/directory/directory.go
@@ -158,6 +158,15 @@
 	return d.set.Terms(service)
 }
 
+// Names reports whether a rule in force names a service.
+func (d *Directory) Names(service string) bool {
+	version, text := d.machine.InForce()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.readRules(version.GetNumber(), text)
+	return d.set.HasService(service)
+}
+
 // readRules reads the rules in force if they are newer than those known. The caller holds
 // the lock.
 func (d *Directory) readRules(version uint64, text string) {
--- a/control/host/listener.go
+++ b/control/host/listener.go
@@ -55,8 +55,8 @@
 	return func(o *options) { o.reload = reload }
 }
 
-func newInstances(cfg *settings.Settings, log agreement.Log, machine *state.Machine, logger hclog.Logger) *upstream.Instances {
-	return upstream.New(cfg.Host.Name, log, machine, logger)
+func newInstances(cfg *settings.Settings, log agreement.Log, machine *state.Machine, names *directory.Directory, logger hclog.Logger) *upstream.Instances {
+	return upstream.New(cfg.Host.Name, log, machine, logger, upstream.WithNamed(names.Names))
 }
 
 func newDirectory(cfg *settings.Settings, machine *state.Machine, hosts *fleet.Fleet) *directory.Directory {
--- a/control/state/instances.go
+++ b/control/state/instances.go
@@ -273,6 +273,13 @@
 	return m.instances.byID[id]
 }
 
+// InstanceAt returns the record of the instance that uses an address, or nil.
+func (m *Machine) InstanceAt(address string) *wire.Instance {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.instances.byID[m.instances.byAddress[address]]
+}
+
 // Ended reports whether an incarnation of an instance has ended because a later one uses its
 // identifier or its address. One that left by its own announcement may still run.
 func (m *Machine) Ended(incarnation string) bool {
--- a/control/upstream/upstream.go
+++ b/control/upstream/upstream.go
@@ -54,6 +54,7 @@
 	logger  hclog.Logger
 
 	batches *batcher
+	named   func(service string) bool
 
 	mu      sync.Mutex
 	renewed map[string]time.Time // time of the last renewal, by instance id
@@ -67,11 +68,18 @@
 // silent.
 func WithLease(d time.Duration) Option { return func(i *Instances) { i.lease = d } }
 
+// WithNamed sets the function that reports whether a rule in force names a service. Without it
+// all services count as named.
+func WithNamed(named func(service string) bool) Option {
+	return func(i *Instances) { i.named = named }
+}
+
 // New returns the Instances of one control host.
 func New(name string, log agreement.Log, machine *state.Machine, logger hclog.Logger, opts ...Option) *Instances {
 	i := &Instances{
 		name: name, log: log, machine: machine, lease: DefaultLease, logger: logger.Named("upstream"),
 		batches: newBatcher(log), renewed: map[string]time.Time{}, visits: map[string]time.Time{},
+		named: func(string) bool { return true },
 	}
 	for _, opt := range opts {
 		opt(i)
@@ -94,6 +102,9 @@
 	if i.log.Status().Quorum() && i.isVisit(known, m) {
 		return nil
 	}
+	if !i.mayReplace(known, m) {
+		return i.holdBack(m)
+	}
 	result, err := i.batches.commit(ctx, m)
 	if err != nil {
 		return err
