entry/caller: a response is not cut after its upload failed

An instance may respond to a long upload, close the connection in an orderly way and read no more. If the upload had failed by the time that the response header was forwarded, the exchange no longer counted as uploading, and full duplex stayed off. The server then read the rest of the body from the caller before it responded. That read was interrupted already; its error cancels the context of the request, which closed the link to the instance, and the complete response was cut.

Full duplex is now also enabled if reading from the caller was interrupted. This affects responses with a length, chunked ones and those that end with their connection.

--- a/entry/caller/body.go
+++ b/entry/caller/body.go
@@ -207,6 +207,13 @@
 	_ = b.call.controller.SetReadDeadline(time.Unix(1, 0))
 }
 
+// cutShort reports whether reading from the caller was interrupted before the end of the body.
+func (b *body) cutShort() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.interrupted
+}
+
 // end is called when the request is over. The server reads the rest of an
 // unread body, or a part of it, before it closes the connection: closing it with
 // bytes to read resets it, and the response may be lost. lingerTimeout bounds how
--- a/entry/caller/reset_test.go
+++ b/entry/caller/reset_test.go
@@ -115,14 +115,45 @@
 	})
 }
 
+// writerDoneConn is a connection of which nothing is read before a write has failed.
+type writerDoneConn struct{ *writerFirstConn }
+
+func (c writerDoneConn) Read(p []byte) (int, error) {
+	<-c.failed
+	return c.Conn.Read(p)
+}
+
+func writerDone(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := smallDial(ctx, address)
+	return writerDoneConn{&writerFirstConn{Conn: conn, failed: make(chan struct{})}}, err
+}
+
 // Guards against a response that is held back until the caller has sent a body that the
-// instance, whose connection is closed already, will not read.
+// instance, whose connection is closed already, will not read, and against one that is cut
+// because the server reads from the caller after the upload has failed.
 func TestResponseIsSentBeforeTheRestOfTheUploadArrives(t *testing.T) {
-	f := &fault{way: direct, script: func(conn *net.TCPConn) {
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+responsePart)
-		_ = conn.CloseWrite()
-	}}
-	conn, err := net.Dial("tcp", f.start(t, writerFirst, withCloseDelimited))
+	for framing, response := range map[string]string{
+		"no length": "\r\n" + responsePart,
+		"length":    fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(responsePart), responsePart),
+		"chunked":   fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(responsePart), responsePart),
+	} {
+		for order, dial := range map[string]upstream.Dial{"writer first": writerFirst, "writer done": writerDone} {
+			f := &fault{way: direct, script: func(conn *net.TCPConn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+response)
+				_ = conn.CloseWrite()
+			}}
+			host := f.start(t, dial, withCloseDelimited)
+			for range earlyRuns {
+				must.Eq(t, responsePart, uploadInPart(t, host), must.Sprint(framing, ", ", order))
+			}
+		}
+	}
+}
+
+// uploadInPart returns the body of the response to a request whose body is sent in part only.
+func uploadInPart(t *testing.T, host string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", host)
 	must.NoError(t, err)
 	defer func() { _ = conn.Close() }()
 	_, err = io.WriteString(conn, "PUT /x HTTP/1.1\r\nHost: shop\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("x", 150_000))
@@ -131,5 +162,5 @@
 	must.NoError(t, err)
 	body, err := io.ReadAll(response.Body)
 	must.NoError(t, err)
-	must.Eq(t, responsePart, string(body))
+	return string(body)
 }
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -127,8 +127,9 @@
 		d.recordTruncated(err)
 		return c.problem(outcome.Unknown, outcome.UpstreamLost, "response of "+string(d.target.ID())+" without a body: "+err.Error())
 	}
-	if exchange.Uploading() {
-		// Without full duplex the server reads the whole upload before it responds.
+	if exchange.Uploading() || c.body.cutShort() {
+		// Without full duplex the server reads the rest of the upload before it responds. After
+		// an interruption that read fails, and the server cancels the context of the request.
 		_ = c.controller.EnableFullDuplex()
 		c.w.Header().Set("Connection", "close")
 	}
