control/upstream: the drain of a recorded instance is not held back

An instance that announced its drain with a service that no rule names got 200, but its record did not change, so that entry hosts went on using it. A drain of the recorded start is now committed whatever service it states. It cannot end the record of another instance at the address, and the drain of another start is held back as before.

The new test fails without the change.

--- a/control/upstream/replace.go
+++ b/control/upstream/replace.go
@@ -9,7 +9,9 @@
 
 // mayReplace reports whether an announcement may be committed although it ends the record of
 // another instance at its address, or changes the service of its own. It may if a rule names
-// its service, or if the record is of an instance that announced nothing within its lease.
+// its service, or if the record is of an instance that announced nothing within its lease. The
+// drain of a recorded instance changes its record whatever service it states: an acknowledged
+// drain must reach the entry hosts.
 //
 // The check precedes the commit and is no part of how a command is applied, so that control
 // hosts of earlier builds apply the same commands in the same way.
@@ -17,7 +19,8 @@
 	if i.named(m.GetService()) {
 		return true
 	}
-	if announcesItself(known) && known.GetService() != m.GetService() {
+	drains := m.GetDraining() && known.GetIncarnation() == m.GetIncarnation()
+	if announcesItself(known) && known.GetService() != m.GetService() && !drains {
 		return false
 	}
 	other := i.machine.InstanceAt(m.GetAddress())
--- a/control/upstream/replace_test.go
+++ b/control/upstream/replace_test.go
@@ -136,3 +136,17 @@
 		must.ErrorIs(t, cut.Announce(t.Context(), other(unnamedService, 1)), upstream.ErrNoQuorum)
 	})
 }
+
+// Guards against an instance that gets requests after its drain was acknowledged, because the
+// announcement that said so stated a service that no rule names.
+func TestDrainOfTheRecordedInstanceIsNotHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &slowLog{machine: state.New()}
+		instances := namedInstances(log, log.machine, &atomic.Bool{})
+		must.NoError(t, instances.Announce(t.Context(), heartbeat(1, 1)))
+		draining := heartbeat(1, 2)
+		draining.Service, draining.Draining = unnamedService, true
+		must.NoError(t, instances.Announce(t.Context(), draining))
+		must.True(t, log.machine.Instance("i-1").GetDraining())
+	})
+}
