control/upstream: an outage of the control hosts lets no unknown service end a record

After the control group had no quorum for a lease, all records are marked silent at once, before their instances have announced themselves again. An announcement of a service that no rule names ended a silent record at its address, for good, if it came first.

Such an announcement now ends a silent record only after it has met it as silent for another lease at the same control host, with a quorum; a pause of two leases starts that time again. A service that a rule names takes an address over at once, as before.

--- a/control/upstream/upstream.go
+++ b/control/upstream/upstream.go
@@ -59,6 +59,7 @@
 	mu      sync.Mutex
 	renewed map[string]time.Time // time of the last renewal, by instance id
 	visits  map[string]time.Time // of instances whose lease another host holds, by instance id
+	waits   map[string]wait      // by id of the silent instance
 }
 
 // Option configures Instances.
@@ -78,7 +79,7 @@
 func New(name string, log agreement.Log, machine *state.Machine, logger hclog.Logger, opts ...Option) *Instances {
 	i := &Instances{
 		name: name, log: log, machine: machine, lease: DefaultLease, logger: logger.Named("upstream"),
-		batches: newBatcher(log), renewed: map[string]time.Time{}, visits: map[string]time.Time{},
+		batches: newBatcher(log), renewed: map[string]time.Time{}, visits: map[string]time.Time{}, waits: map[string]wait{},
 		named: func(string) bool { return true },
 	}
 	for _, opt := range opts {
@@ -140,6 +141,7 @@
 	defer i.mu.Unlock()
 	i.renewed[id] = time.Now()
 	delete(i.visits, id)
+	delete(i.waits, id)
 }
 
 // isVisit reports whether an announcement only comes to another host than the last one did,
@@ -173,14 +175,16 @@
 			group.Go(func() { i.reportSilent(ctx, m) })
 		}
 		group.Wait()
-		i.forgetVisits(time.Now())
+		i.forgetOld(time.Now())
 	}
 }
 
-func (i *Instances) forgetVisits(now time.Time) {
+// forgetOld drops visits and waits that have no effect any more.
+func (i *Instances) forgetOld(now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	maps.DeleteFunc(i.visits, func(_ string, at time.Time) bool { return now.Sub(at) >= i.lease })
+	maps.DeleteFunc(i.waits, func(_ string, w wait) bool { return i.interrupted(w, now) })
 }
 
 // expired returns the instances with an expired lease that this host is
