--- a/control/host/listener.go
+++ b/control/host/listener.go
@@ -57,7 +57,7 @@
 }
 
 func newInstances(cfg *settings.Settings, log agreement.Log, machine *state.Machine, dir *directory.Directory, logger hclog.Logger) *upstream.Instances {
-	return upstream.New(cfg.Host.Name, log, machine, logger, upstream.WithTerms(dir.Terms))
+	return upstream.New(cfg.Host.Name, log, machine, logger, upstream.WithTerms(dir.Terms), upstream.WithNamed(dir.Names))
 }
 
 func newDirectory(cfg *settings.Settings, machine *state.Machine, hosts *fleet.Fleet) *directory.Directory {
--- a/control/upstream/upstream.go
+++ b/control/upstream/upstream.go
@@ -56,11 +56,13 @@
 	terms   func(service string) *contract.Service
 
 	batches *batcher
+	named   func(service string) bool
 
 	mu      sync.Mutex
 	renewed map[string]time.Time // time of the last renewal, by instance id
 	visits  map[string]time.Time // of instances whose lease another host holds, by instance id
 	warm    map[string]time.Time // end of the cold time that the record states, by instance id
+	waits   map[string]wait      // by id of the silent instance
 }
 
 // Option configures Instances.
@@ -75,12 +77,19 @@
 	return func(i *Instances) { i.terms = terms }
 }
 
+// WithNamed sets the function that reports whether a rule in force names a service. Without it
+// all services count as named.
+func WithNamed(named func(service string) bool) Option {
+	return func(i *Instances) { i.named = named }
+}
+
 // New returns the Instances of one control host.
 func New(name string, log agreement.Log, machine *state.Machine, logger hclog.Logger, opts ...Option) *Instances {
 	i := &Instances{
 		name: name, log: log, machine: machine, lease: DefaultLease, logger: logger.Named("upstream"),
-		batches: newBatcher(log), renewed: map[string]time.Time{}, visits: map[string]time.Time{}, warm: map[string]time.Time{},
+		batches: newBatcher(log), renewed: map[string]time.Time{}, visits: map[string]time.Time{}, warm: map[string]time.Time{}, waits: map[string]wait{},
 		terms: func(service string) *contract.Service { return contract.NewService(service) },
+		named: func(string) bool { return true },
 	}
 	for _, opt := range opts {
 		opt(i)
@@ -106,6 +115,9 @@
 	if i.log.Status().Quorum() && i.isVisit(known, m) {
 		return nil
 	}
+	if !i.mayReplace(known, m) {
+		return i.holdBack(m)
+	}
 	result, err := i.batches.commit(ctx, m)
 	if err != nil {
 		return err
@@ -143,6 +155,7 @@
 	defer i.mu.Unlock()
 	i.renewed[id] = time.Now()
 	delete(i.visits, id)
+	delete(i.waits, id)
 }
 
 // isVisit reports whether an announcement only comes to another host than the last one did,
@@ -176,15 +189,17 @@
 			group.Go(func() { i.reportSilent(ctx, m) })
 		}
 		group.Wait()
-		i.forgetVisits(time.Now())
 		i.forgetWarmups(time.Now())
+		i.forgetOld(time.Now())
 	}
 }
 
-func (i *Instances) forgetVisits(now time.Time) {
+// forgetOld drops visits and waits that have no effect any more.
+func (i *Instances) forgetOld(now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	maps.DeleteFunc(i.visits, func(_ string, at time.Time) bool { return now.Sub(at) >= i.lease })
+	maps.DeleteFunc(i.waits, func(_ string, w wait) bool { return i.interrupted(w, now) })
 }
 
 // expired returns the instances with an expired lease that this host is
