entry/control: a suspect is reported to a control host once, not with every poll

Cause: every report carried up to 64 suspects of lost instances, 2.7 kB of 3 kB, to each of six control hosts.

Change: a poll omits suspects that the control host received unchanged in the last 10 s. A failed poll starts over, since the control host may have restarted.

--- a/entry/control/watch.go
+++ b/entry/control/watch.go
@@ -73,7 +73,8 @@
 	suspectsRevision   uint64 // revision of the suspects last received from it
 	isolations         uint64 // as last received from it
 	rateLimitsRevision uint64 // revision of the rate limits last received from it
-	needsFullText      bool   // the next poll requests the full rules text, not a delta
+	reported           reportedSuspects
+	needsFullText      bool // the next poll requests the full rules text, not a delta
 	zone               string
 	healthy            bool          // the last poll succeeded and it has a quorum
 	polls              uint64        // polls so far
@@ -204,7 +205,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request := &wire.WatchRequest{Report: w.report(), KnownVersion: known.Number(), WaitMs: wait.Milliseconds(), Whole: poll.whole, NoSeeds: w.members != nil}
+	report := w.report()
+	report.Suspects = w.unreportedSuspects(host, report.GetSuspects(), polledAt)
+	request := &wire.WatchRequest{Report: report, KnownVersion: known.Number(), WaitMs: wait.Milliseconds(), Whole: poll.whole, NoSeeds: w.members != nil}
 	if poll.primary {
 		request.Instances, request.KnownInstances, request.KnownSuspects = true, w.members.Revision(), poll.knownSuspects
 		request.KnownIsolations, request.KnownEvacuations = poll.knownIsolations, w.members.EvacuationsRevision()
@@ -215,6 +218,7 @@
 	}
 	response, err := host.rules.Watch(ctx, request)
 	w.recordPoll(host, poll, response)
+	w.recordSuspects(host, report.GetSuspects(), polledAt, err)
 	if err != nil {
 		return pollResult{err: err}
 	}
