--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PROTO = world/wire/wire.proto
 GO_FILES = $$(git ls-files -co --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$' | xargs ls 2>/dev/null)
 
-.PHONY: build test known-red check bench demo docs fmt generate tools race
+.PHONY: build test crowd known-red check bench demo docs fmt generate tools race
 
 build:
 	for m in entry control standin; do go build -o $(BIN)/snipebeam-$$m ./$$m || exit 1; done; go build -o $(BIN)/snipebeam ./snipebeam
@@ -12,6 +12,11 @@
 test:
 	go test $(MODULES:%=./%/...)
 
+# Clients outside the limits against real processes. They run alone, because they take
+# the memory and descriptors that they measure.
+crowd:
+	SNIPEBEAM_CROWD=1 go test -count=1 -p 1 -parallel 1 ./bench/crowd
+
 # Tests that KNOWN-RED.txt lists, which make test skips.
 known-red:
 	@go run ./bench/knownred
