entry/host, control/host: all listeners share one budget

An entry host of 136 MB was taken beyond its memory by a few hundred clients that send short header lines, heads or lines without end, or bodies. All TCP listeners of both programs now charge world/intake's budget: callers, ready, platform, peers, metrics and DNS of an entry host; peers, control, directory and metrics of a control host. limits.memoryMB is the memory that the process may use, by default GOMEMLIMIT, the limit of its control groups or what the machine has. limits.connections is by default half of the descriptors, limits.headerLines 4,096. Clients that keep to the limits that they are told reach none of them: TestLegalHeadIsServed.

The ready and metrics listeners of an entry host took heads of 1 MB, and now have limits.headerBytes and the idle timeout of the others.

--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,24 @@
 # Every target works in a fresh clone that has Go and a module cache.
 MODULES = world entry control platform snipebeam standin bench
 BIN = .bin
+FUZZTIME = 5s
 PROTO = world/wire/wire.proto
 GO_FILES = $$(git ls-files -co --exclude-standard '*.go' | grep -vE '\.(pb|twirp)\.go$$' | xargs ls 2>/dev/null)
 
-.PHONY: build test crowd known-red check bench demo docs fmt generate tools race
+.PHONY: build test fuzz crowd known-red check bench demo docs fmt generate tools race
 
 build:
 	for m in entry control standin; do go build -o $(BIN)/snipebeam-$$m ./$$m || exit 1; done; go build -o $(BIN)/snipebeam ./snipebeam
 
 test:
 	go test $(MODULES:%=./%/...)
+	$(MAKE) fuzz
+	$(MAKE) crowd
+
+# A few seconds for each of the parsers that read what clients send.
+fuzz:
+	go test -run '^$$' -fuzz FuzzHead -fuzztime $(FUZZTIME) ./world/intake
+	go test -run '^$$' -fuzz FuzzScanner -fuzztime $(FUZZTIME) ./entry/framing
 
 # Clients outside the limits against real processes. They run alone, because they take
 # the memory and descriptors that they measure.
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -23,6 +23,7 @@
 	"github.com/snipebeam/snipebeam/control/quota"
 	"github.com/snipebeam/snipebeam/control/settings"
 	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/intake"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -55,6 +56,7 @@
 			newOperatorRing,
 			newServers,
 			prometheus.New,
+			newBudget,
 			newServer,
 		),
 		fx.Invoke(runNode, runInstances, runListeners, runReload, runStop),
@@ -77,7 +79,7 @@
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
 
-func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, all *servers, node *peer.Node, rules *operator.Rules, claims *entry.Claims, grants *quota.Service, exporter *prometheus.Exporter) *http.Server {
+func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, all *servers, node *peer.Node, rules *operator.Rules, claims *entry.Claims, grants *quota.Service, exporter *prometheus.Exporter, budget *intake.Budget) *http.Server {
 	mux := http.NewServeMux()
 	handleRules(mux, ring, operators, all, wire.NewRulesServer(rules))
 	handleClaims(mux, ring, operators, all.calls(wire.NewClaimsServer(claims)))
@@ -95,7 +97,7 @@
 				return errors.Wrap(err, "listen for peers")
 			}
 			logger.Info("control host started", "host", cfg.Host.Name, "peers", listener.Addr().String())
-			go serve(server, listener, logger)
+			go serve(server, intake.Protect(server, listener, budget, peerIntake(cfg)), logger)
 			return nil
 		},
 		OnStop: func(ctx context.Context) error { return shutdownSoon(ctx, server) },
--- /dev/null
+++ b/control/host/intake.go
@@ -0,0 +1,58 @@
+package host
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/snipebeam/snipebeam/control/settings"
+	"github.com/snipebeam/snipebeam/world/intake"
+	"go.uber.org/fx"
+)
+
+// What a request holds while it is handled, and a scrape, which is written to memory
+// first.
+const (
+	requestBytes = 64 << 10
+	scrapeBytes  = 256 << 10
+	// messageCost is what a byte of a message takes: it is read into a buffer that grows,
+	// and decoded from there.
+	messageCost = 4
+)
+
+func newBudget(lc fx.Lifecycle, cfg *settings.Settings) *intake.Budget {
+	memory := intake.Memory(int64(cfg.Limits.MemoryMB) << 20)
+	budget := intake.NewBudget(intake.BytesOf(memory), intake.Connections(cfg.Limits.Connections), intake.WithObserver(countIntake))
+	metrics.GetOrCreateGauge("snipebeam_intake_bytes", func() float64 {
+		bytes, _ := budget.Held()
+		return float64(bytes)
+	})
+	metrics.GetOrCreateGauge("snipebeam_intake_connections", func() float64 {
+		_, connections := budget.Held()
+		return float64(connections)
+	})
+	for _, reason := range intake.Reasons() {
+		intakeCounter(reason)
+	}
+	lc.Append(fx.StartHook(func(context.Context) { intake.LimitRuntime(memory) }))
+	return budget
+}
+
+func intakeCounter(reason intake.Reason) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("snipebeam_intake_cut_total{reason=%q}", string(reason)))
+}
+
+func countIntake(reason intake.Reason) { intakeCounter(reason).Inc() }
+
+// messageIntake bounds requests whose bodies are read whole.
+func messageIntake(cfg *settings.Settings, request int64) intake.Limits {
+	return intake.Limits{HeadLines: cfg.Limits.HeaderLines, Request: request, BodyCost: messageCost}
+}
+
+// peerIntake bounds messages of other hosts, which may be large and come over a slow
+// network, so that they have no time limit as a whole.
+func peerIntake(cfg *settings.Settings) intake.Limits {
+	limits := messageIntake(cfg, requestBytes)
+	limits.BodyTimeout = readTimeout
+	return limits
+}
--- a/control/host/listener.go
+++ b/control/host/listener.go
@@ -14,6 +14,7 @@
 	"github.com/snipebeam/snipebeam/control/settings"
 	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/control/upstream"
+	"github.com/snipebeam/snipebeam/world/intake"
 	"github.com/snipebeam/snipebeam/world/link"
 	"go.uber.org/fx"
 )
@@ -36,6 +37,8 @@
 	Handler http.Handler
 }
 
+const metricsListener = "metrics"
+
 // Option configures a control host.
 type Option func(*options)
 
@@ -68,7 +71,7 @@
 	lc.Append(fx.StartStopHook(func() { go instances.Run(ctx) }, cancel))
 }
 
-func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, services Services, servers *servers, exporter *prometheus.Exporter) {
+func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, services Services, servers *servers, exporter *prometheus.Exporter, budget *intake.Budget) {
 	var all []Listener
 	if o.listeners != nil {
 		all = o.listeners(services)
@@ -76,17 +79,20 @@
 	if cfg.Listen.Metrics != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", exporter)
-		all = append(all, Listener{Name: "metrics", Address: cfg.Listen.Metrics, Handler: mux})
+		all = append(all, Listener{Name: metricsListener, Address: cfg.Listen.Metrics, Handler: mux})
 	}
 	for _, l := range all {
-		server := servers.listener(l.Handler)
+		server, request := servers.listener(l.Handler), int64(requestBytes)
+		if l.Name == metricsListener {
+			request = scrapeBytes
+		}
 		lc.Append(fx.Hook{
 			OnStart: func(ctx context.Context) error {
 				listener, err := link.Listen(ctx, l.Address, link.MessageTimeouts)
 				if err != nil {
 					return errors.Wrapf(err, "listen for %s", l.Name)
 				}
-				go serve(server, listener, services.Logger)
+				go serve(server, intake.Protect(server, listener, budget, messageIntake(cfg, request)), services.Logger)
 				return nil
 			},
 			OnStop: func(ctx context.Context) error { return shutdownSoon(ctx, server) },
--- a/control/settings/settings.go
+++ b/control/settings/settings.go
@@ -19,13 +19,14 @@
 	Data      Data      `toml:"data" comment:"durable state"`
 	Quorum    Quorum    `toml:"quorum" comment:"the control hosts that agree"`
 	Directory Directory `toml:"directory" comment:"what callers are told"`
+	Limits    Limits    `toml:"limits" comment:"bounds of what clients may make this host hold"`
 	Keys      Keys      `toml:"keys" comment:"key files, each with one or two keys; set all of them or none"`
 	Log       Log       `toml:"log" comment:"what is logged"`
 }
 
 // Default returns the default settings.
 func Default() *Settings {
-	return &Settings{Host: defaultHost(), Listen: defaultListen(), Data: defaultData(), Quorum: defaultQuorum(), Directory: defaultDirectory(), Log: defaultLog()}
+	return &Settings{Host: defaultHost(), Listen: defaultListen(), Data: defaultData(), Quorum: defaultQuorum(), Directory: defaultDirectory(), Limits: defaultLimits(), Log: defaultLog()}
 }
 
 // Load reads and checks a file. Overrides take precedence over it. All findings
@@ -43,6 +44,7 @@
 	s.Data.check(c)
 	s.Quorum.check(c)
 	s.Directory.check(c)
+	s.Limits.check(c)
 	s.Keys.check(c)
 	s.Listen.check(c, s.Keys)
 }
--- a/entry/dns/dns.go
+++ b/entry/dns/dns.go
@@ -37,13 +37,26 @@
 	domain    string
 	ttl       time.Duration
 	directory Directory
+	protect   func(net.Listener) net.Listener // the listener for TCP
 	udp       *mdns.Server
 	tcp       *mdns.Server
 }
 
+// Option changes one property of a server.
+type Option func(*Server)
+
+// WithListener sets a function that wraps the listener for TCP.
+func WithListener(protect func(net.Listener) net.Listener) Option {
+	return func(s *Server) { s.protect = protect }
+}
+
 // New returns a server for names below the domain, written as "snipebeam.".
-func New(domain string, ttl time.Duration, directory Directory) *Server {
-	return &Server{domain: mdns.Fqdn(domain), ttl: ttl, directory: directory}
+func New(domain string, ttl time.Duration, directory Directory, opts ...Option) *Server {
+	s := &Server{domain: mdns.Fqdn(domain), ttl: ttl, directory: directory, protect: func(l net.Listener) net.Listener { return l }}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Start listens on the address and serves until Stop.
@@ -56,7 +69,7 @@
 		return nil, err
 	}
 	s.udp = &mdns.Server{PacketConn: packets, Handler: s}
-	s.tcp = &mdns.Server{Listener: listener, Handler: s}
+	s.tcp = &mdns.Server{Listener: s.protect(listener), Handler: s}
 	serve(s.udp)
 	serve(s.tcp)
 	return packets.LocalAddr(), nil
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -17,6 +17,7 @@
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/intake"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/link"
 	"go.uber.org/fx"
@@ -56,6 +57,7 @@
 	Relay     *relay
 	Keys      *key.Ring
 	Options   options
+	Intake    *intake.Budget
 }
 
 func (d *callerDeps) handler() *caller.Handler {
@@ -86,7 +88,8 @@
 			if err != nil {
 				return errors.Wrap(err, "listen for callers")
 			}
-			server.start(caller.LimitListener(listener, cfg.Limits.Links, cfg.Limits.LinksPerCaller), logger)
+			limited := caller.LimitListener(listener, cfg.Limits.Links, cfg.Limits.LinksPerCaller)
+			server.start(intake.Protect(server.Server, limited, deps.Intake, callerIntake(cfg)), logger)
 			go deps.Pool.Run(ctx)
 			go deps.Relay.pool.Run(ctx)
 			state.bound.Store(true)
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -31,6 +31,7 @@
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/world/contract"
+	"github.com/snipebeam/snipebeam/world/intake"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/placement"
@@ -43,6 +44,10 @@
 // announcement.
 const announcementTimeout = 5 * time.Second
 
+// messageTimeout bounds how long another host or an operator may take to send the body of
+// a message.
+const messageTimeout = 30 * time.Second
+
 // rpcTimeout bounds one call to a control host or another entry host.
 const rpcTimeout = 10 * time.Second
 
@@ -65,7 +70,7 @@
 			newRegistry, newMembers,
 			rules.NewTable, placement.NewRates, backlog.NewTracker, decision.NewLog,
 			newControlHosts, newPool, newSettler, newSuspects,
-			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newDetector, newRelay, newRouter, newKeyRings, newExporter,
+			newClient, newClaims, newState, newWatch, newNode, newProber, newGrants, newRateLimitNews, newDetector, newRelay, newRouter, newKeyRings, newExporter, newBudget,
 		),
 		fx.Invoke(membershipRunners(cfg)...),
 		fx.Invoke(runBackground, runBacklog, runPeers, runListeners, runProbes, runReload, runRouter, runIsolation, runCallers),
@@ -202,15 +207,17 @@
 	})
 }
 
-func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, rates *placement.Rates, logger hclog.Logger, state *State, table *rules.Table, node *peer.Node, decisions *decision.Log, keys *keyRings, exporter *prometheus.Exporter) {
+func runPlatform(lc fx.Lifecycle, cfg *settings.Settings, budget *intake.Budget, rates *placement.Rates, logger hclog.Logger, state *State, table *rules.Table, node *peer.Node, decisions *decision.Log, keys *keyRings, exporter *prometheus.Exporter) {
 	handler := discovery.New(discovery.Config{
 		Host: cfg.Host.Name, Table: table, Members: node, Entries: node.Entries,
 		Ready: state.Ready, Metrics: exporter.Write, Decisions: decisions, Keys: keys.upstreams, HostRate: cfg.Route.HostRate, Rate: rates.ArrivalRate,
 	})
 	server := newPlatformServer(cfg, handler)
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Platform, "platform", logger) },
-		OnStop:  shutdown(server),
+		OnStart: func(context.Context) error {
+			return listen(server, cfg.Listen.Platform, "platform", budget, platformIntake(cfg), logger)
+		},
+		OnStop: shutdown(server),
 	})
 }
 
@@ -221,7 +228,7 @@
 	}
 }
 
-func runPeers(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, requests *backlog.Tracker, decisions *decision.Log, node *peer.Node, ring *key.Ring, keys *keyRings) {
+func runPeers(lc fx.Lifecycle, cfg *settings.Settings, budget *intake.Budget, logger hclog.Logger, state *State, table *rules.Table, views *route.Views, requests *backlog.Tracker, decisions *decision.Log, node *peer.Node, ring *key.Ring, keys *keyRings) {
 	service := operator.New(operator.Config{
 		Host: cfg.Host.Name, Table: table, Views: views, Backlog: requests, Decisions: decisions,
 		Report: state.Report, Drain: state.draining.Store, Logger: logger,
@@ -231,13 +238,16 @@
 	mux.Handle(wire.PeerPathPrefix, ring.Authenticate(wire.NewPeerServer(node.Service())))
 	server := &http.Server{Handler: link.BoundedHandler(mux, maxMessageBytes), MaxHeaderBytes: link.MaxHeaderBytes, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return listen(server, cfg.Listen.Peers, "peers", logger) },
-		OnStop:  shutdown(server),
+		OnStart: func(context.Context) error {
+			return listen(server, cfg.Listen.Peers, "peers", budget, messageIntake(cfg), logger)
+		},
+		OnStop: shutdown(server),
 	})
 }
 
-func runDNS(lc fx.Lifecycle, cfg *settings.Settings, rates *placement.Rates, table *rules.Table, node *peer.Node) {
-	server := dns.New(cfg.Listen.Domain, discovery.AddressTTL, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, rates: rates, table: table, entries: node.Entries})
+func runDNS(lc fx.Lifecycle, cfg *settings.Settings, budget *intake.Budget, rates *placement.Rates, table *rules.Table, node *peer.Node) {
+	server := dns.New(cfg.Listen.Domain, discovery.AddressTTL, &directory{zone: cfg.Host.Zone, hostRate: cfg.Route.HostRate, rates: rates, table: table, entries: node.Entries},
+		dns.WithListener(func(l net.Listener) net.Listener { return intake.Listen(l, budget, queryBytes) }))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			_, err := server.Start(cfg.Listen.DNS)
@@ -247,12 +257,12 @@
 	})
 }
 
-func listen(server *http.Server, address, name string, logger hclog.Logger) error {
+func listen(server *http.Server, address, name string, budget *intake.Budget, limits intake.Limits, logger hclog.Logger) error {
 	listener, err := link.Listen(context.Background(), address, link.MessageTimeouts)
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", name)
 	}
-	serve(server, listener, name, logger)
+	serve(server, intake.Protect(server, listener, budget, limits), name, logger)
 	return nil
 }
 
--- /dev/null
+++ b/entry/host/intake.go
@@ -0,0 +1,71 @@
+package host
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/snipebeam/snipebeam/entry/settings"
+	"github.com/snipebeam/snipebeam/world/intake"
+	"go.uber.org/fx"
+)
+
+// What a request holds while it is handled: stacks, the buffers of its body and response,
+// and its part of a link; and a scrape, which is written to memory first.
+const (
+	requestBytes = 64 << 10
+	scrapeBytes  = 256 << 10
+	// messageCost is what a byte of a message takes: it is read into a buffer that grows,
+	// and decoded from there.
+	messageCost = 4
+	// queryBytes is what a connection for DNS takes: the largest message is 64 KiB.
+	queryBytes = 80 << 10
+)
+
+func newBudget(lc fx.Lifecycle, cfg *settings.Settings) *intake.Budget {
+	memory := intake.Memory(int64(cfg.Limits.MemoryMB) << 20)
+	budget := intake.NewBudget(intake.BytesOf(memory), intake.Connections(cfg.Limits.Connections), intake.WithObserver(countIntake))
+	metrics.GetOrCreateGauge("snipebeam_intake_bytes", func() float64 {
+		bytes, _ := budget.Held()
+		return float64(bytes)
+	})
+	metrics.GetOrCreateGauge("snipebeam_intake_connections", func() float64 {
+		_, connections := budget.Held()
+		return float64(connections)
+	})
+	for _, reason := range intake.Reasons() {
+		intakeCounter(reason)
+	}
+	lc.Append(fx.StartHook(func(context.Context) { intake.LimitRuntime(memory) }))
+	return budget
+}
+
+func intakeCounter(reason intake.Reason) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("snipebeam_intake_cut_total{reason=%q}", string(reason)))
+}
+
+func countIntake(reason intake.Reason) { intakeCounter(reason).Inc() }
+
+// callerIntake bounds the requests of callers, whose bodies are buffered in part.
+func callerIntake(cfg *settings.Settings) intake.Limits {
+	return intake.Limits{HeadLines: cfg.Limits.HeaderLines, Request: requestBytes, BodyCost: 1, MaxBody: cfg.Limits.BufferBytes}
+}
+
+// messageIntake bounds requests whose bodies are read whole.
+func messageIntake(cfg *settings.Settings) intake.Limits {
+	return intake.Limits{HeadLines: cfg.Limits.HeaderLines, Request: requestBytes, BodyCost: messageCost, BodyTimeout: messageTimeout}
+}
+
+// platformIntake bounds announcements and scrapes, for which the server has a time limit.
+func platformIntake(cfg *settings.Settings) intake.Limits {
+	limits := scrapeIntake(cfg)
+	limits.BodyTimeout = 0
+	return limits
+}
+
+// scrapeIntake bounds scrapes.
+func scrapeIntake(cfg *settings.Settings) intake.Limits {
+	limits := messageIntake(cfg)
+	limits.Request = scrapeBytes
+	return limits
+}
--- a/entry/host/listener.go
+++ b/entry/host/listener.go
@@ -9,6 +9,7 @@
 	"github.com/snipebeam/snipebeam/entry/prometheus"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/settings"
+	"github.com/snipebeam/snipebeam/world/intake"
 	"github.com/snipebeam/snipebeam/world/program"
 	"go.uber.org/fx"
 )
@@ -20,6 +21,8 @@
 	Handler http.Handler
 }
 
+const metricsListener = "metrics"
+
 // Option changes one property of an entry host.
 type Option func(*options)
 
@@ -54,7 +57,7 @@
 	}
 }
 
-func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, state *State, exporter *prometheus.Exporter, logger hclog.Logger) {
+func runListeners(lc fx.Lifecycle, cfg *settings.Settings, budget *intake.Budget, o options, state *State, exporter *prometheus.Exporter, logger hclog.Logger) {
 	var listeners []Listener
 	if o.listeners != nil {
 		listeners = o.listeners(state)
@@ -62,12 +65,19 @@
 	if cfg.Listen.Metrics != "" {
 		mux := http.NewServeMux()
 		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { exporter.Write(w) })
-		listeners = append(listeners, Listener{Name: "metrics", Address: cfg.Listen.Metrics, Handler: mux})
+		listeners = append(listeners, Listener{Name: metricsListener, Address: cfg.Listen.Metrics, Handler: mux})
 	}
 	for _, l := range listeners {
-		server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
+		server := &http.Server{
+			Handler: l.Handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
+			ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
+		}
+		limits := messageIntake(cfg)
+		if l.Name == metricsListener {
+			limits = scrapeIntake(cfg)
+		}
 		lc.Append(fx.Hook{
-			OnStart: func(context.Context) error { return listen(server, l.Address, l.Name, logger) },
+			OnStart: func(context.Context) error { return listen(server, l.Address, l.Name, budget, limits, logger) },
 			OnStop:  shutdown(server),
 		})
 	}
--- a/entry/settings/limits.go
+++ b/entry/settings/limits.go
@@ -1,6 +1,9 @@
 package settings
 
-import "github.com/snipebeam/snipebeam/world/setting"
+import (
+	"github.com/snipebeam/snipebeam/world/intake"
+	"github.com/snipebeam/snipebeam/world/setting"
+)
 
 // Limits bounds the connections and requests of callers, and the responses to
 // them.
@@ -15,6 +18,9 @@
 	ProgressBytes        int     `toml:"progressBytes" comment:"bytes that count as progress of a request body"`
 	InFlight             int     `toml:"inFlight" comment:"requests that this host handles at a time"`
 	Links                int     `toml:"links" comment:"links of callers that this host holds"`
+	MemoryMB             int     `toml:"memoryMB" comment:"memory that this process may use, 0 for GOMEMLIMIT or what the machine has; clients may make it hold three eighths"`
+	Connections          int     `toml:"connections" comment:"connections of all listeners together, 0 for half of the descriptors; beyond it, unused ones are closed"`
+	HeaderLines          int     `toml:"headerLines" comment:"most lines of a request's headers"`
 	LinksPerCaller       int     `toml:"linksPerCaller" comment:"links that one caller's address may hold, 0 for no bound"`
 }
 
@@ -22,6 +28,7 @@
 	return Limits{
 		HeaderBytes: 32 << 10, BodyBytes: 4 << 30, ResponseBytes: 4 << 30, HeaderTimeoutSeconds: 10, IdleTimeoutSeconds: 60,
 		BufferBytes: 64 << 10, ProgressSeconds: 30, ProgressBytes: 1 << 10, InFlight: 4096, Links: 8192,
+		HeaderLines: intake.DefaultHeadLines,
 	}
 }
 
@@ -36,6 +43,10 @@
 	c.Positive("limits.progressBytes", float64(l.ProgressBytes))
 	c.Positive("limits.inFlight", float64(l.InFlight))
 	c.Positive("limits.links", float64(l.Links))
+	c.Positive("limits.headerLines", float64(l.HeaderLines))
+	if l.MemoryMB < 0 || l.Connections < 0 {
+		c.Fail("limits.memoryMB", "or limits.connections is negative", "0 means what the machine has")
+	}
 	if l.LinksPerCaller < 0 {
 		c.Fail("limits.linksPerCaller", "is negative", "0 means no limit")
 	}
