world/intake, entry/upstream: links are charged to the budget

Links to instances and to entry hosts that requests are relayed to took memory and descriptors that the budget did not know, so that clients and links together could exceed both.

The budget wakes connections that wait for room only if there are any.

--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -23,12 +23,12 @@
 	"go.uber.org/fx"
 )
 
-func newPool(cfg *settings.Settings) *upstream.Pool {
+func newPool(cfg *settings.Settings, budget *intake.Budget) *upstream.Pool {
 	return upstream.NewPool(
 		upstream.WithMaxLinks(cfg.Links.PerInstance), upstream.WithIdleLimit(seconds(cfg.Links.IdleSeconds)),
 		upstream.WithMaxHeaderBytes(cfg.Links.HeaderBytes),
 		upstream.WithProgress(seconds(cfg.Links.ProgressSeconds)), upstream.WithSilentLimit(seconds(cfg.Links.SilentSeconds)),
-		upstream.WithPace(cfg.Host.BodyPace()))
+		upstream.WithPace(cfg.Host.BodyPace()), upstream.WithOpened(budget.Link))
 }
 
 func newSettler(client *control.Client) *control.Settler { return control.NewSettler(client) }
--- a/entry/host/isolation.go
+++ b/entry/host/isolation.go
@@ -16,6 +16,7 @@
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/intake"
 	"github.com/snipebeam/snipebeam/world/outcome"
 	"github.com/snipebeam/snipebeam/world/placement"
 	"go.uber.org/fx"
@@ -55,10 +56,11 @@
 	refreshedAt time.Time
 }
 
-func newRelay(cfg *settings.Settings, detector *isolation.Detector) *relay {
+func newRelay(cfg *settings.Settings, detector *isolation.Detector, budget *intake.Budget) *relay {
 	return &relay{Detector: detector, name: cfg.Host.Name, inFlight: map[string]int{}, avoided: map[string]time.Time{}, refresh: func() {}, pool: upstream.NewPool(
 		upstream.WithMaxLinks(maxRelayLinks), upstream.WithIdleLimit(seconds(cfg.Links.IdleSeconds)), upstream.WithMaxHeaderBytes(cfg.Links.HeaderBytes),
-		upstream.WithProgress(seconds(cfg.Links.ProgressSeconds)), upstream.WithSilentLimit(seconds(cfg.Links.SilentSeconds)))}
+		upstream.WithProgress(seconds(cfg.Links.ProgressSeconds)), upstream.WithSilentLimit(seconds(cfg.Links.SilentSeconds)),
+		upstream.WithOpened(budget.Link))}
 }
 
 func (r *relay) store(addresses []string) { r.hosts.Store(&addresses) }
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -50,6 +50,7 @@
 // Pool holds the links to all instances.
 type Pool struct {
 	dial           Dial
+	opened         func(net.Conn) net.Conn // nil for none
 	maxLinks       int
 	maxHeaderBytes int
 	idle           idleLimit
@@ -65,6 +66,9 @@
 // WithDial sets the function that opens links.
 func WithDial(dial Dial) Option { return func(p *Pool) { p.dial = dial } }
 
+// WithOpened sets a function that wraps each connection that is opened.
+func WithOpened(opened func(net.Conn) net.Conn) Option { return func(p *Pool) { p.opened = opened } }
+
 // WithMaxLinks limits the number of links to one instance.
 func WithMaxLinks(n int) Option { return func(p *Pool) { p.maxLinks = n } }
 
@@ -96,6 +100,14 @@
 	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 }
 
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := p.dial(ctx, address)
+	if err != nil || p.opened == nil {
+		return conn, err
+	}
+	return p.opened(conn), nil
+}
+
 // NewPool returns an empty pool.
 func NewPool(opts ...Option) *Pool {
 	p := &Pool{
@@ -183,7 +195,7 @@
 		links.remove(nil)
 		return nil, links, &Failure{cause: Cancelled, err: ctx.Err(), address: address}
 	}
-	conn, err := p.dial(ctx, address)
+	conn, err := p.connect(ctx, address)
 	if err != nil {
 		links.remove(nil)
 		return nil, links, &Failure{cause: Unopened, err: err, address: address}
@@ -215,7 +227,7 @@
 
 // CanConnect reports whether a new link to the instance can be opened.
 func (p *Pool) CanConnect(ctx context.Context, address string) bool {
-	conn, err := p.dial(ctx, address)
+	conn, err := p.connect(ctx, address)
 	if err != nil {
 		return false
 	}
--- a/world/intake/budget.go
+++ b/world/intake/budget.go
@@ -37,7 +37,7 @@
 
 	mu     sync.Mutex
 	ledger *Ledger
-	freed  chan struct{} // closed when something is returned
+	freed  chan struct{} // closed when something is returned, nil if nobody waits
 }
 
 // Option changes one property of a budget.
@@ -49,7 +49,7 @@
 
 // NewBudget returns a budget. A limit of 0 means none.
 func NewBudget(maxBytes int64, maxConnections int, opts ...Option) *Budget {
-	b := &Budget{observe: func(Reason) {}, ledger: NewLedger(maxBytes, maxConnections), freed: make(chan struct{})}
+	b := &Budget{observe: func(Reason) {}, ledger: NewLedger(maxBytes, maxConnections)}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -67,13 +67,17 @@
 // others, because all new connections would wait with it.
 func (b *Budget) open(base int64, closeConn func()) *Account {
 	a := &Account{base: base, close: closeConn}
+	b.add(a)
+	return a
+}
+
+func (b *Budget) add(a *Account) {
 	b.mu.Lock()
 	surplus := b.ledger.Open(a)
-	larger := b.ledger.Charge(a, base)
+	larger := b.ledger.Charge(a, a.base)
 	b.mu.Unlock()
 	b.closeAll(surplus, OutOfConnections)
 	b.closeAll(larger, OutOfMemory)
-	return a
 }
 
 // charge charges bytes before they are kept. It waits for connections that were told to
@@ -93,7 +97,11 @@
 	var limit <-chan time.Time
 	for {
 		b.mu.Lock()
-		closing, fits, freed := a.closing, b.ledger.Fits(), b.freed
+		closing, fits := a.closing, b.ledger.Fits()
+		if !closing && !fits && b.freed == nil {
+			b.freed = make(chan struct{})
+		}
+		freed := b.freed
 		b.mu.Unlock()
 		if closing {
 			return errClosed
@@ -144,6 +152,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	change()
-	close(b.freed)
-	b.freed = make(chan struct{})
+	if b.freed != nil {
+		close(b.freed)
+		b.freed = nil
+	}
 }
--- a/world/intake/ledger_test.go
+++ b/world/intake/ledger_test.go
@@ -73,6 +73,16 @@
 	must.False(t, last.closing)
 }
 
+// Guards against clients that take the links to instances.
+func TestLinksAreNotClosedForClients(t *testing.T) {
+	l := NewLedger(3*testBase, 2)
+	for range 3 {
+		must.SliceEmpty(t, l.Open(&Account{base: testBase, pinned: true}))
+	}
+	next, victims := openAccount(l, 0)
+	must.Eq(t, []*Account{next}, victims)
+}
+
 // Whatever happens, what is not closing is within the limits, and what is held is the sum
 // of the accounts.
 func TestLedgerStaysWithinItsLimits(t *testing.T) {
