world/message, world/intake: entries of messages are charged before they are decoded

An empty entry of a list is two or three bytes on the wire and hundreds in memory.

FuzzEntries runs in make fuzz.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 # A few seconds for each of the parsers that read what clients send.
 fuzz:
 	go test -run '^$$' -fuzz FuzzHead -fuzztime $(FUZZTIME) -fuzzminimizetime 10x ./world/intake
+	go test -run '^$$' -fuzz FuzzEntries -fuzztime $(FUZZTIME) -fuzzminimizetime 10x ./world/message
 	go test -run '^$$' -fuzz FuzzScanner -fuzztime $(FUZZTIME) -fuzzminimizetime 10x ./entry/framing
 
 # Clients outside the limits against real processes. They run alone, because they take
--- a/bench/crowd/crowd_test.go
+++ b/bench/crowd/crowd_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"path"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +16,9 @@
 	mdns "github.com/miekg/dns"
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/bench/crowd"
+	"github.com/snipebeam/snipebeam/world/wire"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 )
 
 // A process uses at most this part of its descriptors; the rest is for links to
@@ -175,6 +180,31 @@
 	must.StrHasPrefix(t, "HTTP/1.1 200 ", exchange(t, s.addresses["callers"], body))
 }
 
+// Guards against one message of legal size whose entries take a hundred times their bytes.
+func TestMessagesOfVeryManyEntries(t *testing.T) {
+	needsCrowd(t)
+	s := newSystem(t, true)
+	empty, err := proto.Marshal(&wire.AnnounceRequest{Instances: []*wire.Instance{{}}})
+	must.NoError(t, err)
+	const reportField, backlogField, messagesField = 1, 9, 3
+	report := bytes.Repeat(protowire.AppendBytes(protowire.AppendTag(nil, backlogField, protowire.BytesType), nil), 6<<20)
+	watch := string(protowire.AppendBytes(protowire.AppendTag(nil, reportField, protowire.BytesType), report))
+	step := strings.Repeat(string(protowire.AppendBytes(protowire.AppendTag(nil, messagesField, protowire.BytesType), nil)), 6<<20)
+	for _, m := range []struct {
+		listener         listener
+		path, kind, body string
+	}{
+		{listener{name: "control", control: true, path: "/v1/Config.Get", wants: http.StatusOK}, "/v1/Config.Put", "application/json", `{"version":"00000002","resources":[` + strings.Repeat("{},", 2<<20) + "{}]}"},
+		{listener{name: "peers", path: "/", wants: http.StatusNotFound}, wire.PeerPathPrefix + "Announce", "application/protobuf", strings.Repeat(string(empty), 3<<20/len(empty))},
+		{listener{name: "control peers", control: true, path: "/metrics", wants: http.StatusOK}, wire.RulesPathPrefix + "Watch", "application/protobuf", watch},
+		{listener{name: "control peers", control: true, path: "/metrics", wants: http.StatusOK}, wire.QuorumPathPrefix + "Step", "application/protobuf", step},
+	} {
+		s.testCrowd(t, m.listener, path.Base(m.path), func(t *testing.T) {
+			exchange(t, s.addresses[m.listener.name], fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", m.path, m.kind, len(m.body), m.body))
+		})
+	}
+}
+
 func exchange(t *testing.T, address, text string) string {
 	ctx, cancel := context.WithTimeout(t.Context(), startLimit)
 	defer cancel()
--- a/control/host/host.go
+++ b/control/host/host.go
@@ -81,12 +81,12 @@
 
 func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, all *servers, node *peer.Node, rules *operator.Rules, claims *entry.Claims, grants *quota.Service, exporter *prometheus.Exporter, budget *intake.Budget) *http.Server {
 	mux := http.NewServeMux()
-	handleRules(mux, ring, operators, all, wire.NewRulesServer(rules))
-	handleClaims(mux, ring, operators, all.calls(wire.NewClaimsServer(claims)))
-	mux.Handle(wire.QuotaPathPrefix, ring.Authenticate(all.calls(wire.NewQuotaServer(grants))))
+	handleRules(mux, ring, operators, all, counted(wire.NewRulesServer(rules)))
+	handleClaims(mux, ring, operators, all.calls(counted(wire.NewClaimsServer(claims))))
+	mux.Handle(wire.QuotaPathPrefix, ring.Authenticate(all.calls(counted(wire.NewQuotaServer(grants)))))
 	replicas := http.NewServeMux()
-	replicas.Handle(wire.QuorumPathPrefix, link.BoundedHandler(ring.Authenticate(wire.NewQuorumServer(node.Service())), maxReplicaBytes))
-	handleGroup(mux, operators, all.calls(wire.NewGroupServer(node.Group())))
+	replicas.Handle(wire.QuorumPathPrefix, link.BoundedHandler(ring.Authenticate(counted(wire.NewQuorumServer(node.Service()))), maxReplicaBytes))
+	handleGroup(mux, operators, all.calls(counted(wire.NewGroupServer(node.Group()))))
 	handleHealth(mux, node, exporter)
 	replicas.Handle("/", link.BoundedHandler(mux, maxMessageBytes))
 	server := all.server(replicas)
--- a/control/host/intake.go
+++ b/control/host/intake.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/snipebeam/snipebeam/control/settings"
 	"github.com/snipebeam/snipebeam/world/intake"
+	"github.com/snipebeam/snipebeam/world/message"
 	"go.uber.org/fx"
 )
 
@@ -38,6 +40,11 @@
 	return budget
 }
 
+// counted charges the entries of a message before it is decoded.
+func counted(next http.Handler) http.Handler {
+	return intake.Counted(next, message.Entries, message.EntryBytes)
+}
+
 func intakeCounter(reason intake.Reason) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf("snipebeam_intake_cut_total{reason=%q}", string(reason)))
 }
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -234,8 +234,8 @@
 		Report: state.Report, Drain: state.draining.Store, Logger: logger,
 	})
 	mux := http.NewServeMux()
-	mux.Handle(wire.EntryPathPrefix, keys.operators.Authenticate(wire.NewEntryServer(service)))
-	mux.Handle(wire.PeerPathPrefix, ring.Authenticate(wire.NewPeerServer(node.Service())))
+	mux.Handle(wire.EntryPathPrefix, keys.operators.Authenticate(counted(wire.NewEntryServer(service))))
+	mux.Handle(wire.PeerPathPrefix, ring.Authenticate(counted(wire.NewPeerServer(node.Service()))))
 	server := &http.Server{Handler: link.BoundedHandler(mux, maxMessageBytes), MaxHeaderBytes: link.MaxHeaderBytes, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/world/intake/server_test.go
+++ b/world/intake/server_test.go
@@ -198,3 +198,24 @@
 		must.Eq(t, http.StatusOK, response.StatusCode)
 	})
 }
+
+// Guards against a message of a few megabytes that takes hundreds in memory.
+func TestAMessageOfTooManyEntriesIsNotDecoded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entries := func(_ *http.Request, body []byte) int { return len(body) }
+		handled := 0
+		s := serve(t, 1<<20, 0, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+			Counted(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				text, err := io.ReadAll(r.Body)
+				must.NoError(t, err)
+				must.Eq(t, "abcde", string(text))
+				handled++
+			}), entries, 1<<10).ServeHTTP(w, r)
+		})
+		must.Eq(t, http.StatusOK, ask(s.connect(t), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nabcde").StatusCode)
+		must.Nil(t, ask(s.connect(t), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n"+strings.Repeat("x", 2000)))
+		must.Eq(t, 1, handled)
+		synctest.Wait()
+		must.Eq(t, 1, s.counts[OutOfMemory])
+	})
+}
