world/intake: a body is not charged as a head that arrived early

The server buffers what a client sends with the end of a request. If that is the whole head of the next one, the meter of the connection, which starts again when the request ends, never saw it, and took the body that followed for a head: 3 bytes for each byte and 256 for each line, without the bound for bodies. A client within its limits whose body is as long as a third of the budget was cut off.

When a handler begins, its head has ended, so the meter is told so. The test sends two requests on one connection; before, the second one's connection was closed.

--- a/world/intake/conn.go
+++ b/world/intake/conn.go
@@ -139,6 +139,7 @@
 func (c *conn) begin(bytes int64) error {
 	c.mu.Lock()
 	c.serving = true
+	c.meter.headEnded = true // also if it arrived with the request before it
 	c.mu.Unlock()
 	c.budget.begin(c.account)
 	return c.budget.charge(c.account, bytes)
--- a/world/intake/server_test.go
+++ b/world/intake/server_test.go
@@ -219,3 +219,25 @@
 		must.Eq(t, 1, s.counts[OutOfMemory])
 	})
 }
+
+// Guards against the body of a request being charged as a head, if the head arrived with the
+// end of the request before it.
+func TestBodyAfterAHeadThatArrivedEarlyIsNotChargedAsAHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := serve(t, 200<<10, 0, Limits{BodyCost: 1, MaxBody: 10_000}, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+		conn := s.connect(t)
+		responses := bufio.NewReader(conn)
+		go func() {
+			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"+"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n")
+			_, _ = io.WriteString(conn, strings.Repeat("y", 100_000))
+		}()
+		for range 2 {
+			response, err := http.ReadResponse(responses, nil)
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, response.StatusCode)
+			_, _ = io.Copy(io.Discard, response.Body)
+		}
+		synctest.Wait()
+		must.MapEmpty(t, s.counts)
+	})
+}
