world/intake: ordinary requests are closed after unused connections

A request in the handler is charged 64 KiB, which is as much as an account may hold before its size counts against it. With any head it exceeded that, so that clients that only hold connections open had the requests of others closed in favour of their own connections.

The bound is now 96 KiB: the charge for the request and 32 KiB for its head and what has arrived of its body. The test has one request with a head of 30 lines in the handler while connections are opened; before, its connection was closed.

--- a/world/intake/ledger.go
+++ b/world/intake/ledger.go
@@ -2,10 +2,10 @@
 
 import "math"
 
-// modestBytes is what an account may hold before its size counts against it: more than
-// an ordinary request, so that ordinary requests are not closed in favour of idle
-// connections.
-const modestBytes = 64 << 10
+// modestBytes is what an account may hold before its size counts against it: the 64 KiB
+// charged for a request in the handler and an ordinary head with it, so that ordinary
+// requests are not closed in favour of idle connections.
+const modestBytes = 96 << 10
 
 // Account is what one connection holds.
 type Account struct {
--- a/world/intake/server_test.go
+++ b/world/intake/server_test.go
@@ -241,3 +241,28 @@
 		must.MapEmpty(t, s.counts)
 	})
 }
+
+// Guards against requests in the handler being closed for connections that only exist,
+// because their own charge and an ordinary head exceed what counts as ordinary.
+func TestARequestInTheHandlerIsClosedAfterUnusedConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		s := serve(t, 20*connBytes, 0, Limits{Request: 64 << 10}, func(http.ResponseWriter, *http.Request) { <-release })
+		conn, status := s.connect(t), make(chan int, 1)
+		go func() {
+			code := 0
+			if response := ask(conn, "GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("name: "+strings.Repeat("v", 50)+"\r\n", 30)+"\r\n"); response != nil {
+				code = response.StatusCode
+			}
+			status <- code
+		}()
+		synctest.Wait()
+		for range 30 {
+			s.connect(t)
+			synctest.Wait()
+		}
+		must.Positive(t, s.counts[OutOfMemory])
+		close(release)
+		must.Eq(t, http.StatusOK, <-status)
+	})
+}
