--- a/control/host/intake.go
+++ b/control/host/intake.go
@@ -20,6 +20,10 @@
 	// messageCost is what a byte of a message takes: it is read into a buffer that grows,
 	// and decoded from there.
 	messageCost = 4
+	// messageShare divides the budget: the bytes of one message between hosts are charged
+	// at most this part of it, because a snapshot of the state is one message, and would
+	// never be received if its charge exceeded the budget.
+	messageShare = 2
 )
 
 func newBudget(lc fx.Lifecycle, cfg *settings.Settings) *intake.Budget {
@@ -61,5 +65,6 @@
 func peerIntake(cfg *settings.Settings) intake.Limits {
 	limits := messageIntake(cfg, requestBytes)
 	limits.BodyTimeout = readTimeout
+	limits.MaxBody = intake.BytesOf(intake.Memory(int64(cfg.Limits.MemoryMB)<<20)) / messageShare
 	return limits
 }
