--- a/world/intake/machine.go
+++ b/world/intake/machine.go
@@ -12,13 +12,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// Parts of the memory of a machine: what clients may make the process hold, and what the
-// Go runtime may use for everything before it collects garbage at any cost. The rest is
-// the program itself and the time until garbage is collected.
-const (
-	clientPart  = 0.375
-	runtimePart = 0.6
-)
+// clientPart is the part of the memory that clients may make the process hold. The rest is
+// the program itself and the garbage until it is collected.
+const clientPart = 0.375
 
 // descriptorPart is the part of the descriptors that accepted connections may use. The
 // rest is for links to instances and other hosts, and files.
@@ -96,14 +92,6 @@
 // BytesOf returns what clients may make a process hold that may use the memory.
 func BytesOf(memory int64) int64 { return int64(clientPart * float64(memory)) }
 
-// LimitRuntime makes the Go runtime collect garbage before the process exceeds the
-// memory. It bounds nothing by itself.
-func LimitRuntime(memory int64) {
-	if memory > 0 {
-		debug.SetMemoryLimit(int64(runtimePart * float64(memory)))
-	}
-}
-
 // Connections returns the number of connections to accept: the given one, else a part of
 // the descriptors of this process.
 func Connections(given int) int {
