entry/host, control/host: only scrapes are charged as scrapes

The platform listener of an entry host takes announcements and scrapes, and each request there was charged 256 KiB for a scrape. An entry host with 136 MB has a budget of 51 MB, so that 183 announcements at a time exceeded it, as when all instances announce themselves after a restart. The peers listener of a control host charged a scrape only 64 KiB.

The charge for a scrape is now for requests of /metrics, at any listener.

--- a/control/host/health.go
+++ b/control/host/health.go
@@ -18,5 +18,5 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	})
-	mux.Handle("GET /metrics", exporter)
+	mux.Handle("GET "+metricsPath, exporter)
 }
--- a/control/host/intake.go
+++ b/control/host/intake.go
@@ -55,15 +55,23 @@
 
 func countIntake(reason intake.Reason) { intakeCounter(reason).Inc() }
 
-// messageIntake bounds requests whose bodies are read whole.
-func messageIntake(cfg *settings.Settings, request int64) intake.Limits {
-	return intake.Limits{HeadLines: cfg.Limits.HeaderLines, Request: request, BodyCost: messageCost}
+// messageIntake bounds requests whose bodies are read whole, and scrapes.
+func messageIntake(cfg *settings.Settings) intake.Limits {
+	return intake.Limits{HeadLines: cfg.Limits.HeaderLines, Request: requestBytes, Extra: extraBytes, BodyCost: messageCost}
+}
+
+// extraBytes returns what a scrape holds beyond another request.
+func extraBytes(r *http.Request) int64 {
+	if r.URL.Path != metricsPath {
+		return 0
+	}
+	return scrapeBytes - requestBytes
 }
 
 // peerIntake bounds messages of other hosts, which may be large and come over a slow
 // network, so that they have no time limit as a whole.
 func peerIntake(cfg *settings.Settings) intake.Limits {
-	limits := messageIntake(cfg, requestBytes)
+	limits := messageIntake(cfg)
 	limits.BodyTimeout = readTimeout
 	limits.MaxBody = intake.BytesOf(intake.Memory(int64(cfg.Limits.MemoryMB)<<20)) / messageShare
 	return limits
--- a/control/host/listener.go
+++ b/control/host/listener.go
@@ -37,7 +37,7 @@
 	Handler http.Handler
 }
 
-const metricsListener = "metrics"
+const metricsPath = "/metrics"
 
 // Option configures a control host.
 type Option func(*options)
@@ -78,21 +78,18 @@
 	}
 	if cfg.Listen.Metrics != "" {
 		mux := http.NewServeMux()
-		mux.Handle("GET /metrics", exporter)
-		all = append(all, Listener{Name: metricsListener, Address: cfg.Listen.Metrics, Handler: mux})
+		mux.Handle("GET "+metricsPath, exporter)
+		all = append(all, Listener{Name: "metrics", Address: cfg.Listen.Metrics, Handler: mux})
 	}
 	for _, l := range all {
-		server, request := servers.listener(l.Handler), int64(requestBytes)
-		if l.Name == metricsListener {
-			request = scrapeBytes
-		}
+		server := servers.listener(l.Handler)
 		lc.Append(fx.Hook{
 			OnStart: func(ctx context.Context) error {
 				listener, err := link.Listen(ctx, l.Address, link.MessageTimeouts)
 				if err != nil {
 					return errors.Wrapf(err, "listen for %s", l.Name)
 				}
-				go serve(server, intake.Protect(server, listener, budget, messageIntake(cfg, request)), services.Logger)
+				go serve(server, intake.Protect(server, listener, budget, messageIntake(cfg)), services.Logger)
 				return nil
 			},
 			OnStop: func(ctx context.Context) error { return shutdownSoon(ctx, server) },
--- a/entry/host/intake.go
+++ b/entry/host/intake.go
@@ -58,21 +58,22 @@
 	return intake.Limits{HeadLines: cfg.Limits.HeaderLines, Request: requestBytes, BodyCost: 1, MaxBody: cfg.Limits.BufferBytes}
 }
 
-// messageIntake bounds requests whose bodies are read whole.
+// messageIntake bounds requests whose bodies are read whole, and scrapes.
 func messageIntake(cfg *settings.Settings) intake.Limits {
-	return intake.Limits{HeadLines: cfg.Limits.HeaderLines, Request: requestBytes, BodyCost: messageCost, BodyTimeout: messageTimeout}
+	return intake.Limits{HeadLines: cfg.Limits.HeaderLines, Request: requestBytes, Extra: extraBytes, BodyCost: messageCost, BodyTimeout: messageTimeout}
 }
 
-// platformIntake bounds announcements and scrapes, for which the server has a time limit.
-func platformIntake(cfg *settings.Settings) intake.Limits {
-	limits := scrapeIntake(cfg)
-	limits.BodyTimeout = 0
-	return limits
+// extraBytes returns what a scrape holds beyond another request.
+func extraBytes(r *http.Request) int64 {
+	if r.URL.Path != metricsPath {
+		return 0
+	}
+	return scrapeBytes - requestBytes
 }
 
-// scrapeIntake bounds scrapes.
-func scrapeIntake(cfg *settings.Settings) intake.Limits {
+// platformIntake bounds announcements and scrapes, for which the server has a time limit.
+func platformIntake(cfg *settings.Settings) intake.Limits {
 	limits := messageIntake(cfg)
-	limits.Request = scrapeBytes
+	limits.BodyTimeout = 0
 	return limits
 }
--- a/entry/host/listener.go
+++ b/entry/host/listener.go
@@ -21,7 +21,7 @@
 	Handler http.Handler
 }
 
-const metricsListener = "metrics"
+const metricsPath = "/metrics"
 
 // Option changes one property of an entry host.
 type Option func(*options)
@@ -64,21 +64,19 @@
 	}
 	if cfg.Listen.Metrics != "" {
 		mux := http.NewServeMux()
-		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { exporter.Write(w) })
-		listeners = append(listeners, Listener{Name: metricsListener, Address: cfg.Listen.Metrics, Handler: mux})
+		mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) { exporter.Write(w) })
+		listeners = append(listeners, Listener{Name: "metrics", Address: cfg.Listen.Metrics, Handler: mux})
 	}
 	for _, l := range listeners {
 		server := &http.Server{
 			Handler: l.Handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
 			ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
 		}
-		limits := messageIntake(cfg)
-		if l.Name == metricsListener {
-			limits = scrapeIntake(cfg)
-		}
 		lc.Append(fx.Hook{
-			OnStart: func(context.Context) error { return listen(server, l.Address, l.Name, budget, limits, logger) },
-			OnStop:  shutdown(server),
+			OnStart: func(context.Context) error {
+				return listen(server, l.Address, l.Name, budget, messageIntake(cfg), logger)
+			},
+			OnStop: shutdown(server),
 		})
 	}
 }
--- a/world/intake/server.go
+++ b/world/intake/server.go
@@ -30,11 +30,12 @@
 
 // Limits bounds the requests of one listener.
 type Limits struct {
-	HeadLines   int           // 0: DefaultHeadLines
-	Request     int64         // bytes that a request holds while it is handled, beside its head and body
-	BodyCost    int64         // bytes held for a byte of a body
-	MaxBody     int64         // the most that is held for a body, 0 for no bound
-	BodyTimeout time.Duration // time to receive progressBytes of a body, 0 for no bound
+	HeadLines   int                         // 0: DefaultHeadLines
+	Request     int64                       // bytes that a request holds while it is handled, beside its head and body
+	Extra       func(r *http.Request) int64 // more bytes that some requests hold, nil for none
+	BodyCost    int64                       // bytes held for a byte of a body
+	MaxBody     int64                       // the most that is held for a body, 0 for no bound
+	BodyTimeout time.Duration               // time to receive progressBytes of a body, 0 for no bound
 }
 
 // Protect makes a server charge its connections to the budget, and returns the listener
@@ -100,7 +101,11 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if err := c.begin(l.Request); err != nil {
+		bytes := l.Request
+		if l.Extra != nil {
+			bytes += l.Extra(r)
+		}
+		if err := c.begin(bytes); err != nil {
 			panic(http.ErrAbortHandler) // the connection is closed
 		}
 		if l.BodyTimeout > 0 && r.ContentLength != 0 {
