--- a/control/host/host.go
+++ b/control/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/snipebeam/snipebeam/control/quota"
 	"github.com/snipebeam/snipebeam/control/settings"
 	"github.com/snipebeam/snipebeam/control/state"
+	"github.com/snipebeam/snipebeam/world/intake"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/link"
 	"github.com/snipebeam/snipebeam/world/wire"
@@ -58,6 +59,7 @@
 			newOperatorRing,
 			newServers,
 			prometheus.New,
+			newBudget,
 			newServer,
 		),
 		fx.Invoke(runNode, runInstances, runDecider, runListeners, runReload, runStop),
@@ -97,15 +99,15 @@
 
 func newRing(cfg *settings.Settings) (*key.Ring, error) { return key.Load(cfg.Keys.Peers) }
 
-func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, all *servers, node *peer.Node, rules *operator.Rules, claims *entry.Claims, evacuations *operator.Evacuations, grants *quota.Service, exporter *prometheus.Exporter) *http.Server {
+func newServer(lc fx.Lifecycle, cfg *settings.Settings, logger hclog.Logger, ring *key.Ring, operators operatorRing, all *servers, node *peer.Node, rules *operator.Rules, claims *entry.Claims, evacuations *operator.Evacuations, grants *quota.Service, exporter *prometheus.Exporter, budget *intake.Budget) *http.Server {
 	mux := http.NewServeMux()
-	handleRules(mux, ring, operators, all, wire.NewRulesServer(rules))
-	handleEvacuations(mux, operators, all.calls(wire.NewEvacuationsServer(evacuations)))
-	handleClaims(mux, ring, operators, all.calls(wire.NewClaimsServer(claims)))
-	mux.Handle(wire.QuotaPathPrefix, ring.Authenticate(all.calls(wire.NewQuotaServer(grants))))
+	handleRules(mux, ring, operators, all, counted(wire.NewRulesServer(rules)))
+	handleEvacuations(mux, operators, all.calls(counted(wire.NewEvacuationsServer(evacuations))))
+	handleClaims(mux, ring, operators, all.calls(counted(wire.NewClaimsServer(claims))))
+	mux.Handle(wire.QuotaPathPrefix, ring.Authenticate(all.calls(counted(wire.NewQuotaServer(grants)))))
 	replicas := http.NewServeMux()
-	replicas.Handle(wire.QuorumPathPrefix, link.BoundedHandler(ring.Authenticate(wire.NewQuorumServer(node.Service())), maxReplicaBytes))
-	handleGroup(mux, operators, all.calls(wire.NewGroupServer(node.Group())))
+	replicas.Handle(wire.QuorumPathPrefix, link.BoundedHandler(ring.Authenticate(counted(wire.NewQuorumServer(node.Service()))), maxReplicaBytes))
+	handleGroup(mux, operators, all.calls(counted(wire.NewGroupServer(node.Group()))))
 	handleHealth(mux, node, exporter)
 	replicas.Handle("/", link.BoundedHandler(mux, maxMessageBytes))
 	server := all.server(replicas)
@@ -116,7 +118,7 @@
 				return errors.Wrap(err, "listen for peers")
 			}
 			logger.Info("control host started", "host", cfg.Host.Name, "peers", listener.Addr().String())
-			go serve(server, listener, logger)
+			go serve(server, intake.Protect(server, listener, budget, peerIntake(cfg)), logger)
 			return nil
 		},
 		OnStop: func(ctx context.Context) error { return shutdownSoon(ctx, server) },
--- a/control/host/listener.go
+++ b/control/host/listener.go
@@ -14,6 +14,7 @@
 	"github.com/snipebeam/snipebeam/control/settings"
 	"github.com/snipebeam/snipebeam/control/state"
 	"github.com/snipebeam/snipebeam/control/upstream"
+	"github.com/snipebeam/snipebeam/world/intake"
 	"github.com/snipebeam/snipebeam/world/link"
 	"go.uber.org/fx"
 )
@@ -37,6 +38,8 @@
 	Handler http.Handler
 }
 
+const metricsPath = "/metrics"
+
 // Option configures a control host.
 type Option func(*options)
 
@@ -69,14 +72,14 @@
 	lc.Append(fx.StartStopHook(func() { go instances.Run(ctx) }, cancel))
 }
 
-func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, services Services, servers *servers, exporter *prometheus.Exporter) {
+func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, services Services, servers *servers, exporter *prometheus.Exporter, budget *intake.Budget) {
 	var all []Listener
 	if o.listeners != nil {
 		all = o.listeners(services)
 	}
 	if cfg.Listen.Metrics != "" {
 		mux := http.NewServeMux()
-		mux.Handle("GET /metrics", exporter)
+		mux.Handle("GET "+metricsPath, exporter)
 		all = append(all, Listener{Name: "metrics", Address: cfg.Listen.Metrics, Handler: mux})
 	}
 	for _, l := range all {
@@ -87,7 +90,7 @@
 				if err != nil {
 					return errors.Wrapf(err, "listen for %s", l.Name)
 				}
-				go serve(server, listener, services.Logger)
+				go serve(server, intake.Protect(server, listener, budget, messageIntake(cfg)), services.Logger)
 				return nil
 			},
 			OnStop: func(ctx context.Context) error { return shutdownSoon(ctx, server) },
--- a/entry/host/callers.go
+++ b/entry/host/callers.go
@@ -18,17 +18,18 @@
 	"github.com/snipebeam/snipebeam/entry/rules"
 	"github.com/snipebeam/snipebeam/entry/settings"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/intake"
 	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/link"
 	"go.uber.org/fx"
 )
 
-func newPool(cfg *settings.Settings) *upstream.Pool {
+func newPool(cfg *settings.Settings, budget *intake.Budget) *upstream.Pool {
 	return upstream.NewPool(
 		upstream.WithMaxLinks(cfg.Links.PerInstance), upstream.WithIdleLimit(seconds(cfg.Links.IdleSeconds)),
 		upstream.WithMaxHeaderBytes(cfg.Links.HeaderBytes),
 		upstream.WithProgress(seconds(cfg.Links.ProgressSeconds)), upstream.WithSilentLimit(seconds(cfg.Links.SilentSeconds)),
-		upstream.WithPace(cfg.Host.BodyPace()))
+		upstream.WithPace(cfg.Host.BodyPace()), upstream.WithOpened(budget.Link))
 }
 
 func newSettler(client *control.Client) *control.Settler { return control.NewSettler(client) }
@@ -58,6 +59,7 @@
 	Relay     *relay
 	Keys      *key.Ring
 	Options   options
+	Intake    *intake.Budget
 }
 
 func (d *callerDeps) handler() *caller.Handler {
@@ -88,7 +90,8 @@
 			if err != nil {
 				return errors.Wrap(err, "listen for callers")
 			}
-			server.start(caller.LimitListener(listener, cfg.Limits.Links, cfg.Limits.LinksPerCaller), logger)
+			limited := caller.LimitListener(listener, cfg.Limits.Links, cfg.Limits.LinksPerCaller)
+			server.start(intake.Protect(server.Server, limited, deps.Intake, callerIntake(cfg)), logger)
 			go deps.Pool.Run(ctx)
 			go deps.Relay.pool.Run(ctx)
 			state.bound.Store(true)
--- a/entry/host/listener.go
+++ b/entry/host/listener.go
@@ -9,6 +9,7 @@
 	"github.com/snipebeam/snipebeam/entry/prometheus"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/settings"
+	"github.com/snipebeam/snipebeam/world/intake"
 	"github.com/snipebeam/snipebeam/world/program"
 	"go.uber.org/fx"
 )
@@ -20,6 +21,8 @@
 	Handler http.Handler
 }
 
+const metricsPath = "/metrics"
+
 // Option changes one property of an entry host.
 type Option func(*options)
 
@@ -55,21 +58,26 @@
 	}
 }
 
-func runListeners(lc fx.Lifecycle, cfg *settings.Settings, o options, state *State, exporter *prometheus.Exporter, logger hclog.Logger) {
+func runListeners(lc fx.Lifecycle, cfg *settings.Settings, budget *intake.Budget, o options, state *State, exporter *prometheus.Exporter, logger hclog.Logger) {
 	var listeners []Listener
 	if o.listeners != nil {
 		listeners = o.listeners(state)
 	}
 	if cfg.Listen.Metrics != "" {
 		mux := http.NewServeMux()
-		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { exporter.Write(w) })
+		mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) { exporter.Write(w) })
 		listeners = append(listeners, Listener{Name: "metrics", Address: cfg.Listen.Metrics, Handler: mux})
 	}
 	for _, l := range listeners {
-		server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds)}
+		server := &http.Server{
+			Handler: l.Handler, MaxHeaderBytes: cfg.Limits.HeaderBytes,
+			ReadHeaderTimeout: seconds(cfg.Limits.HeaderTimeoutSeconds), IdleTimeout: seconds(cfg.Limits.IdleTimeoutSeconds),
+		}
 		lc.Append(fx.Hook{
-			OnStart: func(context.Context) error { return listen(server, l.Address, l.Name, logger) },
-			OnStop:  shutdown(server),
+			OnStart: func(context.Context) error {
+				return listen(server, l.Address, l.Name, budget, messageIntake(cfg), logger)
+			},
+			OnStop: shutdown(server),
 		})
 	}
 }
