--- a/control/quota/organisationbucket.go
+++ b/control/quota/organisationbucket.go
@@ -36,32 +36,32 @@
 // leaves it when the host has spent it, and also when it expires, as a host that was cut
 // off may have spent it.
 type organisationBucket struct {
-	terms   *contract.Organisation
-	since   time.Time // since when this leader is in office
-	at      time.Time // of the last fill
-	level   float64
-	held    int     // by hosts
-	adopted int     // of those, granted by former leaders, while any of their grants may be in use
-	gone    int     // adopted and no longer held
-	credit  float64 // what the level lacks only because this leader began with little
-	lots    map[*account]*lot
-	loans   []*loan // by time of expiry
-	sweptAt time.Time
+	terms         *contract.Organisation
+	since         time.Time // since when this leader is in office
+	at            time.Time // of the last fill
+	level         float64
+	held          int     // by hosts
+	adopted       int     // of those, granted by former leaders, while any of their grants may be in use
+	gone          int     // adopted and no longer held
+	credit        float64 // what the level lacks only because this leader began with little
+	reserves      map[*account]*hostReserve
+	waitingGrants []*waitingGrant // by time of expiry
+	sweptAt       time.Time
 
 	promised  time.Time // when the requests refused so far could have got a token
 	refusedAt time.Time
 	limited   bool // as last logged
 }
 
-// lot is what one host holds in reserve.
-type lot struct {
+// hostReserve is what one host holds in reserve.
+type hostReserve struct {
 	tokens  int
 	adopted int // of those
 	until   time.Time
 }
 
-// loan is a grant for requests that wait, which the host spends at once or never.
-type loan struct {
+// waitingGrant is a grant for requests that wait, which the host spends at once or never.
+type waitingGrant struct {
 	tokens  int
 	until   time.Time
 	expired bool
@@ -69,16 +69,16 @@
 
 // sizes returns the size of an organisation's bucket, and its size during the validity of
 // what former leaders granted.
-func sizes(o *contract.Organisation) (full, young float64) {
+func sizes(o *contract.Organisation) (full, initial float64) {
 	slack := windowSlackPart*(limitWindow.Seconds()*o.Rate()+float64(o.Burst())) + windowSlackCount
 	return float64(o.Burst()) + leaderPart*slack, successorPart * slack
 }
 
 func newOrganisationBucket(terms *contract.Organisation, since, now time.Time) *organisationBucket {
-	b := &organisationBucket{terms: terms, since: since, at: since, lots: map[*account]*lot{}}
-	full, young := sizes(terms)
+	b := &organisationBucket{terms: terms, since: since, at: since, reserves: map[*account]*hostReserve{}}
+	full, initial := sizes(terms)
 	if now.Before(since.Add(reserveValidity + limitWindow)) {
-		b.level = young
+		b.level = initial
 		return b
 	}
 	b.at, b.level = now, full // no window has a request of a former leader's grants
@@ -95,9 +95,9 @@
 
 // size returns the most that the tokens in the bucket and at hosts add up to.
 func (b *organisationBucket) size(now time.Time) float64 {
-	full, young := sizes(b.terms)
+	full, initial := sizes(b.terms)
 	if now.Before(b.since.Add(reserveValidity)) {
-		return young + float64(b.gone)
+		return initial + float64(b.gone)
 	}
 	return full
 }
@@ -105,22 +105,22 @@
 // kept returns the tokens that are left to requests that wait, at whatever host. It rises no
 // faster than a new leader's bucket is filled.
 func (b *organisationBucket) kept(now time.Time) float64 {
-	full, young := sizes(b.terms)
+	full, initial := sizes(b.terms)
 	grown := max(now.Sub(b.since.Add(reserveValidity)), 0)
-	return waitingPart * min(full, young+b.terms.Rate()*grown.Seconds())
+	return waitingPart * min(full, initial+b.terms.Rate()*grown.Seconds())
 }
 
 // fill adds the tokens of the time since the last call. A leader that has been in office
 // for the validity of a reserve and one window adds what it has lacked only because it had
 // to assume that hosts hold all that its predecessor could grant.
 func (b *organisationBucket) fill(now time.Time) {
-	full, young := sizes(b.terms)
+	full, initial := sizes(b.terms)
 	if grown := b.since.Add(reserveValidity); b.at.Before(grown) {
 		if now.Before(grown) {
-			b.advance(now, young+float64(b.gone))
+			b.advance(now, initial+float64(b.gone))
 			return
 		}
-		b.advance(grown, young+float64(b.gone))
+		b.advance(grown, initial+float64(b.gone))
 		b.ownAll()
 		b.credit = max(full-b.sum(), 0)
 	}
@@ -147,7 +147,7 @@
 // ownAll makes this leader answer for all that hosts hold.
 func (b *organisationBucket) ownAll() {
 	b.adopted, b.gone = 0, 0
-	for _, l := range b.lots {
+	for _, l := range b.reserves {
 		l.adopted = 0
 	}
 }
@@ -155,12 +155,12 @@
 // adopt renews what a host holds of a former leader's grants, and reports whether it does.
 // Adopted tokens that are gone no longer count among the former leader's, so that this one
 // may grant as many. All of them leave room in the bucket for its own.
-func (b *organisationBucket) adopt(l *lot, held int, now time.Time) bool {
-	full, young := sizes(b.terms)
+func (b *organisationBucket) adopt(l *hostReserve, held int, now time.Time) bool {
+	full, initial := sizes(b.terms)
 	b.held -= l.tokens // adopted in a call whose response was lost
 	b.adopted -= l.adopted
 	l.tokens, l.adopted = 0, 0
-	if !now.Before(b.since.Add(reserveValidity)) || float64(b.gone+b.adopted+held) > full-young {
+	if !now.Before(b.since.Add(reserveValidity)) || float64(b.gone+b.adopted+held) > full-initial {
 		return held == 0
 	}
 	l.tokens, l.adopted = held, held
@@ -169,8 +169,8 @@
 	return true
 }
 
-// set records what is left of a lot. What this leader granted counts as spent first.
-func (b *organisationBucket) set(l *lot, tokens int) {
+// set records what is left of a reserve. What this leader granted counts as spent first.
+func (b *organisationBucket) set(l *hostReserve, tokens int) {
 	adopted := min(l.adopted, tokens)
 	b.held += tokens - l.tokens
 	b.adopted += adopted - l.adopted
@@ -187,29 +187,29 @@
 
 // sweep drops what hosts may no longer use.
 func (b *organisationBucket) sweep(now time.Time) {
-	for len(b.loans) > 0 && !b.loans[0].until.After(now) {
-		b.held -= b.loans[0].tokens
-		b.loans[0].expired = true
-		b.loans = b.loans[1:]
+	for len(b.waitingGrants) > 0 && !b.waitingGrants[0].until.After(now) {
+		b.held -= b.waitingGrants[0].tokens
+		b.waitingGrants[0].expired = true
+		b.waitingGrants = b.waitingGrants[1:]
 	}
 	if now.Sub(b.sweptAt) < sweepInterval {
 		return
 	}
 	b.sweptAt = now
-	for owner, l := range b.lots {
+	for owner, l := range b.reserves {
 		if !l.until.After(now) {
 			b.set(l, 0)
-			delete(b.lots, owner)
+			delete(b.reserves, owner)
 		}
 	}
 }
 
-// lotOf returns the lot of a host that calls, which makes it valid again.
-func (b *organisationBucket) lotOf(owner *account, now time.Time) *lot {
-	l := b.lots[owner]
+// reserveOf returns the reserve of a host that calls, which makes it valid again.
+func (b *organisationBucket) reserveOf(owner *account, now time.Time) *hostReserve {
+	l := b.reserves[owner]
 	if l == nil {
-		l = &lot{}
-		b.lots[owner] = l
+		l = &hostReserve{}
+		b.reserves[owner] = l
 	}
 	l.until = now.Add(reserveValidity)
 	return l
@@ -217,7 +217,7 @@
 
 // state records what a host says that it holds, and takes back what it returns. The rest
 // of what it held has been spent.
-func (b *organisationBucket) state(l *lot, held, returned int) (takenBack int) {
+func (b *organisationBucket) state(l *hostReserve, held, returned int) (takenBack int) {
 	if missing := l.tokens - held; missing < 0 {
 		b.level += float64(missing) // had expired here, and the host may use them again
 	} else {
@@ -228,13 +228,13 @@
 	return takenBack
 }
 
-// lend grants up to n waiting requests.
-func (b *organisationBucket) lend(n int, now time.Time) *loan {
-	l := &loan{tokens: min(n, int(max(b.level, 0))), until: now.Add(waitingValidity)}
+// grantWaiting grants up to n waiting requests.
+func (b *organisationBucket) grantWaiting(n int, now time.Time) *waitingGrant {
+	l := &waitingGrant{tokens: min(n, int(max(b.level, 0))), until: now.Add(waitingValidity)}
 	if l.tokens > 0 {
 		b.level -= float64(l.tokens)
 		b.held += l.tokens
-		b.loans = append(b.loans, l)
+		b.waitingGrants = append(b.waitingGrants, l)
 		b.promised = b.promised.Add(-b.timeOf(float64(l.tokens)))
 	}
 	return l
@@ -242,7 +242,7 @@
 
 // reserve adds up to n tokens to a host's reserve. A host that has none gets one before
 // others get more.
-func (b *organisationBucket) reserve(l *lot, n int, now time.Time) int {
+func (b *organisationBucket) reserve(l *hostReserve, n int, now time.Time) int {
 	kept, first := b.kept(now), 0
 	if l.tokens == 0 && b.level-kept >= 1 {
 		first = 1
@@ -258,15 +258,15 @@
 // cancel undoes a call whose response the host has not got and never will. It states again
 // what it returned then.
 func (b *organisationBucket) cancel(owner *account, g pendingGrant, now time.Time) {
-	if l := b.lots[owner]; l != nil {
+	if l := b.reserves[owner]; l != nil {
 		b.set(l, l.tokens+g.takenBack-min(g.reserve, l.tokens))
 	}
 	b.level += float64(g.reserve - g.takenBack)
-	if !g.loan.expired {
-		b.held -= g.loan.tokens
+	if !g.waiting.expired {
+		b.held -= g.waiting.tokens
 	}
-	b.level += float64(g.loan.tokens)
-	g.loan.tokens = 0
+	b.level += float64(g.waiting.tokens)
+	g.waiting.tokens = 0
 	b.trim(b.size(now))
 }
 
--- a/control/quota/organisations.go
+++ b/control/quota/organisations.go
@@ -71,7 +71,7 @@
 	bucket    *organisationBucket
 	takenBack int
 	reserve   int
-	loan      *loan
+	waiting   *waitingGrant
 }
 
 // GrantOrganisations grants an entry host requests within the limits of organisations. In
@@ -183,25 +183,25 @@
 	}
 	b.refresh(terms, now)
 	held, returned, renewed := int(min(need.GetHeld(), maxWanted)), int(min(need.GetReturned(), maxWanted)), true
-	l := b.lotOf(owner, now)
+	l := b.reserveOf(owner, now)
 	takenBack := 0
 	if known {
 		takenBack = b.state(l, held, returned)
 	} else {
 		renewed = b.adopt(l, held, now)
 	}
-	lent := b.lend(waiting, now)
+	forWaiting := b.grantWaiting(waiting, now)
 	reserved := 0
-	if lent.tokens == waiting {
+	if forWaiting.tokens == waiting {
 		reserved = b.reserve(l, int(min(need.GetReserve(), maxWanted))-l.tokens, now)
 	}
-	owner.pending = append(owner.pending, pendingGrant{bucket: b, takenBack: takenBack, reserve: reserved, loan: lent})
-	grant := &wire.OrganisationGrant{Organisation: name, Requests: uint32(lent.tokens + reserved), Renewed: renewed}
-	if refused := waiting - lent.tokens; refused > 0 {
+	owner.pending = append(owner.pending, pendingGrant{bucket: b, takenBack: takenBack, reserve: reserved, waiting: forWaiting})
+	grant := &wire.OrganisationGrant{Organisation: name, Requests: uint32(forWaiting.tokens + reserved), Renewed: renewed}
+	if refused := waiting - forWaiting.tokens; refused > 0 {
 		refusedOrganisations.Add(refused)
 		grant.RetryAfterNs = int64(b.refuse(refused, now))
 	}
-	grantedOrganisations.Add(lent.tokens + reserved)
+	grantedOrganisations.Add(forWaiting.tokens + reserved)
 	o.logLimit(name, b, now)
 	return grant
 }
--- a/entry/quota/ledger.go
+++ b/entry/quota/ledger.go
@@ -249,12 +249,12 @@
 }
 
 func (l *Ledger) apply(h *holding, grant *wire.OrganisationGrant, call *pending, response *wire.OrganisationGrantResponse) {
-	lent := min(int(grant.GetRequests()), call.waiting[grant.GetOrganisation()])
+	forWaiting := min(int(grant.GetRequests()), call.waiting[grant.GetOrganisation()])
 	h.returning = 0
 	h.current.until = call.sentAt + response.GetValidNs()
-	h.current.free += int(grant.GetRequests()) - lent
-	if lent > 0 {
-		b := &bundle{free: lent, until: call.sentAt + response.GetWaitingValidNs()}
+	h.current.free += int(grant.GetRequests()) - forWaiting
+	if forWaiting > 0 {
+		b := &bundle{free: forWaiting, until: call.sentAt + response.GetWaitingValidNs()}
 		h.others = append(h.others, b)
 	}
 	l.serve(h)
