entry/quota: a request beyond the limit is refused before it is late

Cause: while an organisation is at its limit, its requests waited up to 400 ms for a token and were then served late, with tokens that requests in time did not get.

Change: once the leader has said that the organisation is at its limit, a request waits only for a token that comes within 150 ms.

--- a/entry/quota/holding.go
+++ b/entry/quota/holding.go
@@ -58,7 +58,7 @@
 			return false
 		}
 		r.refused = retryAfter
-		if h.askAt < r.until {
+		if h.askAt < r.limitUntil {
 			return false
 		}
 		r.refuse(retryAfter)
--- a/entry/quota/ledger.go
+++ b/entry/quota/ledger.go
@@ -13,6 +13,10 @@
 const (
 	// maxPatience bounds how long a request waits for a token.
 	maxPatience = 400 * time.Millisecond
+	// limitPatience bounds how long a request waits for a token of an organisation at its
+	// limit. Its response would be late after a longer wait, and a token that it gets then is
+	// one that a request in time does not get.
+	limitPatience = 150 * time.Millisecond
 	// patiencePart is the part of a request's remaining time for which it may wait.
 	patiencePart = 4
 	// leaderRetryAfter is the time after which a new leader is likely to grant.
@@ -88,7 +92,8 @@
 	}
 	h.rate = h.rateAt(now) + 1/demandDecay.Seconds()
 	h.usedAt = now
-	r := &Request{holding: h, until: now + int64(min(maxPatience, left/patiencePart)), done: make(chan struct{})}
+	patience := min(maxPatience, left/patiencePart)
+	r := &Request{holding: h, until: now + int64(patience), limitUntil: now + int64(min(limitPatience, patience)), done: make(chan struct{})}
 	if b := h.usable(now); b != nil && len(h.waiting) == 0 {
 		r.decide(l.take(b), nil)
 		return r
--- a/entry/quota/request.go
+++ b/entry/quota/request.go
@@ -24,14 +24,15 @@
 
 // Request waits for a token.
 type Request struct {
-	holding *holding
-	until   int64  // when it stops waiting
-	asked   uint64 // sequence of the last call that counted it, 0 for none
-	refused time.Duration
-	token   *Token
-	refusal *Refusal
-	decided bool
-	done    chan struct{} // closed once decided
+	holding    *holding
+	until      int64  // when it stops waiting
+	limitUntil int64  // the same, once the leader has said that the organisation is at its limit
+	asked      uint64 // sequence of the last call that counted it, 0 for none
+	refused    time.Duration
+	token      *Token
+	refusal    *Refusal
+	decided    bool
+	done       chan struct{} // closed once decided
 }
 
 // Done is closed once the request has a token or is refused.
--- a/entry/quota/reserve_test.go
+++ b/entry/quota/reserve_test.go
@@ -149,6 +149,30 @@
 	})
 }
 
+// Requests of an organisation at its limit waited for up to 400 ms and were then served late,
+// with tokens that requests in time did not get.
+func TestRequestBeyondTheLimitDoesNotWaitUntilItIsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &leader{}
+		l.retryAfter.Store(int64(150 * time.Millisecond))
+		r := newReserve(t, l)
+		took, token, refusal := waitOf(t, r)
+		must.Nil(t, token)
+		must.Eq(t, outcome.OrganisationRate, refusal.Reason())
+		must.Less(t, 10*time.Millisecond, took)
+
+		l.retryAfter.Store(int64(40 * time.Millisecond)) // comes within the time that it may wait
+		time.Sleep(time.Second)
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			l.retryAfter.Store(0)
+		}()
+		took, token, _ = waitOf(t, r)
+		must.NotNil(t, token)
+		must.Less(t, 100*time.Millisecond, took)
+	})
+}
+
 // Guards against an organisation that counts as at its limit for longer than the leader says.
 func TestOrganisationIsReadyAgainOnceTheLeaderMayHaveATokenOfIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
