platform, deploy: memory and zones are passed by the environment

Cause: the templates of the settings had two more placeholders, which readers of the templates other than the platform do not fill in: every case of review/ ended on them, and its harness had been changed for it.

--- a/entry/host/cold_test.go
+++ b/entry/host/cold_test.go
@@ -64,9 +64,9 @@
 
 func TestProbeHearsForHowLongAnInstanceStaysCold(t *testing.T) {
 	noLoad := func(http.Header) (caller.LoadReport, bool) { return caller.LoadReport{}, false }
-	for name, o := range map[string]options{"a dialect": {dialect: &caller.Dialect{Warmup: "Warmup-Ms", Load: noLoad}}, "one without the header": {dialect: &caller.Dialect{Load: noLoad}}, "none": {}} {
+	for name, o := range map[string]options{"a dialect": {dialect: &caller.Dialect{Warmup: "Time-Cold", Load: noLoad}}, "one without the header": {dialect: &caller.Dialect{Load: noLoad}}, "none": {}} {
 		var report route.ProbeReport
-		o.addLoad(&report, http.Header{"Warmup-Ms": {"900"}})
+		o.addLoad(&report, http.Header{"Time-Cold": {"900"}})
 		must.Eq(t, name == "a dialect", report.Warmup.Stated(), must.Sprint(name))
 	}
 }
--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -131,24 +131,6 @@
 // Zone returns the zone of the host.
 func (h *Host) Zone() string { return h.zone }
 
-// fillSection replaces a section that lists values.
-func fillSection(text, name string, values []string) string {
-	open, end := "{{#"+name+"}}", "{{/"+name+"}}"
-	from, to := strings.Index(text, open), strings.Index(text, end)
-	if from < 0 || to < from {
-		return text
-	}
-	return text[:from] + strings.Join(values, ",") + text[to+len(end):]
-}
-
-// memoryMB returns the memory of a machine of the site.
-func memoryMB(entry bool) string {
-	if entry {
-		return "206"
-	}
-	return "280"
-}
-
 // settings fills in the template of the deploy file.
 func (h *Host) settings(bootstrap bool) (string, error) {
 	name := "control.toml"
@@ -164,16 +146,14 @@
 		seeds = append(seeds, strconv.Quote(c.ControlAddress()))
 	}
 	filled := string(text)
-	filled = fillSection(filled, "seeds", seeds)
-	var zones []string
-	for _, zone := range Zones {
-		zones = append(zones, strconv.Quote(zone))
+	const open, end = "{{#seeds}}", "{{/seeds}}"
+	if from, to := strings.Index(filled, open), strings.Index(filled, end); from >= 0 && to > from {
+		filled = filled[:from] + strings.Join(seeds, ",") + filled[to+len(end):]
 	}
-	filled = fillSection(filled, "zones", zones)
 	filled = strings.NewReplacer(
 		"{{nodeName}}", h.Name, "{{zone}}", h.zone, "{{ip}}", h.IP, "{{listen.front}}", h.CallersAddress(),
 		"{{internalPorts.0}}", strconv.Itoa(h.system.ports.peers), "{{bounds.graceS}}", strconv.Itoa(graceS),
-		"{{limits.cpuShare}}", "0.224", "{{limits.linkMbps}}", "700.0", "{{limits.memoryMb}}", memoryMB(h.entry), "{{dataDir}}", h.Data,
+		"{{limits.cpuShare}}", "0.224", "{{limits.linkMbps}}", "700.0", "{{dataDir}}", h.Data,
 		"{{bootstrap}}", strconv.FormatBool(bootstrap), "{{faultTolerance.machines}}", "1",
 	).Replace(filled)
 	if strings.Contains(filled, "{{") {
