platform/sample, bench/crowd: wire names stay in platform/

Cause: the tests of clients outside the limits wrote configurations, announcements and headers of the platform themselves.

Change: they take them from platform/sample. Crowds, bounds and assertions are as before.

--- a/bench/crowd/response_test.go
+++ b/bench/crowd/response_test.go
@@ -1,7 +1,6 @@
 package crowd_test
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,18 +10,12 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/platform/sample"
 	"github.com/snipebeam/snipebeam/world/knownred"
 )
 
-// largeDocument returns a legal configuration of 5 MB with 5,000 routes.
-func largeDocument() string {
-	var text strings.Builder
-	text.WriteString(strings.TrimSuffix(strings.Replace(document, "00000001", "00000002", 1), "]}"))
-	for n := range 5000 {
-		fmt.Fprintf(&text, `,{"resourceType":"routes","metadata":{"name":"r%d"},"spec":{"hostname":"h%d","pathPrefix":"/%s/","routeType":"safe","timeoutMs":5000,"targetLatencyMs":600,"priority":1,"service":"shop","maxAttempts":2}}`, n, n, strings.Repeat("y", 800))
-	}
-	return text.String() + "]}"
-}
+// largeRoutes makes a legal configuration of 5 MB.
+const largeRoutes = 5000
 
 // Guards against small requests for large messages, whose responses are in memory until the
 // clients have read them.
@@ -32,7 +25,7 @@
 		needsCrowd(t)
 	}
 	s := newSystem(t, true)
-	response, err := http.Post("http://"+s.addresses["control"]+"/v1/Config.Put", "application/json", strings.NewReader(largeDocument()))
+	response, err := http.Post("http://"+s.addresses["control"]+sample.ConfigPath, "application/json", strings.NewReader(sample.Config(2, largeRoutes)))
 	must.NoError(t, err)
 	must.NoError(t, response.Body.Close())
 	must.Eq(t, http.StatusOK, response.StatusCode)
--- a/bench/crowd/system_test.go
+++ b/bench/crowd/system_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,6 +17,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/bench/cluster"
 	"github.com/snipebeam/snipebeam/bench/crowd"
+	"github.com/snipebeam/snipebeam/platform/sample"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
 
@@ -159,11 +159,6 @@
 	})
 }
 
-const document = `{"version":"00000001","resources":[
-{"resourceType":"routes","metadata":{"name":"r"},"spec":{"hostname":"a","pathPrefix":"/","routeType":"safe","timeoutMs":5000,"targetLatencyMs":600,"priority":1,"service":"shop","maxAttempts":2}},
-{"resourceType":"services","metadata":{"name":"shop"},"spec":{"healthPath":"/healthz","maxConnections":400,"protocol":"h1","tls":false}},
-{"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}]}`
-
 // configurePlatform puts a configuration and announces an instance of this process.
 func (s *system) configurePlatform(t *testing.T) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -175,25 +170,15 @@
 		_ = response.Body.Close()
 		return response.StatusCode == http.StatusOK
 	}
-	eventually(t, "the configuration is accepted", func() bool { return post("/v1/Config.Put", []byte(document)) })
-	instance := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Instance-Id", "i-1")
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		w.Header().Set("Response-Signature", "sig."+r.Header.Get("Request-Id"))
-		w.Header().Set("Instance-Load", "0,0,64,100")
-	}))
-	instance.Start()
+	eventually(t, "the configuration is accepted", func() bool { return post(sample.ConfigPath, []byte(sample.Config(1, 0))) })
+	instance := httptest.NewServer(sample.Instance())
 	t.Cleanup(instance.Close)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	born := time.Now().UnixMilli()
 	go func() {
 		for n := 1; ctx.Err() == nil; n++ {
-			body, _ := json.Marshal(map[string]any{
-				"service": "shop", "address": strings.TrimPrefix(instance.URL, "http://"), "zone": "z", "version": "v1",
-				"maxConcurrency": 64, "state": "ready", "warmupLeftMs": 0, "sequence": n, "born": born,
-			})
-			post("/v1/Instances.Heartbeat/i-1", body)
+			post(sample.HeartbeatPath, sample.Heartbeat(strings.TrimPrefix(instance.URL, "http://"), born, n))
 			time.Sleep(time.Second / 2)
 		}
 	}()
