--- a/review/second/fleet.go
+++ b/review/second/fleet.go
@@ -114,8 +114,8 @@
 
 func (n *node) values() map[string]any {
 	return map[string]any{
-		"nodeName": n.name, "zone": n.zone, "region": "mauricie", "ip": n.ip, "internalPorts.0": portInternal,
-		"zones":        map[string]string{"tr-centre": "mauricie", "tr-cap": "mauricie", "tr-ouest": "mauricie"},
+		"nodeName": n.name, "zone": n.zone, "region": "attica", "ip": n.ip, "internalPorts.0": portInternal,
+		"zones":        map[string]string{"attica-a": "attica", "attica-b": "attica", "attica-c": "attica"},
 		"listen.front": n.ip + ":" + portFront, "listen.ready": n.ip + ":" + portReady,
 		"listen.control": n.ip + ":" + portControl, "listen.directory": n.ip + ":" + portDirectory,
 		"limits.cpuShare": "0.224", "limits.linkMbps": "700.0", "limits.memoryMb": "206", "seeds": n.seeds,
@@ -239,7 +239,7 @@
 
 // startAll starts control hosts and entry hosts as at the first start of the system.
 func (f *fleet) startAll(controls, entries int) error {
-	zones := []string{"tr-centre", "tr-cap", "tr-ouest"}
+	zones := []string{"attica-a", "attica-b", "attica-c"}
 	var seeds []string
 	for n := range controls {
 		seeds = append(seeds, fmt.Sprintf("%s%d:%s", f.net, 10+n, portControl))
--- a/review/second/form.go
+++ b/review/second/form.go
@@ -10,7 +10,7 @@
 // form starts the whole system for the first time. With trouble the process of the first control
 // host is killed 0.2 s after its start, and comes back within a second with its disk.
 func form(f *fleet, trouble bool) int {
-	zones := []string{"tr-centre", "tr-cap", "tr-ouest"}
+	zones := []string{"attica-a", "attica-b", "attica-c"}
 	var seeds []string
 	for n := range 3 {
 		seeds = append(seeds, fmt.Sprintf("%s%d:%s", f.net, 10+n, portControl))
--- a/review/second/instance.go
+++ b/review/second/instance.go
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	i := &instance{
-		id: id, service: service, address: address, zone: "tr-centre", born: time.Now().UnixMilli(), slots: 3, work: 20 * time.Millisecond,
+		id: id, service: service, address: address, zone: "attica-a", born: time.Now().UnixMilli(), slots: 3, work: 20 * time.Millisecond,
 		controls: f.of("control"), records: f.records, listener: listener, stop: make(chan struct{}), conns: map[net.Conn]bool{},
 	}
 	ready := "ready"
