--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$here/../.." && pwd) || exit 2
 [ -x "$root/target/review-second" ] && [ -x "$root/target/snipebeam-entry" ] && [ -x "$root/target/snipebeam-control" ] || exit 2
-exec "$root/target/review-second" -root "$root" -record "$here/record.txt" endless
+exec "$root/target/review-second" -root "$root" -record "$here/record.txt" unsigned
