entry/upstream: leave out interim responses that do not echo the ID

What callers would see: an interim response of an earlier request, or of no request, before their own response.

Cause: only interim responses with another ID were left out, since missing IDs were taken for the request's own.

Change: an interim response is forwarded only if it echoes the ID, as for final responses. TestInterimResponseToAnotherRequestIsLeftOut asserted that one without an ID is forwarded. That was wrong: the platform's instances echo the ID in their responses, and what names no request may belong to any. It now asks that it is left out, and so is one with two IDs.

Evidence: the test fails before the change (three interim responses forwarded, one wanted) and passes after it; the tests of entry/upstream and entry/caller pass.

--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -53,7 +53,8 @@
 
 // WithIdentity accepts only a response that echoes the identity in the given header.
 // Responses that echo another one, such as a late response to an earlier request on
-// the same link, are discarded, and Send fails at one that echoes none.
+// the same link, are discarded, and Send fails at one that echoes none. Of interim
+// responses only those that echo it are handled.
 func WithIdentity(header, identity string) SendOption {
 	return func(e *Exchange) { e.identityHeader, e.identity = header, identity }
 }
--- a/entry/upstream/mismatch_test.go
+++ b/entry/upstream/mismatch_test.go
@@ -89,11 +89,14 @@
 	must.Eq(t, upstream.Malformed, failureOf(t, err).Cause())
 }
 
+// Guards against an interim response that belongs to another request, or to none, as it does not
+// echo the identity.
 func TestInterimResponseToAnotherRequestIsLeftOut(t *testing.T) {
 	i := serve(t, func(_ int, conn *net.TCPConn, r *bufio.Reader) {
 		readRequest(r)
 		write(conn, "HTTP/1.1 103 Early Hints\r\nRequest-Id: 6\r\n\r\n")
 		write(conn, "HTTP/1.1 103 Early Hints\r\nRequest-Id: 7\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n")
+		write(conn, "HTTP/1.1 103 Early Hints\r\nRequest-Id: 7\r\nRequest-Id: 6\r\n\r\n")
 		write(conn, "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nContent-Length: 3\r\n\r\nown")
 	})
 	var ids []string
@@ -102,5 +105,5 @@
 	}))
 	must.NoError(t, err)
 	must.Eq(t, "own", body)
-	must.Eq(t, []string{"7", ""}, ids)
+	must.Eq(t, []string{"7"}, ids)
 }
--- a/entry/upstream/response.go
+++ b/entry/upstream/response.go
@@ -54,7 +54,7 @@
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return errInterim
 		}
-		if e.onInterim != nil && response.StatusCode != http.StatusContinue && !e.isMismatched(response) {
+		if e.onInterim != nil && response.StatusCode != http.StatusContinue && e.identifies(response) {
 			e.onInterim(response.StatusCode, response.Header)
 		}
 	}
