entry/control: the test of a change of the primary begins with a known primary

Cause, by the polls that a scratch copy recorded in the failing runs: both control hosts respond at the same instant of virtual time. If the response of c1 is handled first, c1 is healthy before c0 and becomes the primary, and its first poll for instances truly states that nothing is known. The test took that poll for the one after the loss of c0, which it then never played.

Change: c1 does not respond before c0 is the primary, and the test asks that c1 is not polled for instances until c0 is lost. The assertion on its first poll is the same.

--- a/entry/control/evacuation_test.go
+++ b/entry/control/evacuation_test.go
@@ -154,8 +154,11 @@
 		c0, c1, stop := watchEvacuations(t, m)
 		defer stop()
 		c0.set(func() { c0.response = evacuated(false, 5, "a", "b") })
-		c1.set(func() { c1.response = evacuated(true, 4, "b") })
+		c1.set(func() { c1.lost, c1.response = true, evacuated(true, 4, "b") }) // c0 is the primary
 		time.Sleep(3 * time.Second)
+		c1.set(func() { c1.lost = false })
+		time.Sleep(3 * time.Second)
+		c1.set(func() { must.SliceEmpty(t, c1.known) })
 		c0.set(func() { c0.lost = true })
 		time.Sleep(3 * time.Second)
 		c1.set(func() { must.SliceNotEmpty(t, c1.known); must.Eq(t, 5, c1.known[0]) })
