entry/caller: refuse a request without the ID that its response must echo

What callers saw: a request without an ID went to three instances, each of which refused it, and came back as 503 with Retry-After although it can never be served (a trial with such instances on: three arrivals, 503). Since responses must echo the ID it was 502.

Cause: the ID was forwarded as it came, and a response to a request without one cannot be told from others.

Change: where the dialect has IDs, a request with none, an empty one or several is refused as malformed (400 on the platform) before it is sent.

--- a/entry/caller/call.go
+++ b/entry/caller/call.go
@@ -102,6 +102,15 @@
 	return newID()
 }
 
+// refuseUnidentified refuses a request without the one ID by which its response is told from others.
+func (c *call) refuseUnidentified() *outcome.Problem {
+	name := c.dialect.RequestID
+	if ids := c.r.Header.Values(name); name == "" || len(ids) == 1 && ids[0] != "" {
+		return nil
+	}
+	return outcome.New(outcome.NotRun, outcome.Malformed, "the request must have the header "+name+" once")
+}
+
 // addRepeat records that the request is sent again.
 func (c *call) addRepeat(way decision.Way, charge route.Charge) {
 	c.decision.Repeats = append(c.decision.Repeats, decision.Repeat{Way: way, Charge: string(charge)})
--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -216,6 +216,9 @@
 	if problem := refuseUnsupported(c.r); problem != nil {
 		return problem
 	}
+	if problem := c.refuseUnidentified(); problem != nil {
+		return problem
+	}
 	if limit := h.bodyLimit(c.rule.Contract()); c.r.ContentLength > limit {
 		return outcome.New(outcome.NotRun, outcome.BodyTooLarge, "request body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
 	}
--- a/entry/caller/identity_test.go
+++ b/entry/caller/identity_test.go
@@ -147,3 +147,20 @@
 		t.Cleanup(cfg.RelayPool.Close)
 	}
 }
+
+// Guards against a request without an ID, whose response could not be told from others: an
+// instance must not get it.
+func TestRequestWithoutAnIDIsRefused(t *testing.T) {
+	var arrivals atomic.Int32
+	instance := httpInstance(t, func(http.ResponseWriter, *http.Request) { arrivals.Add(1) })
+	address := serveEntry(t, newEntry(t, viewsOf(instance), newClaims(), identified))
+	for _, ids := range [][]string{nil, {""}, {"7", "8"}} {
+		req := newRequest(t, http.MethodPost, address, "/order", "5")
+		req.Header["Request-Id"] = ids
+		got, err := do(req)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusBadRequest, got.status, must.Sprint(ids))
+		must.Eq(t, outcome.NotRun, got.outcome())
+	}
+	must.Zero(t, arrivals.Load())
+}
