--- a/entry/caller/dialect.go
+++ b/entry/caller/dialect.go
@@ -23,6 +23,8 @@
 	RequestID string // request: its ID, which responses repeat
 	Instance  string // request to an instance: the ID of that instance
 
+	InstanceID string // response to a probe: the ID of the instance that sends it
+
 	Key          string // request: the key of the caller's organisation, not sent to instances
 	Organisation string // request to an instance: the name of the caller's organisation
 
--- a/entry/host/prober.go
+++ b/entry/host/prober.go
@@ -28,7 +28,10 @@
 	maxProbeBytes = 16 << 10
 )
 
-var errProbeTooLarge = errors.New("response body too large for a probe")
+var (
+	errProbeTooLarge = errors.New("response body too large for a probe")
+	errOtherInstance = errors.New("response does not name the instance that was probed")
+)
 
 // prober requests the load of instances at their health path.
 type prober struct {
@@ -79,7 +82,7 @@
 	if err != nil {
 		return report, err
 	}
-	exchange, err := p.pool.Send(ctx, address, req)
+	exchange, err := p.pool.Send(ctx, address, req, p.sendOptions(m)...)
 	if err != nil {
 		return report, err
 	}
@@ -97,3 +100,18 @@
 	p.options.addLoad(&report, response.Header)
 	return report, nil
 }
+
+// sendOptions makes a probe fail whose response does not name the instance, if the dialect has a
+// header for it: another instance may use the address by now, or the response may be a late one
+// to a request on the same link.
+func (p *prober) sendOptions(m route.Member) []upstream.SendOption {
+	if p.options.dialect == nil || p.options.dialect.InstanceID == "" {
+		return nil
+	}
+	return []upstream.SendOption{upstream.WithValidation(func(response *http.Response) error {
+		if ids := response.Header.Values(p.options.dialect.InstanceID); len(ids) != 1 || ids[0] != string(m.Instance().ID()) {
+			return errOtherInstance
+		}
+		return nil
+	})}
+}
--- a/entry/host/prober_test.go
+++ b/entry/host/prober_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/isolation"
 	"github.com/snipebeam/snipebeam/entry/route"
 	"github.com/snipebeam/snipebeam/entry/rules"
@@ -43,11 +45,7 @@
 		}()
 		return ours, nil
 	}))
-	table := rules.NewTable()
-	_, err := table.Advance(&wire.Version{Number: 1}, "service shop: health /healthz # w: y\nroute shop # w: y")
-	must.NoError(t, err)
-	p := newProber(table, pool, options{}, isolation.New(pool.CanConnect, &route.Views{}), hclog.NewNullLogger())
-	report = p.probe(route.NewMember(instance.New("i", "shop", "i:1"), &route.Load{}))
+	report = shopProber(t, pool, options{}).probe(route.NewMember(instance.New("i", "shop", "i:1"), &route.Load{}))
 	pool.Close()
 	<-ended
 	open, _ := pool.Links("i:1")
@@ -55,6 +53,14 @@
 	return report, bytes.Load()
 }
 
+// shopProber returns a prober of the service shop.
+func shopProber(t *testing.T, pool *upstream.Pool, o options) *prober {
+	table := rules.NewTable()
+	_, err := table.Advance(&wire.Version{Number: 1}, "service shop: health /healthz # w: y\nroute shop # w: y")
+	must.NoError(t, err)
+	return newProber(table, pool, o, isolation.New(pool.CanConnect, &route.Views{}), hclog.NewNullLogger())
+}
+
 func TestProbeOfEndlessBytesFailsInTime(t *testing.T) {
 	piece := strings.Repeat("a", 1000)
 	tests := map[string]struct{ start, piece string }{
@@ -88,3 +94,57 @@
 		must.True(t, report.Healthy)
 	})
 }
+
+// Guards against load, health and warm-up that are taken from a response of another instance at the
+// address, or from a late response to a request on the same link.
+func TestProbeTakesNothingFromTheResponseOfAnotherInstance(t *testing.T) {
+	dialect := &caller.Dialect{InstanceID: "Sender", Warmup: "Warmup", Load: func(h http.Header) (caller.LoadReport, bool) {
+		return caller.LoadReport{Requests: len(h.Get("Load"))}, h.Get("Load") != ""
+	}}
+	responses := map[string]string{
+		"own":           "Sender: i\r\n",
+		"other":         "Sender: j\r\n",
+		"to a request":  "Request-Id: 7\r\n",
+		"empty":         "Sender:\r\n",
+		"own and other": "Sender: i\r\nSender: j\r\n",
+	}
+	for name, header := range responses {
+		for _, used := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/used link %t", name, used), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					const statement = "Load: 1\r\nWarmup: 900\r\nContent-Length: 0\r\n\r\n"
+					pool := upstream.NewPool(upstream.WithDial(func(context.Context, string) (net.Conn, error) {
+						ours, theirs := net.Pipe()
+						go func() {
+							defer func() { _ = theirs.Close() }()
+							for r, first := bufio.NewReader(theirs), used; ; first = false {
+								if _, err := http.ReadRequest(r); err != nil {
+									return
+								}
+								if first {
+									_, _ = io.WriteString(theirs, "HTTP/1.1 200 OK\r\nSender: i\r\n"+statement)
+									continue
+								}
+								_, _ = io.WriteString(theirs, "HTTP/1.1 200 OK\r\n"+header+statement)
+							}
+						}()
+						return ours, nil
+					}))
+					defer pool.Close()
+					p := shopProber(t, pool, options{dialect: dialect})
+					member := route.NewMember(instance.New("i", "shop", "i:1"), &route.Load{})
+					if used {
+						must.True(t, p.probe(member).HasLoad)
+					}
+					want := route.ProbeReport{}
+					if name == "own" {
+						want = route.ProbeReport{Answered: true, Healthy: true, HasLoad: true, Requests: 1, Warmup: route.NewWarmup(900 * time.Millisecond)}
+					}
+					must.EqOp(t, want, p.probe(member))
+					open, _ := pool.Links("i:1")
+					must.Eq(t, name == "own", open == 1)
+				})
+			})
+		}
+	}
+}
