entry/caller: never forward an instance's outcome header on the platform

What callers would see: "not run" for a request that an instance had run, if it came through another entry host and the instance sent Snipebeam-Outcome.

Cause: the header was taken out of a response only if this host took the request for a relayed one. It does not while it lacks the key of the other host, as during a change of keys, and the other host then read the instance's header as this host's statement.

Change: in a dialect without outcome headers it is never forwarded.

Evidence: TestOutcomeHeaderOfAnInstanceIsNotThatOfTheRelayingHost fails before the change with keys that differ (500 in place of 200) and passes after it, with one key both times. The tests of entry/caller pass.

--- a/entry/caller/identity_test.go
+++ b/entry/caller/identity_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/snipebeam/snipebeam/entry/caller"
 	"github.com/snipebeam/snipebeam/entry/upstream"
+	"github.com/snipebeam/snipebeam/world/key"
 	"github.com/snipebeam/snipebeam/world/outcome"
 )
 
@@ -164,3 +165,23 @@
 	}
 	must.Zero(t, arrivals.Load())
 }
+
+// Guards against a header of an instance that is taken for the outcome that another entry host
+// states: the instance has run the request.
+func TestOutcomeHeaderOfAnInstanceIsNotThatOfTheRelayingHost(t *testing.T) {
+	for name, keys := range map[string][2]string{"same key": {"a", "a"}, "keys that differ while they are replaced": {"a", "b"}} {
+		t.Run(name, func(t *testing.T) {
+			instance := httpInstance(t, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+				w.Header().Set(outcome.Header, string(outcome.NotRun))
+			})
+			withKey := func(k string) option { return func(cfg *caller.Config) { cfg.PeerKeys = key.New(k) } }
+			relay := &fakeRelay{hosts: []string{serveEntry(t, newEntry(t, viewsOf(instance), newClaims(), identified, withKey(keys[0])))}}
+			relay.isolated.Store(true)
+			host := serveEntry(t, newEntry(t, viewsOf(instance), newClaims(), identified, withKey(keys[1]), withRelay(relay)))
+			got := call(t, http.MethodPost, host, "/order", "5", "Request-Id", ownID)
+			must.Eq(t, http.StatusOK, got.status)
+			must.Eq(t, "", got.outcome())
+		})
+	}
+}
--- a/entry/caller/response.go
+++ b/entry/caller/response.go
@@ -149,12 +149,11 @@
 	if connection != nil {
 		c.w.Header()["Connection"] = connection
 	}
-	if c.relayed && !c.dialect.Outcomes { // the other host reads it as this host's
-		c.w.Header().Del(outcome.Header)
-	}
 	if c.dialect.Outcomes {
 		c.w.Header().Set(outcome.Header, string(outcome.Answer))
 		c.w.Header().Set(outcome.DecisionHeader, c.id)
+	} else {
+		c.w.Header().Del(outcome.Header) // a host that relays reads it as this host's
 	}
 	c.extendWriteDeadline()
 	c.headerSent = true
