control/disk: make durable what an earlier process wrote before relying on it

What could happen: a control host is killed between a write of its log and the sync. The next process reads the record, and answers with the vote or the entry in it. A loss of power then takes the record away: the host votes twice in a term, or an acknowledged configuration is gone.

Cause: bytes that a killed process wrote are read from the operating system whether or not they are on the disk. The log was read without a sync of its last file; only a torn tail was synced.

Change: the last file of the log is synced before it is read. Earlier files were synced before the next one was begun.

Evidence: TestWhatAProcessFoundOutlivesALossOfPower cuts a write at each step, kills the process, opens the folder, takes what is not synced and opens it again. Before the change it fails at the second step (vote of term 2 found, of term 1 kept); after it, it passes. The tests of control pass.

--- a/control/disk/load.go
+++ b/control/disk/load.go
@@ -121,11 +121,16 @@
 	if seg.first != s.sequence+1 {
 		return &CorruptionError{file: seg.name, reason: errors.Errorf("record %d should come first: a segment is missing", s.sequence+1).Error()}
 	}
+	last := n == len(s.segments)-1
+	if last && repair {
+		if err := s.syncFile(seg.name); err != nil {
+			return err
+		}
+	}
 	data, err := s.readFile(seg.name)
 	if err != nil {
 		return err
 	}
-	last := n == len(s.segments)-1
 	offset := 0
 	for offset < len(data) {
 		rec, ok := parseRecord(data[offset:])
@@ -152,6 +157,20 @@
 	return s.truncateTail(seg.name, int64(offset), repair)
 }
 
+// syncFile makes durable what an earlier process wrote to a file and did not sync before it was
+// killed: this process is about to rely on it.
+func (s *Store) syncFile(name string) error {
+	file, err := s.folder.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "open "+name)
+	}
+	err = file.Sync()
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Wrap(err, "sync "+name)
+}
+
 func (s *Store) truncateTail(name string, size int64, repair bool) error {
 	if !repair {
 		return nil
--- a/control/disk/power_test.go
+++ b/control/disk/power_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"github.com/snipebeam/snipebeam/control/disk"
 	"github.com/snipebeam/snipebeam/control/disk/memory"
 	"github.com/snipebeam/snipebeam/world/wire"
 )
@@ -24,3 +25,28 @@
 		must.Eq(t, 10, len(saved.Entries))
 	}
 }
+
+// Guards against a process that acts on what an earlier one, which was killed before its sync, left
+// in the folder, and that a loss of power takes away afterwards.
+func TestWhatAProcessFoundOutlivesALossOfPower(t *testing.T) {
+	const maxChanges = 20
+	operations := map[string]func(s *disk.Store) error{
+		"write": func(s *disk.Store) error { return s.Write(&wire.SavedVote{Term: 2}, entries(2, 6, 7)) },
+	}
+	for name, run := range operations {
+		for cut := range maxChanges {
+			folder := memory.New()
+			s := newStore(t, folder)
+			must.NoError(t, s.Write(&wire.SavedVote{Term: 1}, entries(1, 1, 2, 3, 4, 5)))
+			folder.StopAfter(cut)
+			_ = run(s)
+			folder.Kill()
+			s, found := reopen(t, folder)
+			group := s.Identity().GetGroup()
+			folder.LosePower(func(int) int { return 0 }, func(string) bool { return false })
+			s, kept := reopen(t, folder)
+			must.Eq(t, modelOf(found).String(), modelOf(kept).String(), must.Sprintf("%s, cut before change %d", name, cut))
+			must.Eq(t, group, s.Identity().GetGroup(), must.Sprintf("%s, cut before change %d", name, cut))
+		}
+	}
+}
