control/disk: make the names of files durable before relying on them

One more lost disk, and the acknowledged configuration is gone.

Change: the folder is synced when it is loaded, before its files are read.

--- a/control/disk/cut_test.go
+++ b/control/disk/cut_test.go
@@ -127,8 +127,9 @@
 
 const cutSegment = 150
 
-// Guards against a folder that does not open, or has lost or mixed up what was written, after
-// the process was killed or the power failed between any two changes of its files.
+// Guards against a folder that does not open, or has lost or mixed up what was written or what an
+// earlier process found, after kills and losses of power in any order, each between any two changes
+// of its files.
 func TestStoreSurvivesACutBetweenAnyTwoChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 12).Draw(t, "steps")
@@ -145,11 +146,12 @@
 // whether there was one.
 func runCut(t *rapid.T, steps []step, cut int, random *rand.Rand) bool {
 	folder := memory.New()
-	end := folder.Kill
-	if random.IntN(2) == 0 {
-		end = func() {
-			folder.LosePower(func(unsynced int) int { return random.IntN(unsynced + 1) }, func(string) bool { return random.IntN(2) == 0 })
+	end := func() {
+		if random.IntN(2) == 0 {
+			folder.Kill()
+			return
 		}
+		folder.LosePower(func(unsynced int) int { return random.IntN(unsynced + 1) }, func(string) bool { return random.IntN(2) == 0 })
 	}
 	folder.StopAfter(cut)
 	held := model{}
--- a/control/disk/load.go
+++ b/control/disk/load.go
@@ -41,6 +41,10 @@
 		if err := s.removeTemporary(); err != nil {
 			return quorum.PersistentState{}, err
 		}
+		// An earlier process may have been killed between a rename and this sync.
+		if err := s.folder.Sync(); err != nil {
+			return quorum.PersistentState{}, errors.Wrap(err, "sync data folder")
+		}
 	}
 	snapshot, err := s.Snapshot()
 	if err != nil {
--- a/control/disk/power_test.go
+++ b/control/disk/power_test.go
@@ -31,7 +31,10 @@
 func TestWhatAProcessFoundOutlivesALossOfPower(t *testing.T) {
 	const maxChanges = 20
 	operations := map[string]func(s *disk.Store) error{
-		"write": func(s *disk.Store) error { return s.Write(&wire.SavedVote{Term: 2}, entries(2, 6, 7)) },
+		"write":            func(s *disk.Store) error { return s.Write(&wire.SavedVote{Term: 2}, entries(2, 6, 7)) },
+		"snapshot":         func(s *disk.Store) error { return s.SaveSnapshot(&wire.LogSnapshot{Index: 5, Term: 1}) },
+		"install snapshot": func(s *disk.Store) error { return s.InstallSnapshot(&wire.LogSnapshot{Index: 9, Term: 2}) },
+		"join group":       func(s *disk.Store) error { return s.JoinGroup("g") },
 	}
 	for name, run := range operations {
 		for cut := range maxChanges {
