control: a host with a damaged data folder joins as a new replica

Change: with quorum.seeds, where the leader maintains the membership, such a host renames the files to damaged-* and creates a replica with a new identity, without the log and the vote of the old one. Only the files of the last damaged replica are kept. Errors of reading, a folder in use and hosts whose membership operators maintain are as before.

Evidence: TestDamagedReplicaIsSetAsideWhole interrupts the renaming at each step by a kill and by a loss of power; TestHostWithADamagedFolderJoinsAsANewReplica has it become a voter without its old identity, and then loses another disk.

--- a/control/disk/disk.go
+++ b/control/disk/disk.go
@@ -19,6 +19,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -110,7 +111,7 @@
 		}
 		// Files of an interrupted creation: the identity is written last, so
 		// without one no replica has used them.
-		if name != lockName {
+		if name != lockName && !strings.HasPrefix(name, AsidePrefix) {
 			if err := s.folder.Remove(name); err != nil {
 				return errors.Wrap(err, "clear data folder")
 			}
--- a/control/disk/load.go
+++ b/control/disk/load.go
@@ -1,31 +1,14 @@
 package disk
 
 import (
+	"fmt"
+
 	"github.com/pkg/errors"
 	"github.com/snipebeam/snipebeam/control/quorum"
 	"github.com/snipebeam/snipebeam/world/wire"
 	"google.golang.org/protobuf/proto"
 )
 
-// CorruptionError reports a corrupt record or a missing segment. A torn write at
-// the end of the log is not an error.
-type CorruptionError struct {
-	file   string
-	offset int
-	reason string
-}
-
-// Error describes the corruption with file and offset.
-func (e *CorruptionError) Error() string {
-	return errors.Errorf("file %s is damaged at offset %d: %s", e.file, e.offset, e.reason).Error()
-}
-
-// File returns the corrupt file's name.
-func (e *CorruptionError) File() string { return e.file }
-
-// Offset returns the offset of the corruption.
-func (e *CorruptionError) Offset() int { return e.offset }
-
 // replay is the state that results from replaying the records of the log.
 type replay struct {
 	vote    *wire.SavedVote
@@ -90,7 +73,7 @@
 	}
 	identity := &wire.ReplicaIdentity{}
 	if err := proto.Unmarshal(r.payload, identity); err != nil {
-		return errors.Wrap(err, "decode identity")
+		return &CorruptionError{file: identityName, reason: err.Error()}
 	}
 	s.identity.Store(identity)
 	return nil
@@ -107,7 +90,7 @@
 		}
 	}
 	if len(s.segments) == 0 {
-		return errors.New("the data folder has an identity but no log: files are missing")
+		return &MissingError{reason: "the data folder has an identity but no log"}
 	}
 	s.sequence = s.segments[0].first - 1
 	for n := range s.segments {
@@ -266,7 +249,7 @@
 	}
 	index, first := snapshot.GetIndex(), r.entries[0].GetIndex()
 	if first > index+1 {
-		return nil, errors.Errorf("the log starts at entry %d, the snapshot ends at %d: files are missing", first, index)
+		return nil, &MissingError{reason: fmt.Sprintf("the log starts at entry %d, the snapshot ends at %d", first, index)}
 	}
 	if index-first+1 > uint64(len(r.entries)) {
 		return nil, nil
--- a/control/disk/snapshot.go
+++ b/control/disk/snapshot.go
@@ -100,7 +100,10 @@
 		return nil, err
 	}
 	snapshot, err := DecodeSnapshot(data)
-	return snapshot, errors.Wrapf(err, "snapshot %s is damaged at offset 0", name)
+	if err != nil {
+		return nil, &CorruptionError{file: name, reason: err.Error()}
+	}
+	return snapshot, nil
 }
 
 // removeTemporary removes the temporary files of interrupted writes.
--- a/control/host/quorum.go
+++ b/control/host/quorum.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"github.com/snipebeam/snipebeam/control/agreement"
 	"github.com/snipebeam/snipebeam/control/disk"
@@ -16,6 +17,8 @@
 	"go.uber.org/fx"
 )
 
+var damagedFolders = metrics.GetOrCreateCounter("snipebeam_control_damaged_folders_total")
+
 // replicaStore is the store of this host's replica, and the persistent state that
 // its data folder contained at startup.
 type replicaStore struct {
@@ -23,12 +26,19 @@
 	persisted quorum.PersistentState
 }
 
-func newReplicaStore(cfg *settings.Settings) (*replicaStore, error) {
+// newReplicaStore opens the store of the data folder. Where the leader maintains the membership, a
+// replica with a damaged folder is replaced by a new one, which joins the group without an operator.
+func newReplicaStore(cfg *settings.Settings, logger hclog.Logger) (*replicaStore, error) {
 	folder, err := disk.NewOSFolder(cfg.Data.Folder)
 	if err != nil {
 		return nil, err
 	}
 	store, saved, err := peer.OpenStore(folder, cfg.Host.Name)
+	if disk.IsDamaged(err) && cfg.Quorum.Voters() > 0 {
+		damagedFolders.Inc()
+		logger.Error("the data folder is damaged, this control host joins the group as one without data", "folder", cfg.Data.Folder, "error", err, "setAsideAs", disk.AsidePrefix+"*")
+		store, saved, err = peer.ReplaceStore(folder, cfg.Host.Name)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/control/peer/bootstrap.go
+++ b/control/peer/bootstrap.go
@@ -25,6 +25,15 @@
 	return store, quorum.PersistentState{}, err
 }
 
+// ReplaceStore sets the files of a damaged replica aside and creates a store with a new identity.
+// The replica has neither the log nor the vote of the old one, as after the loss of its disk.
+func ReplaceStore(folder disk.Folder, name string) (*disk.Store, quorum.PersistentState, error) {
+	if err := disk.SetAside(folder); err != nil {
+		return nil, quorum.PersistentState{}, err
+	}
+	return OpenStore(folder, name)
+}
+
 // formGroup bootstraps the group if this host is the first of the initial hosts
 // and none of them belongs to a group yet. All of them must respond: a host with
 // an empty disk, whatever its name, must never form a second group beside one
