control/peer: a new leader removes no voter before it knows which ones answer

Cause: a leader begins with all members taken for reachable. With two identities at one address it could not tell which is gone, and removed the voter that was added last.

Change: the leader knows which members have answered since it became the leader. The one that has not answered is replaced if the other one at its address has, and of surplus voters none is removed before each has answered or has been silent for an election timeout.

TestNewLeaderRemovesNoVoterBeforeItKnowsWhichOnesAnswer fails before the change ("remove d" where nothing may be removed) and passes after it; the tests of control/peer, quorum and schedule pass.

--- a/control/peer/reconciler.go
+++ b/control/peer/reconciler.go
@@ -66,7 +66,8 @@
 // memberState is the state of a member as observed by the leader.
 type memberState struct {
 	member    *wire.Member
-	reachable bool
+	reachable bool   // not silent for an election timeout, with which a new leader begins
+	answered  bool   // since this replica became the leader
 	match     uint64 // last index of the log that is durable on it
 	replaced  bool   // its address is used by a replica with another identity
 }
@@ -103,7 +104,8 @@
 			m.replaced = m.replaced || !m.reachable && c.member.GetAddress() == m.member.GetAddress() && c.member.GetIdentity() != id
 		}
 		for _, other := range members {
-			m.replaced = m.replaced || !m.reachable && other.reachable && other.member.GetAddress() == m.member.GetAddress() && other.member.GetIdentity() != id
+			sameAddress := other.member.GetAddress() == m.member.GetAddress() && other.member.GetIdentity() != id
+			m.replaced = m.replaced || sameAddress && (!m.reachable && other.reachable || !m.answered && other.answered && other.reachable)
 		}
 	}
 	r.updateLeaving(members, now)
@@ -191,10 +193,15 @@
 
 // surplusVoter returns the voter to remove if none has failed: the one that has been
 // unreachable the longest, so that the remaining ones answer, else the one that was
-// added last. It is never the leader.
+// added last. It is never the leader. A new leader removes none before it knows which ones answer.
 func (r *reconciler) surplusVoter(self string, members []memberState, now time.Time) *wire.Member {
 	var surplus *wire.Member
 	longest := time.Duration(-1)
+	for _, m := range members {
+		if m.member.GetRole() == quorum.Voter && m.reachable && !m.answered {
+			return nil
+		}
+	}
 	for _, m := range slices.Backward(members) { // members are in the order in which they were added
 		if m.member.GetRole() != quorum.Voter || m.member.GetIdentity() == self {
 			continue
@@ -238,7 +245,7 @@
 	var states []memberState
 	for _, m := range n.replica.Members() {
 		match, active := n.replica.MatchIndex(m.GetIdentity())
-		states = append(states, memberState{member: m, reachable: active, match: match})
+		states = append(states, memberState{member: m, reachable: active, answered: n.replica.HasAnswered(m.GetIdentity()), match: match})
 	}
 	return states
 }
--- a/control/peer/reconciler_test.go
+++ b/control/peer/reconciler_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -10,7 +11,7 @@
 )
 
 func memberAt(identity, address, role string, reachable bool) memberState {
-	return memberState{member: &wire.Member{Identity: identity, Address: address, Name: address, Role: role}, reachable: reachable}
+	return memberState{member: &wire.Member{Identity: identity, Address: address, Name: address, Role: role}, reachable: reachable, answered: reachable}
 }
 
 // nextChange returns the change that the reconciler requests after the members have
@@ -131,3 +132,34 @@
 		must.Eq(t, test.want, change.kind+" "+change.member.GetIdentity())
 	}
 }
+
+// Guards against a new leader that removes the voter that has just replaced one with a lost disk, as
+// it takes both for reachable before either could answer.
+func TestNewLeaderRemovesNoVoterBeforeItKnowsWhichOnesAnswer(t *testing.T) {
+	for _, test := range []struct {
+		silent   bool     // the lost one has been silent for an election timeout
+		answered []string // besides the leader
+		want     string
+	}{
+		{false, nil, ""},
+		{false, []string{"b"}, ""},
+		{false, []string{"d"}, ChangeRemove + " c"},
+		{true, []string{"b"}, ChangeRemove + " c"},
+	} {
+		r := newReconciler(3)
+		members := append(threeVoters(!test.silent), memberAt("d", "3", quorum.Voter, true))
+		for n := range members[1:] {
+			members[n+1].answered = slices.Contains(test.answered, members[n+1].member.GetIdentity())
+		}
+		must.Eq(t, test.want, nextChange(&r, 0, members...), must.Sprint(test))
+	}
+}
+
+// Guards against the removal of a replica that has just joined after the loss of a disk, because
+// the one before it at the same address has answered this leader.
+func TestReplicaThatHasNotAnsweredYetIsNotTakenForTheLostOne(t *testing.T) {
+	lost, successor := memberAt("c", "3", quorum.Voter, false), memberAt("d", "3", quorum.Learner, true)
+	lost.answered, successor.answered = true, false
+	r := newReconciler(3)
+	must.Eq(t, ChangePromote+" d", nextChange(&r, 0, append(threeVoters(true)[:2], lost, successor)...))
+}
--- a/control/quorum/leader.go
+++ b/control/quorum/leader.go
@@ -129,7 +129,7 @@
 	if r.role != Leader || p == nil {
 		return
 	}
-	p.ticksSinceAnswer = 0
+	p.ticksSinceAnswer, p.answered = 0, true
 	p.round = max(p.round, m.GetRound())
 	if m.GetReject() {
 		p.reject(m.GetIndex(), m.GetHint())
--- a/control/quorum/members.go
+++ b/control/quorum/members.go
@@ -143,6 +143,15 @@
 	return 0, false
 }
 
+// HasAnswered reports whether a member has answered since this replica became the leader.
+func (r *Replica) HasAnswered(id string) bool {
+	if id == r.id {
+		return true
+	}
+	p := r.peers[id]
+	return p != nil && p.answered
+}
+
 // AddLearner proposes to add a member that replicates the log without a vote.
 func (r *Replica) AddLearner(m *wire.Member) (index, term uint64, err error) {
 	if r.members.member(m.GetIdentity()) != nil {
--- a/control/quorum/progress.go
+++ b/control/quorum/progress.go
@@ -20,6 +20,7 @@
 	state            progressState
 	probeSent        bool // a probe is in flight
 	ticksSinceAnswer int  // ticks since the last append answer
+	answered         bool // there was one
 	round            uint64
 	sentCommit       uint64
 	heartbeatDue     bool // a heartbeat is due
