control: initial hosts remember that they are, so that kills do not keep a group from forming

Cause: only the first initial host formed the group, and only in the process that was started with bootstrap = true. The next process of the host did not know of it and waited to be added; the others waited for it.

Change: a replica that is created as an initial host has the addresses of all of them in its identity until it joins a group. The group is formed by the first host that knows that it is an initial one, if all initial hosts respond, none belongs to a group and a majority know it. The forming runs beside the replica, so that a host that waits takes part as soon as another one has formed the group.

--- a/control/host/quorum.go
+++ b/control/host/quorum.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store, saved, err := peer.OpenStore(folder, cfg.Host.Name)
+	store, saved, err := peer.OpenStore(folder, cfg.Host.Name, firstStartSeeds(cfg)...)
 	if disk.IsDamaged(err) && cfg.Quorum.Voters() > 0 {
 		damagedFolders.Inc()
 		logger.Error("the data folder is damaged, this control host joins the group as one without data", "folder", cfg.Data.Folder, "error", err, "setAsideAs", disk.AsidePrefix+"*")
--- a/control/host/seeds.go
+++ b/control/host/seeds.go
@@ -39,6 +39,16 @@
 	return slices.Compact(all)
 }
 
+// firstStartSeeds returns the addresses of the initial hosts at the first start of the whole system,
+// if this host is one of them.
+func firstStartSeeds(cfg *settings.Settings) []string {
+	all := seedAddresses(cfg)
+	if !cfg.Quorum.Bootstrap || !slices.Contains(all, cfg.Listen.Peers) {
+		return nil
+	}
+	return all
+}
+
 // seedHosts returns the initial membership: the seeds, of which the first in
 // sort order bootstraps the group. Without the bootstrap setting there is no
 // initial membership, and a replica that is not a member requests to join.
--- a/control/peer/bootstrap.go
+++ b/control/peer/bootstrap.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"strings"
 
 	"github.com/google/uuid"
@@ -14,13 +15,14 @@
 )
 
 // OpenStore opens the store of a data folder. In an empty folder it creates one
-// with a new identity.
-func OpenStore(folder disk.Folder, name string) (*disk.Store, quorum.PersistentState, error) {
+// with a new identity. initialHosts are the addresses of the initial hosts at the first start of the
+// whole system, of which this host is one, else none.
+func OpenStore(folder disk.Folder, name string, initialHosts ...string) (*disk.Store, quorum.PersistentState, error) {
 	store, saved, err := disk.Open(folder)
 	if !errors.Is(err, disk.ErrEmpty) {
 		return store, saved, err
 	}
-	identity := &wire.ReplicaIdentity{Identity: uuid.NewString(), Name: name}
+	identity := &wire.ReplicaIdentity{Identity: uuid.NewString(), Name: name, InitialHosts: initialHosts}
 	store, err = disk.Create(folder, identity)
 	return store, quorum.PersistentState{}, err
 }
@@ -34,51 +36,86 @@
 	return OpenStore(folder, name)
 }
 
-// formGroup bootstraps the group if this host is the first of the initial hosts
-// and none of them belongs to a group yet. All of them must respond: a host with
-// an empty disk, whatever its name, must never form a second group beside one
-// that still has a member.
-func (n *Node) formGroup(ctx context.Context) error {
-	if n.store.Identity().GetGroup() != "" {
-		return nil
+// initialHosts returns the initial membership: the configured one, or the one with which the replica
+// was created, if the process was restarted before there was a group.
+func initialHosts(cfg Config, identity *wire.ReplicaIdentity) []Host {
+	if len(cfg.InitialHosts) > 0 || identity.GetGroup() != "" {
+		return cfg.InitialHosts
 	}
-	if len(n.cfg.InitialHosts) == 0 || n.cfg.InitialHosts[0].Name != n.cfg.Name {
-		n.logger.Info("waiting to be added to a control group", "identity", n.replica.ID())
-		return nil
+	var hosts []Host
+	for _, address := range identity.GetInitialHosts() {
+		host := Host{Address: address}
+		if address == cfg.Address {
+			host.Name = cfg.Name
+		}
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+// formGroup bootstraps the group if none of the initial hosts belongs to one yet and this host is the
+// first of those that know that they are initial hosts. All of them must respond, and a majority
+// must know it: a host with an empty disk, whatever its name, must never form a second group beside
+// one that still has a member. A group commits nothing before a majority of the initial hosts has
+// joined it, and a host that has joined one, or has lost its disk since, does not count.
+func (n *Node) formGroup(ctx context.Context) {
+	self := n.store.Identity()
+	if self.GetGroup() != "" {
+		return
+	}
+	if !slices.ContainsFunc(n.cfg.InitialHosts, func(h Host) bool { return h.Name == n.cfg.Name }) {
+		n.logger.Info("waiting to be added to a control group", "identity", self.GetIdentity())
+		return
 	}
 	n.logger.Info("waiting for all initial control hosts to respond", "hosts", len(n.cfg.InitialHosts))
 	for ctx.Err() == nil && n.store.Identity().GetGroup() == "" {
-		members, formed := n.collectMembers(ctx)
-		if formed {
-			n.logger.Warn("a control group already exists; this replica must be added to it", "identity", n.replica.ID())
-			return nil
+		found := n.findInitialHosts(ctx)
+		if found.formed {
+			n.logger.Info("a control group already exists; this replica waits for its messages or to be added", "identity", self.GetIdentity())
+			return
 		}
-		if len(members) == len(n.cfg.InitialHosts) {
-			return n.bootstrap(members)
+		if len(found.members) == len(n.cfg.InitialHosts) && found.isFirst && 2*found.initial > len(found.members) {
+			n.do(ctx, func() {
+				if err := n.bootstrap(found.members); err != nil {
+					n.fail(err)
+				}
+			})
 		}
 		pause.For(ctx, n.cfg.electionTimeout())
 	}
-	return nil
 }
 
-// collectMembers requests the identity of every initial host. It reports whether
-// one of them already belongs to a group.
-func (n *Node) collectMembers(ctx context.Context) (members []*wire.Member, formed bool) {
+// initialGroup is what the initial hosts say of themselves.
+type initialGroup struct {
+	members []*wire.Member
+	initial int  // members that know that they are initial hosts
+	isFirst bool // this host is the first of them
+	formed  bool // a host belongs to a group already
+}
+
+// findInitialHosts requests the identity of every initial host, up to one that does not respond or
+// belongs to a group.
+func (n *Node) findInitialHosts(ctx context.Context) initialGroup {
+	var g initialGroup
 	for _, host := range n.cfg.InitialHosts {
-		identity, name := n.store.Identity().GetIdentity(), host.Name
+		identity, name, initial := n.store.Identity().GetIdentity(), host.Name, true
 		if host.Name != n.cfg.Name {
 			response, err := n.hello(ctx, host.Address)
 			if err != nil {
-				return nil, false
+				return initialGroup{}
 			}
 			if response.GetGroup() != "" {
-				return nil, true
+				return initialGroup{formed: true}
 			}
-			identity, name = response.GetIdentity(), response.GetName()
+			identity, name, initial = response.GetIdentity(), response.GetName(), !response.GetWaitsToBeAdded()
+		}
+		if initial {
+			g.isFirst = g.isFirst || g.initial == 0 && host.Name == n.cfg.Name
+			g.initial++
 		}
-		members = append(members, &wire.Member{Name: name, Address: host.Address, Role: quorum.Voter, Identity: identity})
+		g.members = append(g.members, &wire.Member{Name: name, Address: host.Address, Role: quorum.Voter, Identity: identity})
 	}
-	return members, false
+	return g
 }
 
 func (n *Node) hello(ctx context.Context, address string) (*wire.HelloResponse, error) {
--- a/control/peer/group_test.go
+++ b/control/peer/group_test.go
@@ -101,9 +101,15 @@
 }
 
 // start runs a node on the host's folder.
-func (g *group) start(h *host) {
-	store, saved, err := peer.OpenStore(h.folder, h.name)
-	must.NoError(g.t, err)
+func (g *group) start(h *host) { must.NoError(g.t, g.tryStart(h)) }
+
+// tryStart is start, in an empty folder as one of the given initial hosts. It returns the error
+// of opening the folder.
+func (g *group) tryStart(h *host, initialHosts ...string) error {
+	store, saved, err := peer.OpenStore(h.folder, h.name, initialHosts...)
+	if err != nil {
+		return err
+	}
 	h.store, h.machine = store, state.New()
 	h.node, err = peer.New(peer.Config{
 		Name: h.name, Address: h.address(), InitialHosts: g.initialHosts(), Seeds: g.seeds, Voters: g.voters, Tick: g.tick, ElectionTicks: g.electionTicks(), HeartbeatTicks: 3,
@@ -128,6 +134,7 @@
 		_ = store.Close()
 	}
 	g.t.Cleanup(func() { h.stop() })
+	return nil
 }
 
 // loseDisk stops a host and replaces its disk by an empty one.
--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -41,7 +41,7 @@
 type Config struct {
 	Name           string
 	Address        string          // of the peers listener, as other hosts reach it
-	InitialHosts   []Host          // initial membership; the first host bootstraps the group
+	InitialHosts   []Host          // initial membership; the first host that is up bootstraps the group
 	Seeds          func() []string // current addresses to send join requests to; nil: wait to be added
 	Voters         int             // number that the leader maintains, 0 to leave the membership to operators
 	Tick           time.Duration
@@ -118,6 +118,7 @@
 	if cfg.OperatorClient == nil {
 		cfg.OperatorClient = cfg.Client
 	}
+	cfg.InitialHosts = initialHosts(cfg, store.Identity())
 	n := &Node{
 		cfg: cfg, store: store, machine: machine, logger: cfg.Logger.Named("quorum"),
 		work: make(chan func(), workQueueLength), stopped: make(chan struct{}),
@@ -174,9 +175,7 @@
 		go n.reconcileMembership(ctx)
 		go n.joinGroup(ctx)
 	}
-	if err := n.formGroup(ctx); err != nil {
-		n.fail(err)
-	}
+	go n.formGroup(ctx)
 	ticker := time.NewTicker(n.cfg.Tick)
 	defer ticker.Stop()
 	for n.failure() == nil || n.takePartAgain(ctx) {
--- a/control/peer/service.go
+++ b/control/peer/service.go
@@ -60,7 +60,10 @@
 // Hello returns the name, identity and group of this replica.
 func (s *Service) Hello(context.Context, *wire.HelloRequest) (*wire.HelloResponse, error) {
 	self := s.node.store.Identity()
-	return &wire.HelloResponse{Name: s.node.cfg.Name, Identity: self.GetIdentity(), Group: self.GetGroup()}, nil
+	return &wire.HelloResponse{
+		Name: s.node.cfg.Name, Identity: self.GetIdentity(), Group: self.GetGroup(),
+		WaitsToBeAdded: self.GetGroup() == "" && len(s.node.cfg.InitialHosts) == 0,
+	}, nil
 }
 
 // Forward proposes a command that another control host received.
