entry/caller: relays together stay within the attempts of the rule

Cause: a host that relays told the next host how many instances may have run the request at itself only. What ran at the hosts before was not counted, neither for the next host nor for another relay.

Change: an outcome of the host that a request was relayed to states how many instances may have run it there (one at least if the host is lost or of an earlier build). They count for the next host, and no further relay follows once the attempts of the rule are used up.

Evidence: TestAttemptsOfAllHostsThatRelayAreWithinTheLimitOfTheRule fails before the change, with outcomes of the hosts and with hosts that are lost, and passes after it; the tests of entry pass.

--- a/entry/caller/handler.go
+++ b/entry/caller/handler.go
@@ -334,6 +334,7 @@
 	if c.relayed {
 		c.w.Header().Set(outcome.Header, string(problem.Kind()))
 		c.w.Header().Set(outcome.ReasonHeader, string(problem.Reason()))
+		c.w.Header().Set(RelayedAttemptsHeader, strconv.Itoa(c.ranAttempts))
 	}
 	c.dialect.WriteProblem(c.w, ErrorResponse{Problem: problem, ID: c.id, RetryAfter: c.retryAfter(problem)})
 }
--- a/entry/caller/relay.go
+++ b/entry/caller/relay.go
@@ -22,7 +22,8 @@
 	// RelayKeyHeader holds the key between hosts, without which the caller is not
 	// taken from RelayedForHeader.
 	RelayKeyHeader = "Snipebeam-Relay-Key"
-	// RelayedAttemptsHeader holds the number of instances that may have run the request.
+	// RelayedAttemptsHeader holds the number of instances that may have run the request: before it
+	// is relayed, and in an outcome those at the host that it was relayed to.
 	RelayedAttemptsHeader = "Snipebeam-Relayed-Attempts"
 	// RelayedCountedHeader says that another entry host has counted the request for the
 	// retry budget.
@@ -142,8 +143,9 @@
 	if h.cfg.Relay.Isolated() {
 		most = maxRelays
 	}
+	maxAttempts := c.rule.Contract().Attempts()
 	for n, address := range hosts[:min(len(hosts), maxRelays)] {
-		if n >= most || n > 0 && (c.ctx.Err() != nil || !c.body.replayable() || !h.allowRepeat(c, decision.Relay)) {
+		if n >= most || n > 0 && maxAttempts > 0 && c.ranAttempts >= maxAttempts || n > 0 && (c.ctx.Err() != nil || !c.body.replayable() || !h.allowRepeat(c, decision.Relay)) {
 			break
 		}
 		problem, next := h.relayTo(c, address)
@@ -180,7 +182,9 @@
 		var failure *upstream.Failure
 		c.sent = c.sent || !errors.As(err, &failure) || failure.Wrote()
 		c.exchanges--
-		return c.relayProblem(address, err), true
+		problem := c.relayProblem(address, err)
+		c.countRelayed(problem.Kind(), "")
+		return problem, true
 	}
 	defer exchange.Close()
 	header := exchange.Response().Header
@@ -191,6 +195,7 @@
 		usable = reason != outcome.NoInstance && reason != outcome.HostStopping && reason != outcome.NotReady
 		c.sent = c.sent || kind == outcome.Unknown || reason == outcome.UpstreamRefused || reason == outcome.UpstreamLost
 		c.exchanges--
+		c.countRelayed(kind, header.Get(RelayedAttemptsHeader))
 		c.quotaRetryAfter = relayedRetryAfter(header)
 		return c.problem(kind, reason, "as entry host "+address+" reports"), reason != outcome.Overload && reason != outcome.DeadlineExceeded && reason != outcome.OrganisationRate
 	case outcome.Answer:
@@ -200,6 +205,16 @@
 	return d.forward(exchange), false
 }
 
+// countRelayed counts the instances that may have run the request at the host that it was relayed
+// to: those that the host states, and one at least if it may have run.
+func (c *call) countRelayed(kind outcome.Kind, stated string) {
+	if kind != outcome.Unknown {
+		return
+	}
+	n, _ := strconv.Atoi(stated) // a host of an earlier build states none
+	c.ranAttempts += max(n, 1)
+}
+
 // relayProblem returns the outcome of an exchange with an entry host without a response.
 func (c *call) relayProblem(address string, err error) *outcome.Problem {
 	kind := outcome.Unknown
--- a/entry/caller/relay_test.go
+++ b/entry/caller/relay_test.go
@@ -161,6 +161,37 @@
 	must.One(t, runs.Load()) // the rule allows 2
 }
 
+// Guards against a request that runs on more instances than its rule allows, because each entry host
+// that it is relayed to counts only its own attempts, and those of the others before it are not counted.
+func TestAttemptsOfAllHostsThatRelayAreWithinTheLimitOfTheRule(t *testing.T) {
+	for name, lost := range map[string]bool{"outcome of the host": false, "host is lost": true} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			failing := httpInstance(t, func(http.ResponseWriter, *http.Request) {
+				runs.Add(1)
+				panic(http.ErrAbortHandler)
+			})
+			var others []string
+			for range 3 {
+				e := newEntry(t, viewsOf(failing), newClaims())
+				others = append(others, httpInstance(t, func(w http.ResponseWriter, r *http.Request) {
+					if lost {
+						runs.Add(1)
+						panic(http.ErrAbortHandler)
+					}
+					e.handler.ServeHTTP(w, r)
+				}))
+			}
+			relay := &fakeRelay{hosts: others}
+			relay.isolated.Store(true)
+			host := newEntry(t, viewsOf(failing), newClaims(), withRelay(relay))
+			got := call(t, http.MethodGet, serveEntry(t, host), "/late/x", "")
+			must.Eq(t, outcome.Unknown, got.outcome())
+			must.Eq(t, 2, runs.Load()) // the rule allows 2
+		})
+	}
+}
+
 // Guards against a request that reaches instances through several other hosts, each of
 // which refuses it, although the retry budget is used up.
 func TestRelayAfterARefusalStaysWithinTheBudget(t *testing.T) {
