entry/upstream: the test of a request that is given up gives it up between two keepalive probes

Cause: a link is reset when it is given up if the peer has acknowledged nothing for 100 ms. The test gave up after one second, which is when the first keepalive probe is sent and acknowledged: if the timer is some milliseconds late, the link is healthy and is closed.

Change: the test gives up after 600 ms, where a reset is always wanted.

--- a/entry/upstream/cancel_test.go
+++ b/entry/upstream/cancel_test.go
@@ -126,6 +126,10 @@
 	}
 }
 
+// betweenProbes is a time at which a link has acknowledged nothing lately: keepalive probes are
+// sent, and acknowledged, each second.
+const betweenProbes = 600 * time.Millisecond
+
 // What hung in a network partition reached instances when it ended, long after the requests had
 // their outcome, and counted as repeats.
 func TestRequestThatIsGivenUpIsReset(t *testing.T) {
@@ -146,7 +150,7 @@
 			_ = conn.Close()
 		})
 		pool := upstream.NewPool()
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), betweenProbes)
 		go func() {
 			<-read
 			giveUp(cancel)
