--- a/control/peer/peer.go
+++ b/control/peer/peer.go
@@ -41,7 +41,7 @@
 type Config struct {
 	Name           string
 	Address        string          // of the peers listener, as other hosts reach it
-	InitialHosts   []Host          // initial membership; the first host that is up bootstraps the group
+	InitialHosts   []Host          // initial membership, one of which bootstraps the group
 	Seeds          func() []string // current addresses to send join requests to; nil: wait to be added
 	Voters         int             // number that the leader maintains, 0 to leave the membership to operators
 	Tick           time.Duration
--- a/entry/caller/relay.go
+++ b/entry/caller/relay.go
@@ -143,9 +143,8 @@
 	if h.cfg.Relay.Isolated() {
 		most = maxRelays
 	}
-	maxAttempts := c.rule.Contract().Attempts()
 	for n, address := range hosts[:min(len(hosts), maxRelays)] {
-		if n >= most || n > 0 && maxAttempts > 0 && c.ranAttempts >= maxAttempts || n > 0 && (c.ctx.Err() != nil || !c.body.replayable() || !h.allowRepeat(c, decision.Relay)) {
+		if n >= most || n > 0 && !h.mayRelayAgain(c) {
 			break
 		}
 		problem, next := h.relayTo(c, address)
@@ -164,6 +163,18 @@
 	return c.overall(last)
 }
 
+// mayRelayAgain reports whether the request may be sent to another entry host after one that it was
+// relayed to.
+func (h *Handler) mayRelayAgain(c *call) bool {
+	if c.ctx.Err() != nil || !c.body.replayable() {
+		return false
+	}
+	if maxAttempts := c.rule.Contract().Attempts(); maxAttempts > 0 && c.ranAttempts >= maxAttempts {
+		return false
+	}
+	return h.allowRepeat(c, decision.Relay)
+}
+
 // relayTo sends the request to one entry host and forwards its response. next reports
 // whether another host may do better.
 func (h *Handler) relayTo(c *call, address string) (problem *outcome.Problem, next bool) {
