bench/crowd: requests of callers on the platform have an ID

Each caller on the platform sends an ID, and the crowds must get past the check to load the process as before, so that the ordinary request and all shapes of a crowd have one now. What the tests assert is the same.

--- a/bench/crowd/crowd_test.go
+++ b/bench/crowd/crowd_test.go
@@ -172,11 +172,11 @@
 	needsCrowd(t)
 	s := newSystem(t, true)
 	for name, line := range map[string]string{"shortest lines": "a:\r\n", "long lines": "x-a: " + strings.Repeat("y", 1000) + "\r\n"} {
-		head := "GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+		head := "GET /x HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\nConnection: close\r\n"
 		head += strings.Repeat(line, (16_384-len(head)-len("\r\n"))/len(line)) + "\r\n"
 		must.StrHasPrefix(t, "HTTP/1.1 200 ", exchange(t, s.addresses["callers"], head), must.Sprint(name))
 	}
-	body := "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 67108864\r\n\r\n" + strings.Repeat("y", 67_108_864)
+	body := "POST /x HTTP/1.1\r\nHost: a\r\nRequest-Id: 2\r\nConnection: close\r\nContent-Length: 67108864\r\n\r\n" + strings.Repeat("y", 67_108_864)
 	must.StrHasPrefix(t, "HTTP/1.1 200 ", exchange(t, s.addresses["callers"], body))
 }
 
--- a/bench/crowd/shape.go
+++ b/bench/crowd/shape.go
@@ -20,8 +20,11 @@
 	return string([]byte{letters[n/len(letters)], letters[n%len(letters)]})
 }
 
+// idLine is the ID that each request of a caller on the platform has.
+const idLine = "Request-Id: 1\r\n"
+
 func (t Target) start() string {
-	return t.Method + " " + t.Path + " HTTP/1.1\r\nHost: " + t.Host + "\r\n"
+	return t.Method + " " + t.Path + " HTTP/1.1\r\nHost: " + t.Host + "\r\n" + idLine
 }
 
 // fill appends lines to a head until it has the size, less the empty line that ends it.
--- a/bench/crowd/system_test.go
+++ b/bench/crowd/system_test.go
@@ -204,6 +204,7 @@
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+path, nil)
 	must.NoError(t, err)
 	request.Host = "a"
+	request.Header.Set("Request-Id", "1") // as each caller on the platform does
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, "", err
