--- a/review/third/cmd/firststart/main.go
+++ b/review/third/cmd/firststart/main.go
@@ -15,8 +15,11 @@
 )
 
 const (
-	// lostAfter is the time from the start of the machines to the loss of one of them.
-	lostAfter = 20 * time.Millisecond
+	// othersAfter is the time from the start of the first machine to that of the others. By the pages
+	// all start within 0.3 s of each other.
+	othersAfter = 200 * time.Millisecond
+	// lostAfter is the time from the start of the first machine to its loss.
+	lostAfter = 100 * time.Millisecond
 	// addedAfter is the time from the loss to the start of the successor.
 	addedAfter = time.Second
 	// orderFor is how long the operator repeats the first configuration. By the pages the
@@ -31,15 +34,21 @@
 	members := []*harness.Node{s.Control(1), s.Control(2), s.Control(3)}
 	seeds := harness.Seeds(members...)
 	front := s.Entry(1)
-	for _, n := range append([]*harness.Node{front}, members...) {
+	if err := members[2].Start(seeds, true); err != nil {
+		return false, err
+	}
+	time.Sleep(lostAfter)
+	if trouble {
+		members[2].Kill() // for good
+	}
+	time.Sleep(othersAfter - lostAfter)
+	for _, n := range []*harness.Node{members[0], members[1], front} {
 		if err := n.Start(seeds, true); err != nil {
 			return false, err
 		}
 	}
 	if trouble {
-		time.Sleep(lostAfter)
-		members[2].Kill() // for good
-		time.Sleep(addedAfter)
+		time.Sleep(lostAfter + addedAfter - othersAfter)
 		members[2] = s.Control(4)
 		if err := members[2].Start(harness.Seeds(members...), false); err != nil {
 			return false, err
