--- a/review/third/cmd/leftbehind/main.go
+++ b/review/third/cmd/leftbehind/main.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -19,13 +18,14 @@
 
 const (
 	// Two instances with 3 slots can run 23 requests a second.
-	cycles         = 6
+	cycles         = 4
 	burstSeconds   = 5
 	calmSeconds    = 3
 	burstPerSecond = 38
 	calmPerSecond  = 21
 	work           = 260 * time.Millisecond
-	deadline  = 5 * time.Second
+	deadline       = 5 * time.Second
+	aim            = 2 * time.Second
 	// bodyBytes is the size of a photo.
 	bodyBytes = 60_000
 	// leavePerTen is how many of ten clients leave, and leaveAfter how long after they have sent
@@ -35,18 +35,11 @@
 	// slack is the time that the rule allows after a client has left.
 	slack = 500 * time.Millisecond
 	// few is what the rule calls a few, at most.
-	few = 5
+	few = 10
 )
 
 func main() { os.Exit(harness.Main(run)) }
 
-func withAim(i harness.Item) harness.Item {
-	if v, err := strconv.Atoi(os.Getenv("AIM")); err == nil {
-		i.Spec["targetLatencyMs"] = v
-	}
-	return i
-}
-
 type clients struct {
 	mu       sync.Mutex
 	left     map[string]time.Time
@@ -62,7 +55,9 @@
 			return false, err
 		}
 	}
-	configuration := harness.Configuration(3, harness.Service("photos"), withAim(harness.Route("r-1", "a.example", "/photo/", "upload", "photos", int(deadline.Milliseconds()), 2)), harness.Limits())
+	route := harness.Route("r-1", "a.example", "/photo/", "upload", "photos", int(deadline.Milliseconds()), 2)
+	route.Spec["targetLatencyMs"] = aim.Milliseconds()
+	configuration := harness.Configuration(3, harness.Service("photos"), route, harness.Limits())
 	if _, ok := s.Put(configuration, 20*time.Second, members...); !ok {
 		return false, errors.New("the configuration is not acknowledged")
 	}
@@ -96,17 +91,17 @@
 	c := &clients{left: map[string]time.Time{}, statuses: map[int]int{}}
 	var group sync.WaitGroup
 	n := 0
-	sendFor := func(seconds, perSecond int) {
+	sendFor := func(seconds, perSecond int, leave bool) {
 		for range seconds * perSecond {
 			time.Sleep(time.Second / time.Duration(perSecond))
 			at := n
-			group.Go(func() { c.send(s, fronts[at%2], at, trouble && at%10 < leavePerTen) })
+			group.Go(func() { c.send(s, fronts[at%2], at, leave && at%10 < leavePerTen) })
 			n++
 		}
 	}
 	for range cycles {
-		sendFor(burstSeconds, burstPerSecond)
-		sendFor(calmSeconds, calmPerSecond)
+		sendFor(burstSeconds, burstPerSecond, trouble)
+		sendFor(calmSeconds, calmPerSecond, false)
 	}
 	group.Wait()
 	time.Sleep(deadline)
