--- a/review/third/cmd/nofinalanswer/main.go
+++ b/review/third/cmd/nofinalanswer/main.go
@@ -21,12 +21,15 @@
 	// patience is the clients' deadline.
 	patience = 8 * time.Second
 	// slack is the time that the rule allows after the route's time.
-	slack    = 500 * time.Millisecond
-	requests = 160
-	pause    = 150 * time.Millisecond
-	work     = 160 * time.Millisecond
-	// spoiledOneIn is one in how many answers has no end.
-	spoiledOneIn = 8
+	slack     = 500 * time.Millisecond
+	requests  = 400
+	pause     = 80 * time.Millisecond
+	work      = 160 * time.Millisecond
+	instances = 3
+	// spoiledOneIn is one in how many answers has no end, for spoilFor in each spoilEvery.
+	spoiledOneIn = 6
+	spoilFor     = 5 * time.Second
+	spoilEvery   = 7 * time.Second
 	// leastOpen and leastShare are those of the rule: eight or more, and over a quarter.
 	leastOpen  = 8
 	leastShare = 4
@@ -48,8 +51,9 @@
 		return false, errors.New("the configuration is not acknowledged")
 	}
 	var answered atomic.Int64
-	var instances []*harness.Instance
-	for n := range 3 {
+	began := time.Now()
+	var servers []*harness.Instance
+	for n := range instances {
 		slots := harness.NewSlots(3)
 		i, err := s.StartInstanceWithRoom(fmt.Sprintf("i-%d", n+1), "shop", 15+n, 18_080, slots, members, func(i *harness.Instance, conn net.Conn, r *http.Request, body []byte) bool {
 			id := r.Header.Get("Request-Id")
@@ -59,7 +63,7 @@
 			defer slots.Finish()
 			i.Ran(r, body, false)
 			time.Sleep(work)
-			if trouble && answered.Add(1)%spoiledOneIn == 0 {
+			if trouble && time.Since(began)%spoilEvery < spoilFor && answered.Add(1)%spoiledOneIn == 0 {
 				s.Note("instance %s: %s got %d bytes of a body without end, until the entry host closed", i.ID, id, i.AnswerWithoutEnd(conn, id, http.StatusOK))
 				return false
 			}
@@ -69,10 +73,10 @@
 			return false, err
 		}
 		defer i.Crash()
-		instances = append(instances, i)
+		servers = append(servers, i)
 	}
 	ready := func() bool {
-		for _, i := range instances {
+		for _, i := range servers {
 			if !i.Acknowledged() {
 				return false
 			}
