--- a/review/third/cmd/leftbehind/main.go
+++ b/review/third/cmd/leftbehind/main.go
@@ -18,14 +18,15 @@
 
 const (
 	// Two instances with 3 slots can run 23 requests a second.
-	cycles         = 4
+	cycles         = 5
+	leaveSeconds   = 4 // of a burst, from its begin
 	burstSeconds   = 5
 	calmSeconds    = 3
-	burstPerSecond = 38
+	burstPerSecond = 33
 	calmPerSecond  = 21
 	work           = 260 * time.Millisecond
-	deadline       = 5 * time.Second
-	aim            = 2 * time.Second
+	deadline       = 3 * time.Second
+	aim            = 2 * time.Second // of the route, as the operator sets it
 	// bodyBytes is the size of a photo.
 	bodyBytes = 60_000
 	// leavePerTen is how many of ten clients leave, and leaveAfter how long after they have sent
@@ -100,7 +101,8 @@
 		}
 	}
 	for range cycles {
-		sendFor(burstSeconds, burstPerSecond, trouble)
+		sendFor(leaveSeconds, burstPerSecond, trouble)
+		sendFor(burstSeconds-leaveSeconds, burstPerSecond, false)
 		sendFor(calmSeconds, calmPerSecond, false)
 	}
 	group.Wait()
--- a/review/third/cmd/nofinalanswer/main.go
+++ b/review/third/cmd/nofinalanswer/main.go
@@ -22,12 +22,14 @@
 	patience = 8 * time.Second
 	// slack is the time that the rule allows after the route's time.
 	slack     = 500 * time.Millisecond
-	requests  = 400
-	pause     = 80 * time.Millisecond
+	requests  = 1700
+	pause     = 50 * time.Millisecond
 	work      = 160 * time.Millisecond
-	instances = 3
-	// spoiledOneIn is one in how many answers has no end, for spoilFor in each spoilEvery.
-	spoiledOneIn = 6
+	instances = 4
+	// spoiling of the instances send one answer in spoiledOneIn without end, for spoilFor in each
+	// spoilEvery.
+	spoiling     = 2
+	spoiledOneIn = 20
 	spoilFor     = 5 * time.Second
 	spoilEvery   = 7 * time.Second
 	// leastOpen and leastShare are those of the rule: eight or more, and over a quarter.
@@ -63,7 +65,7 @@
 			defer slots.Finish()
 			i.Ran(r, body, false)
 			time.Sleep(work)
-			if trouble && time.Since(began)%spoilEvery < spoilFor && answered.Add(1)%spoiledOneIn == 0 {
+			if trouble && n < spoiling && time.Since(began)%spoilEvery < spoilFor && answered.Add(1)%spoiledOneIn == 0 {
 				s.Note("instance %s: %s got %d bytes of a body without end, until the entry host closed", i.ID, id, i.AnswerWithoutEnd(conn, id, http.StatusOK))
 				return false
 			}
